Workspace, checks and the contracts between packages

Cause: nothing stood yet. The outside systems' abstract classes, the clock, ids, outcomes and the declaration come first, so that the parts can be written beside each other. Ruled out: one package for all (owners of folders would meet in one index).

--- /dev/null
+++ b/packages/common/src/logging/logEvent.ts
@@ -0,0 +1,54 @@
+/**
+ * Catalogue of log events. Numbers are never reused. docs/LOGS.md is checked against this list.
+ * Ranges: 1xx process, 2xx configuration, 3xx ownership, 4xx membership and peers, 5xx requests, 6xx outside systems.
+ */
+const LOG_EVENTS = {
+    processStarted: { number: 100, level: "info", text: "daemon started" },
+    processStopping: { number: 101, level: "info", text: "graceful stop began" },
+    processStopped: { number: 102, level: "info", text: "graceful stop ended" },
+    invariantBroken: { number: 103, level: "error", text: "an invariant is broken; the process stops" },
+    configurationAdopted: { number: 200, level: "info", text: "configuration version in force" },
+    configurationRejected: {
+        number: 201,
+        level: "error",
+        text: "a stored configuration cannot be read; the version in force stays",
+    },
+    configurationSubmitted: { number: 202, level: "info", text: "an operator's submission ended" },
+    sliceTaken: { number: 300, level: "info", text: "a server took a slice" },
+    moveBegun: { number: 301, level: "info", text: "a move of a slice was committed" },
+    moveEnded: { number: 302, level: "info", text: "a move of a slice ended" },
+    serverSuspected: { number: 303, level: "warn", text: "a server did not answer its grantor" },
+    serverBarred: { number: 304, level: "warn", text: "a grantor stopped renewing a server's lease" },
+    serverRestarted: { number: 305, level: "warn", text: "a server answers with a new incarnation" },
+    deciderElected: { number: 306, level: "info", text: "this host decides ownership for its data centre" },
+    deciderLost: { number: 307, level: "warn", text: "this host no longer decides ownership" },
+    grantorsChanged: { number: 308, level: "info", text: "the grantors of a server changed" },
+    lossAttested: { number: 309, level: "warn", text: "an operator attested a loss" },
+    peerConnected: { number: 400, level: "info", text: "link to a peer is up" },
+    peerLost: { number: 401, level: "warn", text: "link to a peer is down" },
+    peerRefused: { number: 402, level: "error", text: "a peer speaks another protocol version" },
+    peerFrameMalformed: {
+        number: 403,
+        level: "error",
+        text: "a peer sent a frame that cannot be read; the link is closed",
+    },
+    answerOrphaned: { number: 500, level: "warn", text: "an answer arrived for which nobody waits; dropped" },
+    requestRefused: { number: 501, level: "debug", text: "a request was refused" },
+    requestUnknown: { number: 502, level: "warn", text: "the outcome of a request is unknown" },
+    tableUnavailable: { number: 600, level: "warn", text: "the table service does not answer" },
+    tableRecovered: { number: 601, level: "info", text: "the table service answers again" },
+    objectStoreUnavailable: { number: 602, level: "warn", text: "the object store does not answer" },
+    operatorRefused: {
+        number: 603,
+        level: "warn",
+        text: "an operator's call was refused: wrong or missing token",
+    },
+} as const satisfies Record<
+    string,
+    { number: number; level: "debug" | "info" | "warn" | "error"; text: string; }
+>;
+
+/** Name of a log event. */
+type LogEvent = keyof typeof LOG_EVENTS;
+
+export { LOG_EVENTS, type LogEvent };
--- /dev/null
+++ b/packages/common/src/logging/logger.ts
@@ -0,0 +1,26 @@
+import loglevel from "loglevel";
+import type { Clock } from "../time/clock.js";
+import { LOG_EVENTS, type LogEvent } from "./logEvent.js";
+import type { LogFields } from "./logFields.js";
+
+/** Writes numbered events as one JSON object a line. */
+export class Logger {
+    private readonly sink: loglevel.Logger;
+    private readonly clock: Clock;
+    private readonly origin: string;
+
+    /** @param origin name of the process, printed on each line */
+    constructor(clock: Clock, origin: string, level: loglevel.LogLevelDesc = "info") {
+        this.clock = clock;
+        this.origin = origin;
+        this.sink = loglevel.getLogger(`arbutusdoor:${origin}`);
+        this.sink.setLevel(level, false);
+    }
+
+    /** Writes one event with its details. */
+    log(event: LogEvent, fields: LogFields = {}): void {
+        const { number, level, text } = LOG_EVENTS[event];
+        const time = new Date(this.clock.wallTime()).toISOString();
+        this.sink[level](JSON.stringify({ time, number, event, text, origin: this.origin, ...fields }));
+    }
+}
--- /dev/null
+++ b/packages/configuration/src/declaration/route.ts
@@ -0,0 +1,14 @@
+import { z } from "zod";
+import { nameSchema } from "./names.js";
+
+const MAX_KEY_LENGTH = 512;
+
+/** Ties one key of a keyed service to a server. */
+const Route = z.strictObject({
+    key: z.string().min(1).max(MAX_KEY_LENGTH),
+    server: nameSchema,
+});
+
+type Route = z.infer<typeof Route>;
+
+export { Route };
--- /dev/null
+++ b/packages/platform/src/orders/grantor.ts
@@ -0,0 +1,7 @@
+import type { HostId, HostIncarnation } from "@arbutusdoor/common";
+
+/** A run of an entry host that may renew a server's lease. */
+export type Grantor = {
+    readonly host: HostId;
+    readonly incarnation: HostIncarnation;
+};
