--- /dev/null
+++ b/packages/daemon/src/entry/outcomeHeaders.ts
@@ -0,0 +1,7 @@
+/** Names of the headers by which a caller learns the outcome of a request. */
+export const OUTCOME_HEADERS = {
+    OUTCOME: "arbutusdoor-outcome",
+    REASON: "arbutusdoor-reason",
+    REQUEST_ID: "arbutusdoor-request-id",
+    OWNER: "arbutusdoor-server",
+} as const;
--- /dev/null
+++ b/packages/daemon/src/entry/readRequestBody.ts
@@ -0,0 +1,54 @@
+import { newRefusal, type Refusal } from "@arbutusdoor/common";
+import type { IncomingMessage } from "node:http";
+import { newLimitedBody } from "./newLimitedBody.js";
+import { RequestBody } from "./requestBody.js";
+
+/** Largest sizes of a body in bytes. */
+type BodyLimits = {
+    /** A longer body is refused. */
+    readonly bodyLimitBytes: number;
+    /** A body up to this size is read whole before anything is sent on. */
+    readonly bufferedBodyBytes: number;
+};
+
+/** A body that can be sent on, or the refusal of one that cannot. */
+type BodyReading =
+    | { readonly kind: "body"; readonly body: RequestBody }
+    | { readonly kind: "refusal"; readonly refusal: Refusal };
+
+/** Reads a small body whole and opens a long one as a stream. Nothing has been sent on when it refuses. */
+export async function readRequestBody(message: IncomingMessage, limits: BodyLimits): Promise<BodyReading> {
+    const declared = message.headers["content-length"];
+    const isChunked = message.headers["transfer-encoding"] !== undefined;
+    if (declared === undefined && !isChunked) {
+        return { kind: "body", body: RequestBody.none() };
+    }
+    const length = Number(declared);
+    if (length > limits.bodyLimitBytes) {
+        const detail = `the body has ${length} bytes; the limit of its class is ${limits.bodyLimitBytes}`;
+        return { kind: "refusal", refusal: newRefusal("bodyTooLarge", detail) };
+    }
+    if (isChunked || length > limits.bufferedBodyBytes) {
+        return { kind: "body", body: RequestBody.arriving(newLimitedBody(message, limits.bodyLimitBytes)) };
+    }
+    return readWhole(message, length);
+}
+
+async function readWhole(message: IncomingMessage, length: number): Promise<BodyReading> {
+    const chunks: Buffer[] = [];
+    try {
+        for await (const chunk of message) {
+            chunks.push(chunk as Buffer);
+        }
+    }
+    catch {
+        return refuseBroken();
+    }
+    const bytes = Buffer.concat(chunks);
+    return bytes.length === length ? { kind: "body", body: RequestBody.whole(bytes) } : refuseBroken();
+}
+
+function refuseBroken(): BodyReading {
+    const refusal = newRefusal("malformedRequest", "the body ended before its declared length");
+    return { kind: "refusal", refusal };
+}
--- /dev/null
+++ b/packages/daemon/src/kernel/kernel.ts
@@ -0,0 +1,78 @@
+import { type Clock, InvariantError, type Logger, type Metrics, type RandomSource } from "@arbutusdoor/common";
+import type { DaemonSettings } from "../settings/daemonSettings.js";
+import type { Plugin } from "./plugin.js";
+import type { Service } from "./service.js";
+
+/** What every plug-in may use. */
+type KernelOptions = {
+    readonly settings: DaemonSettings;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+};
+
+/** Holds the plug-ins of one daemon, starts and stops them, and hands their services to each other. */
+export class Kernel {
+    readonly settings: DaemonSettings;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+    private readonly services = new Map<string, unknown>();
+    private readonly plugins: readonly Plugin[];
+    private hasBegunStop = false;
+
+    constructor(options: KernelOptions, plugins: readonly Plugin[]) {
+        this.settings = options.settings;
+        this.clock = options.clock;
+        this.random = options.random;
+        this.logger = options.logger;
+        this.metrics = options.metrics;
+        this.plugins = plugins;
+    }
+
+    /** True from the begin of a graceful stop. */
+    get isStopping(): boolean {
+        return this.hasBegunStop;
+    }
+
+    /** Offers a service to other plug-ins. Throws InvariantError when it is offered twice. */
+    provide<Value>(service: Service<Value>, value: Value): void {
+        if (this.services.has(service.name)) {
+            throw new InvariantError(`service "${service.name}" is provided twice`);
+        }
+        this.services.set(service.name, value);
+    }
+
+    /** A service of another plug-in. Throws InvariantError when no plug-in has provided it. */
+    get<Value>(service: Service<Value>): Value {
+        if (!this.services.has(service.name)) {
+            throw new InvariantError(`service "${service.name}" is not provided`);
+        }
+        return this.services.get(service.name) as Value;
+    }
+
+    /** Installs and starts all plug-ins. */
+    async start(): Promise<void> {
+        for (const plugin of this.plugins) {
+            plugin.install(this);
+        }
+        for (const plugin of this.plugins) {
+            await plugin.start();
+        }
+    }
+
+    /** Stops gracefully: nothing that is in flight is cut off within the limit of the settings. */
+    async stop(): Promise<void> {
+        if (this.hasBegunStop) {
+            return;
+        }
+        this.hasBegunStop = true;
+        const drained = Promise.all(this.plugins.map(plugin => plugin.drain()));
+        await Promise.race([drained, this.clock.sleep(this.settings.stopLimitMs)]);
+        for (const plugin of [...this.plugins].reverse()) {
+            await plugin.stop();
+        }
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/kernel/service.ts
@@ -0,0 +1,10 @@
+/** Typed name of something that one plug-in offers to the others. */
+export class Service<Value> {
+    readonly name: string;
+    /** Ties the type parameter to the class; never set. */
+    declare readonly value: Value;
+
+    constructor(name: string) {
+        this.name = name;
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/routing/keyedRouter.ts
@@ -0,0 +1,90 @@
+import type { Clock, Refusal, ServerId, ServiceId } from "@arbutusdoor/common";
+import type { Route } from "@arbutusdoor/ownership";
+import type { CallerRequest } from "../entry/callerRequest.js";
+import type { Answer } from "../serving/answer.js";
+import { refuse } from "../serving/refuse.js";
+import type { ServingPort } from "../serving/servingPort.js";
+import type { OwnerWait } from "./ownerWait.js";
+import type { RelayPort } from "./relayPort.js";
+import { RequestRouter } from "./requestRouter.js";
+import type { RetryRules } from "./retryRules.js";
+
+type OpenRoute = Extract<Route, { kind: "route" }>;
+
+/**
+ * Routes a request of a keyed service: to a grantor of the server that owns the key, which is this host or a peer.
+ * A request that provably did not run is tried again while its key's owner changes; the wait is bounded.
+ */
+export class KeyedRouter extends RequestRouter {
+    private readonly clock: Clock;
+    private readonly serving: ServingPort;
+    private readonly relay: RelayPort;
+    private readonly ownerWait: OwnerWait;
+    private readonly retryRules: RetryRules;
+
+    constructor(
+        clock: Clock,
+        serving: ServingPort,
+        relay: RelayPort,
+        ownerWait: OwnerWait,
+        retryRules: RetryRules,
+    ) {
+        super();
+        this.clock = clock;
+        this.serving = serving;
+        this.relay = relay;
+        this.ownerWait = ownerWait;
+        this.retryRules = retryRules;
+    }
+
+    override async route(request: CallerRequest): Promise<Answer> {
+        const beganAt = this.clock.now();
+        this.retryRules.begin(request);
+        let retries = 0;
+        for (;;) {
+            const answer = await this.attempt(request);
+            if (answer.kind === "answered") {
+                return answer;
+            }
+            const { refusal } = answer;
+            if (await this.mayWait(request, refusal, beganAt)) {
+                continue;
+            }
+            retries++;
+            if (!this.retryRules.takeRetry(request, refusal, retries)) {
+                return answer;
+            }
+        }
+    }
+
+    private async mayWait(request: CallerRequest, refusal: Refusal, beganAt: number): Promise<boolean> {
+        if (refusal.outcome !== "notRun" || !request.body.canOpen() || request.signal.aborted) {
+            return false;
+        }
+        return this.ownerWait.take(refusal.reason, beganAt, request.deadlineAt);
+    }
+
+    private async attempt(request: CallerRequest): Promise<Answer> {
+        if (request.key === undefined) {
+            return refuse("missingKey", "the path names no key");
+        }
+        if (this.clock.now() >= request.deadlineAt) {
+            return refuse("deadlineBeforeStart", "the deadline passed before the key had a reachable owner");
+        }
+        const route = this.serving.getRoute(request.service.name, request.key);
+        return route.kind === "refusal" ? route : this.send(request, route);
+    }
+
+    private send(request: CallerRequest, route: OpenRoute): Promise<Answer> {
+        const slice = {
+            service: request.service.name as ServiceId,
+            slice: route.slice,
+            generation: route.generation,
+        };
+        const [grantor] = route.grantors;
+        if (!grantor) {
+            return Promise.resolve(refuse("ownerUnreachable", "no grantor of the server is reachable"));
+        }
+        return this.relay.hand(grantor.host, request, route.server as ServerId, slice);
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/routing/ownerWait.ts
@@ -0,0 +1,54 @@
+import type { Clock, Metrics, Milliseconds, RefusalReason } from "@arbutusdoor/common";
+import type { ServingPort } from "../serving/servingPort.js";
+
+/** Refusals that a change of ownership is expected to lift soon. */
+const PASSING_REASONS: ReadonlySet<RefusalReason> = new Set([
+    "noConfiguration",
+    "noOwner",
+    "ownerMoving",
+    "ownerUnreachable",
+    "staleOwner",
+    "stopping",
+    "relayUnreachable",
+    "relayNotReceived",
+]);
+const LOOK_AGAIN_MS = 25;
+
+/** Lets requests wait a bounded time, in a bounded number, for their key to have a reachable owner again. */
+export class OwnerWait {
+    private readonly clock: Clock;
+    private readonly metrics: Metrics;
+    private readonly serving: ServingPort;
+    private readonly limit: number;
+    private readonly longest: Milliseconds;
+    private waiting = 0;
+
+    /**
+     * @param limit most requests that wait
+     * @param longest longest wait of one request
+     */
+    constructor(clock: Clock, metrics: Metrics, serving: ServingPort, limit: number, longest: Milliseconds) {
+        this.clock = clock;
+        this.metrics = metrics;
+        this.serving = serving;
+        this.limit = limit;
+        this.longest = longest;
+    }
+
+    /** Waits for a change; false when waiting is of no use or no longer allowed. */
+    async take(reason: RefusalReason, beganAt: Milliseconds, deadlineAt: Milliseconds): Promise<boolean> {
+        const now = this.clock.now();
+        const until = Math.min(beganAt + this.longest, deadlineAt);
+        if (!PASSING_REASONS.has(reason) || now >= until) {
+            return false;
+        }
+        if (this.waiting >= this.limit) {
+            this.metrics.count("arbutusdoor_owner_wait_overflow_total");
+            return false;
+        }
+        this.waiting++;
+        await this.serving.waitForChange(Math.min(LOOK_AGAIN_MS, until - now));
+        this.waiting--;
+        return true;
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/serving/serverSender.ts
@@ -0,0 +1,116 @@
+import { type Clock, type Metrics, newRefusal } from "@arbutusdoor/common";
+import type { BackendAnswer, BackendTraffic } from "@arbutusdoor/platform";
+import { PassThrough, pipeline, type Readable } from "node:stream";
+import { finished } from "node:stream/promises";
+import type { Answer } from "./answer.js";
+import { newProgressStream } from "./newProgressStream.js";
+import { refuse } from "./refuse.js";
+import type { ServingRequest } from "./servingRequest.js";
+
+/** A request that was sent: its answer's head, and the moment at which nothing of it runs any more. */
+type Sending = {
+    readonly answer: Answer;
+    /** Resolves once the answer's body has ended or broken off. */
+    readonly ended: Promise<void>;
+};
+
+/** Sends one request to a backend server, with its deadline, and ends bodies that stand still. */
+export class ServerSender {
+    private readonly clock: Clock;
+    private readonly metrics: Metrics;
+    private readonly traffic: BackendTraffic;
+
+    constructor(clock: Clock, metrics: Metrics, traffic: BackendTraffic) {
+        this.clock = clock;
+        this.metrics = metrics;
+        this.traffic = traffic;
+    }
+
+    /** Sends the request and waits for the head of its answer. Never rejects. */
+    async send(request: ServingRequest): Promise<Sending> {
+        const stop = new AbortController();
+        const abort = () => stop.abort();
+        request.signal.addEventListener("abort", abort, { once: true });
+        if (request.signal.aborted) {
+            abort();
+        }
+        let isStalled = false;
+        const onStall = () => {
+            isStalled = true;
+            this.metrics.count("arbutusdoor_stalled_bodies_total", { class: request.requestClass.name });
+            abort();
+        };
+        const reply = await this.traffic.send({
+            id: request.id,
+            server: request.server,
+            address: request.address,
+            method: request.method,
+            path: request.path,
+            headers: request.headers,
+            body: request.body && this.watch(request.body, request, onStall),
+            deadline: Math.max(0, request.deadlineAt - this.clock.now()),
+            slice: request.slice,
+            signal: stop.signal,
+        });
+        if (reply.kind !== "answered") {
+            request.signal.removeEventListener("abort", abort);
+            return { answer: this.getRefusal(reply, request, isStalled), ended: Promise.resolve() };
+        }
+        const body = this.watchAnswer(reply.body, request, onStall);
+        const ended = finished(body, { cleanup: true }).catch(() => undefined)
+            .then(() => request.signal.removeEventListener("abort", abort));
+        return { answer: { ...reply, body }, ended };
+    }
+
+    private watch(stream: Readable, request: ServingRequest, onStall: () => void): Readable {
+        return newProgressStream(stream, this.clock, request.requestClass.progressTimeoutMs, onStall);
+    }
+
+    private watchAnswer(stream: Readable, request: ServingRequest, onStall: () => void): Readable {
+        if (stream.readableEnded) {
+            const empty = new PassThrough();
+            pipeline(stream, empty, () => undefined);
+            return empty;
+        }
+        return this.watch(stream, request, onStall);
+    }
+
+    private getRefusal(
+        reply: Exclude<BackendAnswer, { kind: "answered" }>,
+        request: ServingRequest,
+        isStalled: boolean,
+    ): Answer {
+        if (reply.kind === "notRun") {
+            return this.getNotRun(reply, request);
+        }
+        if (isStalled) {
+            return refuse("uploadStalled", "no byte of the body moved for the progress timeout of its class");
+        }
+        if (request.signal.aborted) {
+            return refuse("callerGone", "the caller left while the request ran");
+        }
+        if (this.clock.now() >= request.deadlineAt) {
+            return refuse("deadlineAfterStart", "the deadline passed while the request ran");
+        }
+        if (request.body?.errored) {
+            return refuse("bodyBroken", `the body broke off: ${request.body.errored.message}`);
+        }
+        return refuse("connectionLost", "the connection to the backend server broke off");
+    }
+
+    private getNotRun(reply: Extract<BackendAnswer, { kind: "notRun" }>, request: ServingRequest): Answer {
+        switch (reply.cause) {
+            case "unreachable":
+                return this.clock.now() >= request.deadlineAt
+                    ? refuse("deadlineBeforeStart", "the deadline passed before the request could be sent")
+                    : refuse("ownerUnreachable", "the backend server takes no connection");
+            case "stale":
+                return refuse("staleOwner", "the backend server does not own the key");
+            case "shed":
+            case "leaving":
+                return refuse("serverRefused", `the backend server did not run it: ${reply.cause}`);
+            case "cancelled":
+                return { kind: "refusal", refusal: { ...newRefusal("callerGone", "the caller left"), outcome: "notRun" } };
+        }
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/settings/getSettingName.ts
@@ -0,0 +1,10 @@
+import type { SettingName } from "./settingName.js";
+
+/** The flag and the environment variable of a setting. */
+export function getSettingName(setting: string): SettingName {
+    const words = setting.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`);
+    return {
+        flag: `--${words}`,
+        variable: `ARBUTUSDOOR_${words.replaceAll("-", "_").toUpperCase()}`,
+    };
+}
