Add the HTTP adapters of the outside systems

The abstract classes had no implementation that speaks to a real process. Each adapter is one module over a shared exchange that knows whether bytes were handed to a connection, which decides between not run and unknown.

--- /dev/null
+++ b/packages/platform/src/backend/httpBackendTraffic.ts
@@ -0,0 +1,116 @@
+import type { Clock, Milliseconds } from "@arbutusdoor/common";
+import { getHeaders } from "../http/getHeaders.js";
+import { HttpExchange } from "../http/httpExchange.js";
+import type { HttpOutcome } from "../http/httpOutcome.js";
+import { HttpPools } from "../http/httpPools.js";
+import type { BackendAnswer } from "./backendAnswer.js";
+import type { BackendRequest } from "./backendRequest.js";
+import { BackendTraffic } from "./backendTraffic.js";
+import type { BackendTrafficSettings } from "./backendTrafficSettings.js";
+
+const REFUSED_STATUS = 503;
+const REFUSAL_HEADER = "arbutusdoor-not-run";
+const REFUSAL_DRAIN_MS = 1_000;
+
+/**
+ * Requests to backend servers over HTTP. The path, the method, the fields and the body are the caller's, with these fields added:
+ *
+ * - `arbutusdoor-request-id`: the id of the request;
+ * - `arbutusdoor-slice` (`service/slice`) and `arbutusdoor-generation`, for a keyed request;
+ * - `arbutusdoor-deadline-ms`: the time left until the caller's deadline;
+ * - `arbutusdoor-host`: the entry host that sends.
+ *
+ * A server that did not run a request says so by status 503 with `arbutusdoor-not-run: shed`, `stale` or `leaving`.
+ * An answer that does not state where its body ends can't be known to be whole, and counts as lost.
+ */
+export class HttpBackendTraffic extends BackendTraffic {
+    private readonly clock: Clock;
+    private readonly settings: BackendTrafficSettings;
+    private readonly pools: HttpPools;
+
+    constructor(parts: { readonly clock: Clock; readonly settings: BackendTrafficSettings; }) {
+        super();
+        this.clock = parts.clock;
+        this.settings = parts.settings;
+        this.pools = new HttpPools(parts.settings);
+    }
+
+    override async send(request: BackendRequest): Promise<BackendAnswer> {
+        const pool = this.pools.get(request.address);
+        if (pool.stats.pending >= this.settings.waitingLimit) {
+            return {
+                kind: "notRun",
+                cause: "unreachable",
+                detail: "too many requests wait for a connection",
+            };
+        }
+        const outcome = await HttpExchange.send(pool, {
+            method: request.method,
+            path: request.path,
+            headers: this.getRequestHeaders(request),
+            body: request.body,
+            headTimeout: request.deadline,
+            signal: request.signal,
+        }, this.clock);
+        return this.getAnswer(outcome);
+    }
+
+    override limitConnections(address: string, connections: number): void {
+        this.pools.limit(address, connections);
+    }
+
+    /** Open connections of each server's address. */
+    countConnections(): ReadonlyMap<string, number> {
+        return this.pools.countConnections();
+    }
+
+    override async close(): Promise<void> {
+        await this.pools.close();
+    }
+
+    private getRequestHeaders(request: BackendRequest): Record<string, string> {
+        const headers = getHeaders(request.headers);
+        headers["arbutusdoor-request-id"] = request.id;
+        headers["arbutusdoor-deadline-ms"] = toWholeMilliseconds(request.deadline);
+        headers["arbutusdoor-host"] = this.settings.host;
+        delete headers["arbutusdoor-slice"];
+        delete headers["arbutusdoor-generation"];
+        if (request.slice) {
+            headers["arbutusdoor-slice"] = `${request.slice.service}/${request.slice.slice}`;
+            headers["arbutusdoor-generation"] = String(request.slice.generation);
+        }
+        return headers;
+    }
+
+    private getAnswer(outcome: HttpOutcome): BackendAnswer {
+        if (outcome.kind === "notSent") {
+            const cause = outcome.isCancelled ? "cancelled" : "unreachable";
+            return { kind: "notRun", cause, detail: outcome.reason };
+        }
+        if (outcome.kind === "lost") {
+            const cause = outcome.isCancelled ? "cancelled" : "connectionLost";
+            return { kind: "unknown", cause, detail: outcome.reason };
+        }
+        const refusal = outcome.status === REFUSED_STATUS ? outcome.headers[REFUSAL_HEADER] : undefined;
+        if (refusal === "shed" || refusal === "stale" || refusal === "leaving") {
+            this.discard(outcome.body);
+            return {
+                kind: "notRun",
+                cause: refusal,
+                detail: "the server says that it did not run the request",
+            };
+        }
+        return { kind: "answered", status: outcome.status, headers: outcome.headers, body: outcome.body };
+    }
+
+    /** Reads a short body to its end, so that its connection can be used again; one that stalls is closed. */
+    private discard(body: NodeJS.ReadableStream & { destroy(): void; }): void {
+        const timer = this.clock.schedule(REFUSAL_DRAIN_MS, () => body.destroy());
+        body.on("close", () => timer.cancel());
+        body.resume();
+    }
+}
+
+function toWholeMilliseconds(duration: Milliseconds): string {
+    return String(Math.max(0, Math.floor(duration)));
+}
--- /dev/null
+++ b/packages/platform/src/http/adapterParts.ts
@@ -0,0 +1,9 @@
+import type { Clock, Metrics } from "@arbutusdoor/common";
+import type { HttpLimits } from "./httpLimits.js";
+
+/** What every adapter of an outside system is made of. */
+export type AdapterParts = {
+    readonly clock: Clock;
+    readonly metrics: Metrics;
+    readonly limits: HttpLimits;
+};
--- /dev/null
+++ b/packages/platform/src/http/hasStatedEnd.ts
@@ -0,0 +1,14 @@
+const NO_CONTENT_STATUS = 204;
+const NOT_MODIFIED_STATUS = 304;
+
+type RawHeaders = Readonly<Record<string, string | string[] | undefined>>;
+
+/** Whether an answer says where its body ends, so that a connection broken off is told from a whole answer. */
+export function hasStatedEnd(method: string, status: number, headers: RawHeaders): boolean {
+    const hasNoBody = method === "HEAD" || status === NO_CONTENT_STATUS || status === NOT_MODIFIED_STATUS;
+    return hasNoBody || headers["content-length"] !== undefined || isChunked(headers["transfer-encoding"]);
+}
+
+function isChunked(encoding: string | string[] | undefined): boolean {
+    return /\bchunked\s*$/i.test(String(encoding ?? ""));
+}
--- /dev/null
+++ b/packages/platform/src/http/httpClient.ts
@@ -0,0 +1,126 @@
+import type { Clock, Metrics } from "@arbutusdoor/common";
+import PQueue from "p-queue";
+import { Pool } from "undici";
+import type { HttpAnswer } from "./httpAnswer.js";
+import { HttpExchange } from "./httpExchange.js";
+import type { HttpLimits } from "./httpLimits.js";
+import { readWhole } from "./readWhole.js";
+
+const INTERVAL_MS = 1_000;
+const MICROSECONDS_PER_MS = 1_000;
+const OVERDUE: HttpAnswer = { kind: "notRun", reason: "the call waited longer than its time limit" };
+
+/** What a client is made of. */
+type HttpClientParts = {
+    /** Label of the metrics, for example `table-read`. */
+    readonly name: string;
+    /** Beginning of every URL: scheme, IP number and port. */
+    readonly baseUrl: string;
+    readonly clock: Clock;
+    readonly metrics: Metrics;
+    readonly limits: HttpLimits;
+};
+
+/** A call as an adapter makes it. */
+type HttpCall = {
+    readonly method: "GET" | "POST" | "PUT";
+    readonly path: string;
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly body?: Uint8Array;
+};
+
+/** Calls to one outside system, bounded in rate, in number and in waiting line. Calls never reject. */
+export class HttpClient {
+    private readonly parts: HttpClientParts;
+    private readonly queue: PQueue;
+    private readonly pool: Pool;
+
+    constructor(parts: HttpClientParts) {
+        this.parts = parts;
+        const { concurrency, requestsPerSecond } = parts.limits;
+        this.queue = new PQueue({ concurrency, intervalCap: requestsPerSecond, interval: INTERVAL_MS });
+        this.pool = new Pool(parts.baseUrl, {
+            connections: concurrency,
+            pipelining: 1,
+            connectTimeout: parts.limits.timeoutMs,
+            headersTimeout: 0,
+            bodyTimeout: 0,
+        });
+    }
+
+    /** Makes a call, or ends it as not run when too many wait already. */
+    async call(call: HttpCall): Promise<HttpAnswer> {
+        const { clock, metrics, name } = this.parts;
+        const began = clock.now();
+        const answer = await this.enqueue(call);
+        metrics.count("arbutusdoor_platform_calls_total", { system: name, outcome: answer.kind });
+        const duration = (clock.now() - began) * MICROSECONDS_PER_MS;
+        metrics.record("arbutusdoor_platform_call_microseconds", { system: name }, duration);
+        return answer;
+    }
+
+    /** Closes the connections once calls under way have ended. */
+    async close(): Promise<void> {
+        await this.pool.close();
+    }
+
+    private async enqueue(call: HttpCall): Promise<HttpAnswer> {
+        const { clock, limits, metrics, name } = this.parts;
+        if (this.queue.size >= limits.waitingLimit) {
+            metrics.count("arbutusdoor_platform_overflow_total", { system: name });
+            return { kind: "notRun", reason: "too many calls wait for this system" };
+        }
+        const overdue = new AbortController();
+        const timer = clock.schedule(limits.timeoutMs, () => overdue.abort());
+        const answer = await this.takeTurn(call, overdue.signal);
+        timer.cancel();
+        return answer;
+    }
+
+    private async takeTurn(call: HttpCall, signal: AbortSignal): Promise<HttpAnswer> {
+        let exchange: Promise<HttpAnswer> | undefined;
+        try {
+            await this.queue.add(
+                () => {
+                    exchange = this.exchange(call, signal);
+                    return exchange;
+                },
+                { signal },
+            );
+        }
+        catch {
+            // The signal ended the wait; an exchange that has begun still tells its own outcome.
+        }
+        return await (exchange ?? OVERDUE);
+    }
+
+    private async exchange(call: HttpCall, signal: AbortSignal): Promise<HttpAnswer> {
+        const { clock, limits } = this.parts;
+        const request = {
+            method: call.method,
+            path: call.path,
+            headers: call.headers ?? {},
+            body: call.body,
+            headTimeout: limits.timeoutMs,
+            signal,
+        };
+        const outcome = await HttpExchange.send(this.pool, request, clock);
+        return await getAnswer(outcome, limits.answerLimitBytes);
+    }
+}
+
+async function getAnswer(
+    outcome: Awaited<ReturnType<typeof HttpExchange.send>>,
+    limitBytes: number,
+): Promise<HttpAnswer> {
+    if (outcome.kind === "notSent") {
+        return { kind: "notRun", reason: outcome.reason };
+    }
+    if (outcome.kind === "lost") {
+        return { kind: "unknown", reason: outcome.reason };
+    }
+    const body = await readWhole(outcome.body, limitBytes);
+    return body.kind === "broken"
+        ? { kind: "unknown", reason: body.reason }
+        : { kind: "answer", status: outcome.status, bytes: body.bytes };
+}
--- /dev/null
+++ b/packages/platform/src/http/httpExchange.ts
@@ -0,0 +1,135 @@
+import type { Clock, Timer } from "@arbutusdoor/common";
+import type { Dispatcher } from "undici";
+import { AnswerBody } from "./answerBody.js";
+import { getHeaders } from "./getHeaders.js";
+import { hasStatedEnd } from "./hasStatedEnd.js";
+import type { HttpOutcome } from "./httpOutcome.js";
+import type { HttpRequest } from "./httpRequest.js";
+
+const FIRST_FINAL_STATUS = 200;
+
+/**
+ * One request over a pool of connections. It is handed to at most one connection, once:
+ * until that moment a timeout, a cancellation or a failure proves that nothing was sent, afterwards it proves nothing.
+ */
+export class HttpExchange implements Dispatcher.DispatchHandler {
+    private readonly request: HttpRequest;
+    private readonly clock: Clock;
+    private readonly resolve: (outcome: HttpOutcome) => void;
+    private readonly cancel = () => this.end("the request was cancelled", true);
+    private timer: Timer | undefined;
+    private controller: Dispatcher.DispatchController | undefined;
+    private body: AnswerBody | undefined;
+    private isSettled = false;
+    private isEnded = false;
+
+    private constructor(request: HttpRequest, clock: Clock, resolve: (outcome: HttpOutcome) => void) {
+        this.request = request;
+        this.clock = clock;
+        this.resolve = resolve;
+    }
+
+    /** Sends a request over a pool; never rejects. */
+    static send(pool: Dispatcher, request: HttpRequest, clock: Clock): Promise<HttpOutcome> {
+        return new Promise(resolve => {
+            const exchange = new HttpExchange(request, clock, resolve);
+            exchange.begin(pool);
+        });
+    }
+
+    onRequestStart(controller: Dispatcher.DispatchController): void {
+        if (this.isEnded || this.controller) {
+            controller.abort(new Error("the request has ended or was sent before"));
+            return;
+        }
+        this.controller = controller;
+    }
+
+    onResponseStart(
+        controller: Dispatcher.DispatchController,
+        status: number,
+        rawHeaders: Record<string, string | string[] | undefined>,
+    ): void {
+        if (status < FIRST_FINAL_STATUS) {
+            return;
+        }
+        if (!hasStatedEnd(this.request.method, status, rawHeaders)) {
+            this.end("the answer does not state where it ends", false);
+            return;
+        }
+        this.body = new AnswerBody(controller);
+        const headers = getHeaders(rawHeaders);
+        this.settle({ kind: "head", status, headers, body: this.body.stream });
+    }
+
+    onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+        this.body?.accept(chunk);
+    }
+
+    onResponseEnd(): void {
+        this.release();
+        this.body?.finish();
+    }
+
+    onResponseError(_controller: Dispatcher.DispatchController | undefined, error: Error): void {
+        this.fail(getReason(error), false, error);
+    }
+
+    private begin(pool: Dispatcher): void {
+        const { method, path, headers, body, headTimeout, signal } = this.request;
+        if (signal?.aborted) {
+            this.cancel();
+            return;
+        }
+        signal?.addEventListener("abort", this.cancel, { once: true });
+        this.timer = this.clock.schedule(
+            headTimeout,
+            () => this.end("no answer within the time limit", false),
+        );
+        try {
+            pool.dispatch({ method, path, headers, body }, this);
+        }
+        catch (error) {
+            this.fail(getReason(error), false, error);
+        }
+    }
+
+    /** Ends the exchange from this side: an exchange not yet handed over never will be. */
+    private end(reason: string, isCancelled: boolean): void {
+        if (this.isEnded) {
+            return;
+        }
+        const error = new Error(reason);
+        this.fail(reason, isCancelled, error);
+        this.controller?.abort(error);
+    }
+
+    private fail(reason: string, isCancelled: boolean, error: unknown): void {
+        this.release();
+        const kind = this.controller ? "lost" : "notSent";
+        this.settle({ kind, isCancelled, reason });
+        this.body?.fail(error instanceof Error ? error : new Error(reason));
+    }
+
+    private settle(outcome: HttpOutcome): void {
+        this.timer?.cancel();
+        if (!this.isSettled) {
+            this.isSettled = true;
+            this.resolve(outcome);
+        }
+    }
+
+    private release(): void {
+        this.isEnded = true;
+        this.timer?.cancel();
+        this.request.signal?.removeEventListener("abort", this.cancel);
+    }
+}
+
+function getReason(error: unknown): string {
+    if (!(error instanceof Error)) {
+        return "the connection failed";
+    }
+    const code = (error as NodeJS.ErrnoException).code;
+    return code ? `${code}: ${error.message}` : error.message;
+}
--- /dev/null
+++ b/packages/platform/src/http/httpPools.ts
@@ -0,0 +1,110 @@
+import { Pool } from "undici";
+
+/** Settings of the pools that one adapter keeps. */
+type PoolSettings = {
+    /** Connections to an address for which no other number was set. */
+    readonly connections: number;
+    readonly connectTimeoutMs: number;
+    /** Time in ms that an unused connection is kept; shorter than servers keep theirs. */
+    readonly idleTimeoutMs: number;
+    /** Addresses that pools are kept for; beyond it pools without requests are closed. */
+    readonly addressLimit: number;
+};
+
+/** One pool of connections for each address: one request at a time on a connection, no pipelining. */
+export class HttpPools {
+    private readonly settings: PoolSettings;
+    private readonly pools = new Map<string, Pool>();
+    private readonly limits = new Map<string, number>();
+    private readonly retired = new Map<Pool, string>();
+
+    constructor(settings: PoolSettings) {
+        this.settings = settings;
+    }
+
+    /** The pool of an address (IP number and port). */
+    get(address: string): Pool {
+        const pool = this.pools.get(address) ?? this.open(address);
+        this.pools.delete(address);
+        this.pools.set(address, pool);
+        return pool;
+    }
+
+    /** Sets the most connections to an address. Requests under way end on the connections they have. */
+    limit(address: string, connections: number): void {
+        if (this.limits.get(address) === connections) {
+            return;
+        }
+        this.limits.delete(address);
+        this.limits.set(address, connections);
+        dropOldest(this.limits, this.settings.addressLimit);
+        this.retire(address);
+    }
+
+    /** Open connections of each address. */
+    countConnections(): ReadonlyMap<string, number> {
+        const counts = new Map<string, number>();
+        for (const [address, pool] of this.pools) {
+            counts.set(address, pool.stats.connected);
+        }
+        for (const [pool, address] of this.retired) {
+            counts.set(address, (counts.get(address) ?? 0) + pool.stats.connected);
+        }
+        return counts;
+    }
+
+    /** Closes all connections once their requests have ended. */
+    async close(): Promise<void> {
+        for (const address of [...this.pools.keys()]) {
+            this.retire(address);
+        }
+        await Promise.all([...this.retired.keys()].map(pool => pool.close()));
+    }
+
+    private open(address: string): Pool {
+        const { connections, connectTimeoutMs, idleTimeoutMs } = this.settings;
+        const pool = new Pool(`http://${address}`, {
+            connections: this.limits.get(address) ?? connections,
+            pipelining: 1,
+            connectTimeout: connectTimeoutMs,
+            keepAliveTimeout: idleTimeoutMs,
+            keepAliveMaxTimeout: idleTimeoutMs,
+            headersTimeout: 0,
+            bodyTimeout: 0,
+        });
+        this.pools.set(address, pool);
+        this.retireUnused();
+        return pool;
+    }
+
+    private retireUnused(): void {
+        for (const [address, pool] of this.pools) {
+            if (this.pools.size <= this.settings.addressLimit) {
+                return;
+            }
+            if (pool.stats.size === 0) {
+                this.retire(address);
+            }
+        }
+    }
+
+    private retire(address: string): void {
+        const pool = this.pools.get(address);
+        if (!pool) {
+            return;
+        }
+        this.pools.delete(address);
+        this.retired.set(pool, address);
+        const forget = () => this.retired.delete(pool);
+        pool.close().then(forget, forget);
+    }
+}
+
+function dropOldest<Value>(map: Map<string, Value>, limit: number): void {
+    for (const key of map.keys()) {
+        if (map.size <= limit) {
+            return;
+        }
+        map.delete(key);
+    }
+}
--- /dev/null
+++ b/packages/platform/src/http/httpRequest.ts
@@ -0,0 +1,14 @@
+import type { Milliseconds } from "@arbutusdoor/common";
+import type { Readable } from "node:stream";
+
+/** A request as it is written to a connection. */
+export type HttpRequest = {
+    readonly method: string;
+    readonly path: string;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: Readable | Uint8Array | undefined;
+    /** Longest wait for the head of the answer, counted from the call. */
+    readonly headTimeout: Milliseconds;
+    /** Ends the exchange at any point; an answer body under way then breaks off with an error. */
+    readonly signal?: AbortSignal;
+};
