Configuration: operator library, checks, differences, keeper, attestations; operators' port

First usable surface.

A configuration travels between hosts as its stored text, so that a later release, whose print may differ, can still check the digest of what is in force. Operations are remembered in a row of their own, written together with the head row, so that a poll reads only version and digest.

--- a/packages/common/src/logging/logEvent.ts
+++ b/packages/common/src/logging/logEvent.ts
@@ -14,6 +14,16 @@
         text: "a stored configuration cannot be read; the version in force stays",
     },
     configurationSubmitted: { number: 202, level: "info", text: "an operator's submission ended" },
+    configurationRolledBack: {
+        number: 203,
+        level: "error",
+        text: "the head row is below the version in force, which stays",
+    },
+    configurationDiverged: {
+        number: 204,
+        level: "error",
+        text: "two configurations have the same version; the one in force stays",
+    },
     sliceTaken: { number: 300, level: "info", text: "a server took a slice" },
     moveBegun: { number: 301, level: "info", text: "a move of a slice was committed" },
     moveEnded: { number: 302, level: "info", text: "a move of a slice ended" },
@@ -43,6 +53,7 @@
         level: "warn",
         text: "an operator's call was refused: wrong or missing token",
     },
+    operatorFailed: { number: 604, level: "error", text: "an operator's call failed inside the daemon" },
 } as const satisfies Record<
     string,
     { number: number; level: "debug" | "info" | "warn" | "error"; text: string; }
--- /dev/null
+++ b/packages/configuration/src/api/configurationView.ts
@@ -0,0 +1,12 @@
+import { z } from "zod";
+
+/** Body of `GET /v1/configuration`; version 0 without a declaration stands for "none yet". */
+const ConfigurationView = z.object({
+    version: z.int().min(0),
+    digest: z.string().optional(),
+    declaration: z.unknown(),
+});
+
+type ConfigurationView = z.infer<typeof ConfigurationView>;
+
+export { ConfigurationView };
--- /dev/null
+++ b/packages/configuration/src/api/diffAnswer.ts
@@ -0,0 +1,13 @@
+import { z } from "zod";
+import { Difference } from "../change/difference.js";
+
+/** Body of the answer to `POST /v1/diff`. */
+const DiffAnswer = z.object({
+    /** Version in force that the declaration was compared with. */
+    version: z.int().min(0),
+    differences: z.array(Difference),
+});
+
+type DiffAnswer = z.infer<typeof DiffAnswer>;
+
+export { DiffAnswer };
--- /dev/null
+++ b/packages/configuration/src/api/systemStatus.ts
@@ -0,0 +1,48 @@
+import { z } from "zod";
+
+const reference = z.object({ version: z.int(), digest: z.string() });
+
+const peer = z.looseObject({
+    host: z.string(),
+    dataCentre: z.string(),
+    isConnected: z.boolean(),
+});
+
+const hostVersion = z.looseObject({
+    host: z.string(),
+    dataCentre: z.string().optional(),
+    /** Last version that the host said it has in force; 0 when it has said nothing. */
+    version: z.int(),
+    /** Whether it has the answering host's version (or a newer one) in force. */
+    isConfirmed: z.boolean(),
+});
+
+const serverState = z.looseObject({
+    server: z.string(),
+    service: z.string(),
+    dataCentre: z.string(),
+    /** One word for people, such as `live`, `suspected`, `barred`, `draining`. */
+    state: z.string(),
+    incarnation: z.string().optional(),
+    grantors: z.array(z.string()).default([]),
+});
+
+const decider = z.looseObject({ service: z.string(), host: z.string().optional() });
+
+/** Body of `GET /v1/status`: the system as one entry host sees it. */
+const SystemStatus = z.looseObject({
+    host: z.string(),
+    incarnation: z.string(),
+    dataCentre: z.string(),
+    /** Absent before the first configuration. */
+    configuration: reference.optional(),
+    peers: z.array(peer),
+    /** All hosts that this one knows of, itself included. */
+    hosts: z.array(hostVersion),
+    servers: z.array(serverState),
+    deciders: z.array(decider),
+});
+
+type SystemStatus = z.infer<typeof SystemStatus>;
+
+export { SystemStatus };
--- /dev/null
+++ b/packages/configuration/src/attestation/attestationPrefix.ts
@@ -0,0 +1,2 @@
+/** Beginning of the keys of all attestation rows. */
+export const ATTESTATION_PREFIX = "attested/";
--- /dev/null
+++ b/packages/configuration/src/check/getRepeatProblems.ts
@@ -0,0 +1,14 @@
+import type { Problem } from "./problem.js";
+
+/** A problem for each element of `path` that repeats an earlier one. */
+export function getRepeatProblems(path: string, subject: string, texts: readonly string[]): Problem[] {
+    const seen = new Set<string>();
+    const problems: Problem[] = [];
+    for (const [index, text] of texts.entries()) {
+        if (seen.has(text)) {
+            problems.push({ path: `${path}[${index}]`, message: `${subject} "${text}" is declared twice` });
+        }
+        seen.add(text);
+    }
+    return problems;
+}
--- /dev/null
+++ b/packages/configuration/src/keeper/readBody.ts
@@ -0,0 +1,21 @@
+import { type Digest, getDigest } from "@arbutusdoor/common";
+import { getShapeProblems } from "../check/getShapeProblems.js";
+import { Declaration } from "../declaration/declaration.js";
+import type { BodyReading } from "./bodyReading.js";
+import { parseJson } from "./parseJson.js";
+
+/**
+ * Reads a stored declaration. Its digest and shape are checked; what its parts say of each other was checked before
+ * it was accepted, and a later release with stricter checks must not refuse what is already in force.
+ */
+export function readBody(body: string, digest: Digest): BodyReading {
+    if (getDigest(body) !== digest) {
+        return { kind: "malformed", reason: "the text does not have its digest" };
+    }
+    const parsed = Declaration.safeParse(parseJson(body));
+    if (parsed.success) {
+        return { kind: "declaration", declaration: parsed.data };
+    }
+    const problem = getShapeProblems(parsed.error)[0];
+    return { kind: "malformed", reason: `${problem?.path}: ${problem?.message}` };
+}
--- /dev/null
+++ b/packages/configuration/src/keeper/submissionPorts.ts
@@ -0,0 +1,12 @@
+import type { Clock, RandomSource } from "@arbutusdoor/common";
+import type { ObjectStore, TableService } from "@arbutusdoor/platform";
+import type { ConfigurationSettings } from "./configurationSettings.js";
+
+/** What writing to the platform's stores needs. */
+export type SubmissionPorts = {
+    readonly clock: Clock;
+    readonly table: TableService;
+    readonly objects: ObjectStore;
+    readonly random: RandomSource;
+    readonly settings: ConfigurationSettings;
+};
--- /dev/null
+++ b/packages/configuration/src/library/parseInput.ts
@@ -0,0 +1,18 @@
+import { InputError } from "@arbutusdoor/common";
+import type { z } from "zod";
+import { getShapeProblems } from "../check/getShapeProblems.js";
+
+/** Reads what an operator's program gave. Throws InputError that names each wrong field of `subject`. */
+export function parseInput<Shape extends z.ZodType>(
+    shape: Shape,
+    input: z.input<Shape>,
+    subject: string,
+): z.output<Shape> {
+    const result = shape.safeParse(input);
+    if (result.success) {
+        return result.data;
+    }
+    const problems = getShapeProblems(result.error);
+    const sentences = problems.map(({ path, message }) => `${path || subject}: ${message}`);
+    throw new InputError(`${subject}: ${sentences.join("; ")}`);
+}
--- /dev/null
+++ b/packages/configuration/src/library/requestClass.ts
@@ -0,0 +1,11 @@
+import type { z } from "zod";
+import { RequestClass } from "../declaration/requestClass.js";
+import { parseInput } from "./parseInput.js";
+
+/** Builds a request class. Fields left out take their defaults. Throws InputError on a wrong field. */
+export function requestClass(
+    name: string,
+    fields: Omit<z.input<typeof RequestClass>, "name">,
+): RequestClass {
+    return parseInput(RequestClass, { name, ...fields }, `class "${name}"`);
+}
--- /dev/null
+++ b/packages/configuration/src/newConfigurationVersion.ts
@@ -0,0 +1,10 @@
+import { getDigest } from "@arbutusdoor/common";
+import type { ConfigurationVersion } from "./configurationVersion.js";
+import type { Declaration } from "./declaration/declaration.js";
+import { printDeclaration } from "./library/printDeclaration.js";
+
+/** A declaration with its version number, print and digest. */
+export function newConfigurationVersion(version: number, declaration: Declaration): ConfigurationVersion {
+    const body = printDeclaration(declaration);
+    return { version, digest: getDigest(body), body, declaration };
+}
--- /dev/null
+++ b/packages/configuration/src/store/configurationHead.ts
@@ -0,0 +1,14 @@
+import type { Digest } from "@arbutusdoor/common";
+import { z } from "zod";
+
+const DIGEST_PATTERN = /^[0-9a-f]{64}$/;
+
+/** Value of the head row: which configuration the table service holds as accepted. */
+const ConfigurationHead = z.object({
+    version: z.int().min(1),
+    digest: z.string().regex(DIGEST_PATTERN).transform(text => text as Digest),
+});
+
+type ConfigurationHead = z.infer<typeof ConfigurationHead>;
+
+export { ConfigurationHead };
--- /dev/null
+++ b/packages/configuration/src/store/configurationKeys.ts
@@ -0,0 +1,9 @@
+import type { RowKey } from "@arbutusdoor/common";
+
+/** Rows of the table service that hold the configuration. */
+export const CONFIGURATION_KEYS = {
+    /** Version and digest in force. */
+    head: "configuration/head" as RowKey,
+    /** Operations that made the last versions. */
+    history: "configuration/history" as RowKey,
+} as const;
--- /dev/null
+++ b/packages/configuration/src/store/storedConfiguration.ts
@@ -0,0 +1,11 @@
+import type { ConfigurationHead } from "./configurationHead.js";
+import type { ConfigurationHistory } from "./configurationHistory.js";
+
+/** The rows of the configuration at one moment, with the row versions that a conditional write needs. */
+export type StoredConfiguration = {
+    /** `undefined` before the first submission. */
+    readonly head: ConfigurationHead | undefined;
+    readonly headRowVersion: number;
+    readonly history: ConfigurationHistory;
+    readonly historyRowVersion: number;
+};
--- /dev/null
+++ b/packages/daemon/src/operator/actions/diffAction.ts
@@ -0,0 +1,43 @@
+import {
+    checkDeclaration,
+    type Declaration,
+    type DiffAnswer,
+    diffDeclarations,
+    DiffRequest,
+} from "@arbutusdoor/configuration";
+import { newMalformedReply } from "../newMalformedReply.js";
+import { newSubmitReply } from "../newSubmitReply.js";
+import { OperatorAction } from "../operatorAction.js";
+import { operatorActions } from "../operatorActions.js";
+import type { OperatorContext } from "../operatorContext.js";
+import type { OperatorReply } from "../operatorReply.js";
+import type { OperatorRequest } from "../operatorRequest.js";
+
+/** Compares a declaration with the one in force; before the first one, everything is added. */
+export class DiffAction extends OperatorAction {
+    override readonly name = "diff";
+    override readonly method = "POST";
+    override readonly path = "/v1/diff";
+
+    override async run(context: OperatorContext, request: OperatorRequest): Promise<OperatorReply> {
+        const parsed = DiffRequest.safeParse(request.body);
+        if (!parsed.success) {
+            return newMalformedReply(parsed.error);
+        }
+        const check = checkDeclaration(parsed.data.declaration);
+        if (check.kind === "invalid") {
+            return newSubmitReply({ kind: "invalid", problems: [...check.problems] });
+        }
+        const current = context.getConfiguration();
+        const from = current?.declaration ?? newEmptyDeclaration(check.declaration.tenant);
+        const differences = diffDeclarations(from, check.declaration);
+        const body: DiffAnswer = { version: current?.version ?? 0, differences };
+        return { kind: "answer", body };
+    }
+}
+
+function newEmptyDeclaration(tenant: string): Declaration {
+    return { format: 1, tenant, dataCentres: [], services: [], servers: [] };
+}
+
+operatorActions.register(new DiffAction());
--- /dev/null
+++ b/packages/daemon/src/operator/actions/drainAction.ts
@@ -0,0 +1,52 @@
+import { type ConfigurationVersion, DrainRequest, drainServer } from "@arbutusdoor/configuration";
+import { newMalformedReply } from "../newMalformedReply.js";
+import { newSubmitReply } from "../newSubmitReply.js";
+import { OperatorAction } from "../operatorAction.js";
+import { operatorActions } from "../operatorActions.js";
+import type { OperatorContext } from "../operatorContext.js";
+import type { OperatorReply } from "../operatorReply.js";
+import type { OperatorRequest } from "../operatorRequest.js";
+
+/** Marks a server as draining in the version that the operator has seen, and submits that. */
+export class DrainAction extends OperatorAction {
+    override readonly name = "drain";
+    override readonly method = "POST";
+    override readonly path = "/v1/drain";
+
+    override async run(context: OperatorContext, request: OperatorRequest): Promise<OperatorReply> {
+        const parsed = DrainRequest.safeParse(request.body);
+        if (!parsed.success) {
+            return newMalformedReply(parsed.error);
+        }
+        const current = context.getConfiguration();
+        if (!current) {
+            return newSubmitReply({ kind: "notRun", reason: "no configuration is in force on this host" });
+        }
+        return this.drain(parsed.data, current, context);
+    }
+
+    private async drain(
+        { server, base, operationId }: DrainRequest,
+        current: ConfigurationVersion,
+        context: OperatorContext,
+    ): Promise<OperatorReply> {
+        const change = drainServer(current.declaration, server);
+        switch (change.kind) {
+            case "unknownServer": {
+                const problems = [{ path: "server", message: `server "${server}" is not declared` }];
+                return newSubmitReply({ kind: "invalid", problems });
+            }
+            case "alreadyDraining":
+                return newSubmitReply({ kind: "accepted", version: current.version });
+            case "changed": {
+                if (base !== current.version) {
+                    const { version } = current;
+                    return newSubmitReply({ kind: "conflict", currentVersion: version, differences: [] });
+                }
+                return newSubmitReply(await context.submit(base, change.declaration, operationId));
+            }
+        }
+    }
+}
+
+operatorActions.register(new DrainAction());
--- /dev/null
+++ b/packages/daemon/src/operator/actions/statusAction.ts
@@ -0,0 +1,17 @@
+import { OperatorAction } from "../operatorAction.js";
+import { operatorActions } from "../operatorActions.js";
+import type { OperatorContext } from "../operatorContext.js";
+import type { OperatorReply } from "../operatorReply.js";
+
+/** Answers with the system as this host sees it. */
+export class StatusAction extends OperatorAction {
+    override readonly name = "status";
+    override readonly method = "GET";
+    override readonly path = "/v1/status";
+
+    override async run(context: OperatorContext): Promise<OperatorReply> {
+        return { kind: "answer", body: await context.getStatus() };
+    }
+}
+
+operatorActions.register(new StatusAction());
--- /dev/null
+++ b/packages/daemon/src/operator/operatorAction.ts
@@ -0,0 +1,14 @@
+import type { OperatorContext } from "./operatorContext.js";
+import type { OperatorReply } from "./operatorReply.js";
+import type { OperatorRequest } from "./operatorRequest.js";
+
+/** One call of the operators' port. Each is in a file of its own that registers it in `operatorActions`. */
+export abstract class OperatorAction {
+    /** Unique name. */
+    abstract readonly name: string;
+    abstract readonly method: "GET" | "POST";
+    abstract readonly path: string;
+
+    /** Runs the call. A rejection is a fault of the daemon and answered with status 500. */
+    abstract run(context: OperatorContext, request: OperatorRequest): Promise<OperatorReply>;
+}
