--- /dev/null
+++ b/packages/policy/src/balance/getFairShare.ts
@@ -0,0 +1,10 @@
+import type { MovePlanInput } from "./movePlanInput.js";
+
+const SMALLEST_LOAD = 1e-9;
+
+/** Mean load of an active server in slots; a tiny positive number when there is none. */
+export function getFairShare(input: MovePlanInput): number {
+    const total = input.loads.slices.reduce((sum, { load }) => sum + load, 0);
+    const active = input.servers.filter(({ state }) => state === "active").length;
+    return Math.max(SMALLEST_LOAD, total / Math.max(1, active));
+}
--- /dev/null
+++ b/packages/policy/src/balance/move.ts
@@ -0,0 +1,15 @@
+import type { ServerId, SliceId } from "@arbutusdoor/common";
+
+/**
+ * A change of the assignment that is worth making now: `move` gives a slice to another server, `split` gives a very
+ * hot key a slice of its own on the server that has it.
+ */
+export type Move =
+    | {
+        readonly kind: "move";
+        readonly slice: SliceId;
+        readonly from: ServerId;
+        readonly to: ServerId;
+        readonly reason: "leaving" | "balance";
+    }
+    | { readonly kind: "split"; readonly slice: SliceId; readonly key: string; readonly server: ServerId; };
--- /dev/null
+++ b/packages/policy/src/pool/creditPicker.ts
@@ -0,0 +1,18 @@
+import type { PoolCandidate } from "./poolCandidate.js";
+import { PoolPicker } from "./poolPicker.js";
+import { POOL_PICKERS } from "./poolPickers.js";
+
+/** Any candidate that has credit left; a completion gives the credit back. */
+export class CreditPicker extends PoolPicker {
+    protected override choose(candidates: readonly PoolCandidate[]): PoolCandidate | undefined {
+        const open = candidates.filter(({ server }) =>
+            this.observe(server).outstanding < this.settings.credit
+        );
+        return open.length === 0 ? undefined : this.random.pick(open);
+    }
+}
+
+POOL_PICKERS.register({
+    name: "credit",
+    make: (settings, random) => new CreditPicker(settings, random),
+});
--- /dev/null
+++ b/packages/policy/src/pool/leastCostPicker.ts
@@ -0,0 +1,21 @@
+import type { PoolCandidate } from "./poolCandidate.js";
+import { PoolPicker } from "./poolPicker.js";
+import { POOL_PICKERS } from "./poolPickers.js";
+
+/** Of two candidates at random the one with the lower product of observed latency and own requests outstanding. */
+export class LeastCostPicker extends PoolPicker {
+    protected override choose(candidates: readonly PoolCandidate[]): PoolCandidate {
+        const [first, second] = this.pickTwo(candidates);
+        return this.getCost(second) < this.getCost(first) ? second : first;
+    }
+
+    private getCost({ server, slots }: PoolCandidate): number {
+        const { latencyMs = 1, outstanding } = this.observe(server);
+        return latencyMs * (outstanding + 1) / slots;
+    }
+}
+
+POOL_PICKERS.register({
+    name: "leastCost",
+    make: (settings, random) => new LeastCostPicker(settings, random),
+});
--- /dev/null
+++ b/packages/policy/src/pool/newObservedServer.ts
@@ -0,0 +1,19 @@
+import type { Milliseconds } from "@arbutusdoor/common";
+import type { ObservedServer } from "./observedServer.js";
+
+/** The record of a server of which nothing has been seen yet. */
+export function newObservedServer(now: Milliseconds): ObservedServer {
+    return {
+        outstanding: 0,
+        latencyMs: undefined,
+        answers: 0,
+        failures: 0,
+        sheds: 0,
+        progressAt: now,
+        pausedUntil: 0,
+        ejectedUntil: undefined,
+        ejections: 0,
+        isProbing: false,
+        credit: 1,
+    };
+}
--- /dev/null
+++ b/packages/policy/src/pool/newPoolPicker.ts
@@ -0,0 +1,21 @@
+import { InputError, type RandomSource } from "@arbutusdoor/common";
+import "./creditPicker.js";
+import "./leastCostPicker.js";
+import "./leastReportedPicker.js";
+import "./randomPicker.js";
+import "./rateCreditPicker.js";
+import "./roundRobinPicker.js";
+import "./twoChoicesPicker.js";
+import type { PoolPicker } from "./poolPicker.js";
+import { POOL_PICKERS } from "./poolPickers.js";
+import type { PoolPickerSettings } from "./poolPickerSettings.js";
+
+/** The picker that the settings name. Throws InputError for a name that nothing is registered under. */
+export function newPoolPicker(settings: PoolPickerSettings, random: RandomSource): PoolPicker {
+    const maker = POOL_PICKERS.get(settings.picker);
+    if (!maker) {
+        const names = POOL_PICKERS.list().map(({ name }) => name).join(", ");
+        throw new InputError(`picker: "${settings.picker}" is not one of ${names}`);
+    }
+    return maker.make(settings, random);
+}
--- /dev/null
+++ b/packages/policy/src/pool/poolPicker.ts
@@ -0,0 +1,147 @@
+import type { Milliseconds, RandomSource, ServerId } from "@arbutusdoor/common";
+import { newObservedServer } from "./newObservedServer.js";
+import type { ObservedServer } from "./observedServer.js";
+import { OutlierDetector } from "./outlierDetector.js";
+import type { PoolCandidate } from "./poolCandidate.js";
+import type { PoolPickerSettings } from "./poolPickerSettings.js";
+import type { RequestEnd } from "./requestEnd.js";
+
+/**
+ * Chooses the server of a pooled request from what this entry host saw itself: requests outstanding, answers, refusals
+ * and latency. Figures that servers report are used only by the picker that exists to be compared.
+ */
+export abstract class PoolPicker {
+    protected readonly settings: PoolPickerSettings;
+    protected readonly random: RandomSource;
+    private readonly detector: OutlierDetector;
+    private readonly servers = new Map<ServerId, ObservedServer>();
+    private now: Milliseconds = 0;
+
+    constructor(settings: PoolPickerSettings, random: RandomSource) {
+        this.settings = settings;
+        this.random = random;
+        this.detector = new OutlierDetector(settings);
+    }
+
+    /**
+     * A server for a request, or `undefined` when none may take one now.
+     *
+     * @param exclude servers that this request has already been to
+     */
+    pick(
+        candidates: readonly PoolCandidate[],
+        exclude: ReadonlySet<ServerId>,
+        now: Milliseconds,
+    ): ServerId | undefined {
+        this.now = now;
+        this.prune(candidates);
+        if (this.settings.isEjecting) {
+            this.detector.review(candidates.map(({ server }) => this.observe(server)), now);
+        }
+        const open = candidates.filter(candidate =>
+            !exclude.has(candidate.server) && this.isOpen(candidate, now)
+        );
+        return open.length === 0 ? undefined : this.choose(open, now)?.server;
+    }
+
+    /** Counts a request that is sent to the server that the last call of `pick` gave. */
+    started(server: ServerId): void {
+        const observed = this.observe(server);
+        if (observed.outstanding === 0) {
+            observed.progressAt = this.now;
+        }
+        observed.outstanding++;
+        observed.isProbing = observed.ejectedUntil !== undefined;
+    }
+
+    /** Takes in how a request ended; `notRun` is a refusal of the server or a connection that failed. */
+    ended(server: ServerId, end: RequestEnd, now: Milliseconds): void {
+        const observed = this.observe(server);
+        observed.outstanding = Math.max(0, observed.outstanding - 1);
+        this.detector.recordEnd(observed, end, now);
+        this.recordEnd(observed, end, now);
+        this.learn(observed, end);
+    }
+
+    /** Requests that this entry host has at the server. */
+    getOutstanding(server: ServerId): number {
+        return this.servers.get(server)?.outstanding ?? 0;
+    }
+
+    /** Whether the server is left out at present. */
+    isEjected(server: ServerId): boolean {
+        return this.servers.get(server)?.ejectedUntil !== undefined;
+    }
+
+    /** One of the candidates, none of which is left out, paused, excluded or at its limit. */
+    protected abstract choose(
+        candidates: readonly PoolCandidate[],
+        now: Milliseconds,
+    ): PoolCandidate | undefined;
+
+    /** Hook for pickers that adapt a server's credit. */
+    protected learn(observed: ObservedServer, end: RequestEnd): void {
+        void observed;
+        void end;
+    }
+
+    /** The record of a server. */
+    protected observe(server: ServerId): ObservedServer {
+        let observed = this.servers.get(server);
+        if (!observed) {
+            observed = newObservedServer(this.now);
+            this.servers.set(server, observed);
+        }
+        return observed;
+    }
+
+    /** Two different candidates at random, or the only one twice. */
+    protected pickTwo(candidates: readonly PoolCandidate[]): readonly [PoolCandidate, PoolCandidate] {
+        const first = this.random.nextInteger(candidates.length);
+        if (candidates.length === 1) {
+            return [candidates[0]!, candidates[0]!];
+        }
+        const offset = 1 + this.random.nextInteger(candidates.length - 1);
+        return [candidates[first]!, candidates[(first + offset) % candidates.length]!];
+    }
+
+    private isOpen(candidate: PoolCandidate, now: Milliseconds): boolean {
+        const observed = this.observe(candidate.server);
+        if (observed.outstanding >= candidate.limit) {
+            return false;
+        }
+        return !this.settings.isEjecting || this.detector.isAvailable(observed, now);
+    }
+
+    private recordEnd(observed: ObservedServer, end: RequestEnd, now: Milliseconds): void {
+        const { newestWeight, shedPauseMs, maxShedPauseMs } = this.settings;
+        if (end.kind === "answered") {
+            const mean = observed.latencyMs ?? end.durationMs;
+            observed.latencyMs = mean + newestWeight * (end.durationMs - mean);
+            observed.answers++;
+            observed.failures = 0;
+            observed.sheds = 0;
+            observed.progressAt = now;
+        }
+        else if (end.kind === "notRun") {
+            observed.pausedUntil = now + Math.min(maxShedPauseMs, shedPauseMs * 2 ** observed.sheds);
+            observed.sheds++;
+            observed.progressAt = now;
+        }
+        else {
+            observed.failures++;
+        }
+    }
+
+    private prune(candidates: readonly PoolCandidate[]): void {
+        if (this.servers.size <= this.settings.maxServers) {
+            return;
+        }
+        const kept = new Set(candidates.map(({ server }) => server));
+        for (const [server, { outstanding }] of this.servers) {
+            if (outstanding === 0 && !kept.has(server)) {
+                this.servers.delete(server);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/policy/src/pool/randomPicker.ts
@@ -0,0 +1,15 @@
+import type { PoolCandidate } from "./poolCandidate.js";
+import { PoolPicker } from "./poolPicker.js";
+import { POOL_PICKERS } from "./poolPickers.js";
+
+/** Any candidate with the same chance. */
+export class RandomPicker extends PoolPicker {
+    protected override choose(candidates: readonly PoolCandidate[]): PoolCandidate {
+        return this.random.pick(candidates);
+    }
+}
+
+POOL_PICKERS.register({
+    name: "random",
+    make: (settings, random) => new RandomPicker(settings, random),
+});
--- /dev/null
+++ b/packages/policy/src/pool/twoChoicesPicker.ts
@@ -0,0 +1,20 @@
+import type { PoolCandidate } from "./poolCandidate.js";
+import { PoolPicker } from "./poolPicker.js";
+import { POOL_PICKERS } from "./poolPickers.js";
+
+/** Of two candidates at random the one with fewer own requests outstanding for its slots. */
+export class TwoChoicesPicker extends PoolPicker {
+    protected override choose(candidates: readonly PoolCandidate[]): PoolCandidate {
+        const [first, second] = this.pickTwo(candidates);
+        return this.getShare(second) < this.getShare(first) ? second : first;
+    }
+
+    private getShare({ server, slots }: PoolCandidate): number {
+        return this.observe(server).outstanding / slots;
+    }
+}
+
+POOL_PICKERS.register({
+    name: "twoChoices",
+    make: (settings, random) => new TwoChoicesPicker(settings, random),
+});
--- /dev/null
+++ b/packages/policy/src/queue/serverQueue.ts
@@ -0,0 +1,234 @@
+import { type Clock, type Metrics, type Milliseconds, newRefusal, type Refusal } from "@arbutusdoor/common";
+import PQueue from "p-queue";
+import type { Job } from "./job.js";
+import { QueueEntry } from "./queueEntry.js";
+import type { ServerQueueSettings } from "./serverQueueSettings.js";
+import { ServiceTimes } from "./serviceTimes.js";
+import type { Submission } from "./submission.js";
+import { WaitingLine } from "./waitingLine.js";
+
+const MICROSECONDS_IN_MS = 1_000;
+
+/** Labels of the queue's metrics, for example tenant and service; the class is added. */
+type Labels = Readonly<Record<string, string>>;
+
+/**
+ * The line before the slots of one server (or of a pool of servers).
+ *
+ * A job is refused, and then never runs, when it can't start in time: at once if the observed service times say so or
+ * the line is full, later if its deadline passes, its caller goes or a more important job takes its place. A free slot
+ * takes any job that comes, so that a wrong estimate corrects itself.
+ */
+export class ServerQueue {
+    private readonly queue: PQueue;
+    private readonly line = new WaitingLine();
+    private readonly running = new Set<QueueEntry<unknown>>();
+    private readonly serviceTimes: ServiceTimes;
+    private readonly clock: Clock;
+    private readonly metrics: Metrics;
+    private readonly settings: ServerQueueSettings;
+    private readonly labels: Labels;
+    private slots: number;
+    private isClosed = false;
+
+    /** @param slots jobs that may run at a time */
+    constructor(
+        clock: Clock,
+        metrics: Metrics,
+        slots: number,
+        settings: ServerQueueSettings,
+        labels: Labels = {},
+    ) {
+        this.clock = clock;
+        this.metrics = metrics;
+        this.slots = slots;
+        this.settings = settings;
+        this.labels = labels;
+        this.serviceTimes = new ServiceTimes(settings);
+        this.queue = new PQueue({ concurrency: Math.max(1, slots), autoStart: slots > 0 });
+    }
+
+    /** Jobs that wait for a slot. */
+    get waitingSize(): number {
+        return this.line.size;
+    }
+
+    /** Jobs that hold a slot. */
+    get runningSize(): number {
+        return this.running.size;
+    }
+
+    /**
+     * Runs a job when a slot is free, or refuses it: `shed` or `queueFull` (no room in time), `deadlineBeforeStart`,
+     * `callerGone` or `stopping`. Every refusal is of outcome `notRun`. Rejects only if the job's run does.
+     */
+    submit<Value>(job: Job<Value>): Promise<Submission<Value>> {
+        const entry = new QueueEntry(job, this.clock.now(), this.serviceTimes.getMean(job.classId));
+        const refusal = this.getRefusal(entry);
+        if (refusal) {
+            this.refuse(entry, refusal);
+        }
+        else {
+            this.enqueue(entry);
+        }
+        return entry.submission;
+    }
+
+    /** Expected time in ms until a newcomer of this priority would start. */
+    estimateWait(priority: number, isIdempotent: boolean): Milliseconds {
+        return this.estimateRankWait(2 * priority + (isIdempotent ? 0 : 1));
+    }
+
+    /** Changes the number of slots. Jobs beyond a smaller number run to their end; 0 starts nothing. */
+    setSlots(slots: number): void {
+        this.slots = slots;
+        if (slots === 0) {
+            this.queue.pause();
+            return;
+        }
+        this.queue.concurrency = slots;
+        this.queue.start();
+    }
+
+    /** Refuses all waiting and all further jobs as `stopping`; running ones go on. */
+    close(): void {
+        this.isClosed = true;
+        for (const entry of this.line.list()) {
+            this.withdraw(entry, newRefusal("stopping", "The entry host is stopping."));
+        }
+    }
+
+    /** Resolves once no job waits or runs. */
+    drain(): Promise<void> {
+        return this.queue.onIdle();
+    }
+
+    private getRefusal(entry: QueueEntry<unknown>): Refusal | undefined {
+        if (this.isClosed) {
+            return newRefusal("stopping", "The entry host is stopping.");
+        }
+        const timely = this.getLateRefusal(entry);
+        if (timely || this.hasFreeSlot()) {
+            return timely;
+        }
+        const remaining = entry.job.deadlineAt - this.clock.now();
+        if (this.estimateRankWait(entry.rank) + entry.expected > remaining) {
+            return newRefusal("shed", "The server has too much work to answer within the deadline.");
+        }
+        return this.makeRoom(entry);
+    }
+
+    private getLateRefusal(entry: QueueEntry<unknown>): Refusal | undefined {
+        if (entry.job.signal.aborted) {
+            return newCallerGone();
+        }
+        if (this.clock.now() >= entry.job.deadlineAt) {
+            return newRefusal("deadlineBeforeStart", "The deadline passed before the request could start.");
+        }
+        return undefined;
+    }
+
+    /** Refuses the least important waiting job if the newcomer is worth more than it; otherwise the newcomer. */
+    private makeRoom(entry: QueueEntry<unknown>): Refusal | undefined {
+        if (this.line.size < this.settings.maxWaiting) {
+            return undefined;
+        }
+        const other = this.line.getLeastImportant();
+        if (!other || other.rank >= entry.rank) {
+            return newRefusal("queueFull", "The line before the server is full.");
+        }
+        this.withdraw(other, newRefusal("shed", "A more important request took the place in the line."));
+        return undefined;
+    }
+
+    private hasFreeSlot(): boolean {
+        return this.line.size === 0 && this.queue.pending < this.slots;
+    }
+
+    private estimateRankWait(rank: number): Milliseconds {
+        if (this.hasFreeSlot()) {
+            return 0;
+        }
+        const slots = Math.max(1, this.slots);
+        return this.estimateFirstFree(slots) + this.line.getWorkAhead(rank) / slots;
+    }
+
+    /** Expected time until a slot falls free; when all running jobs are overdue, as long again as the newest has run. */
+    private estimateFirstFree(slots: number): Milliseconds {
+        const now = this.clock.now();
+        let expected = 0;
+        let newestAge = Infinity;
+        let isOverdue = true;
+        for (const entry of this.running) {
+            const age = now - (entry.startedAt ?? now);
+            expected += entry.expected;
+            newestAge = Math.min(newestAge, age);
+            isOverdue &&= age > entry.expected;
+        }
+        if (this.running.size === 0) {
+            return 0;
+        }
+        return isOverdue ? newestAge : expected / this.running.size / slots;
+    }
+
+    private enqueue(entry: QueueEntry<unknown>): void {
+        this.line.add(entry);
+        const options = { priority: entry.rank, signal: entry.withdrawal.signal };
+        this.queue.add(() => this.start(entry), options).catch(() => undefined);
+        if (entry.startedAt === undefined) {
+            const remaining = entry.job.deadlineAt - this.clock.now();
+            const deadline = this.clock.schedule(remaining, () => this.expire(entry));
+            entry.beginWait(deadline, () => this.withdraw(entry, newCallerGone()));
+        }
+    }
+
+    private expire(entry: QueueEntry<unknown>): void {
+        const detail = "The deadline passed before the request could start.";
+        this.withdraw(entry, newRefusal("deadlineBeforeStart", detail));
+    }
+
+    /** Takes a waiting entry out of the line and refuses it; no effect once it has left the line. */
+    private withdraw(entry: QueueEntry<unknown>, refusal: Refusal): void {
+        if (!this.line.remove(entry)) {
+            return;
+        }
+        entry.withdrawal.abort();
+        this.refuse(entry, refusal);
+    }
+
+    private refuse(entry: QueueEntry<unknown>, refusal: Refusal): void {
+        entry.endWait();
+        const labels = { ...this.labels, class: entry.job.classId, reason: refusal.reason };
+        this.metrics.count("arbutusdoor_queue_refusals_total", labels);
+        entry.refuse(refusal);
+    }
+
+    private async start(entry: QueueEntry<unknown>): Promise<void> {
+        this.line.remove(entry);
+        const refusal = this.getLateRefusal(entry);
+        if (refusal) {
+            this.refuse(entry, refusal);
+            return;
+        }
+        entry.endWait();
+        const startedAt = this.clock.now();
+        entry.startedAt = startedAt;
+        this.running.add(entry);
+        this.record("arbutusdoor_queue_wait_us", entry, startedAt - entry.submittedAt);
+        await entry.run();
+        this.running.delete(entry);
+        const duration = this.clock.now() - startedAt;
+        this.serviceTimes.record(entry.job.classId, duration);
+        this.record("arbutusdoor_queue_service_us", entry, duration);
+    }
+
+    private record(name: string, entry: QueueEntry<unknown>, duration: Milliseconds): void {
+        const labels = { ...this.labels, class: entry.job.classId };
+        this.metrics.record(name, labels, duration * MICROSECONDS_IN_MS);
+    }
+}
+
+/** The caller left before the job started, so unlike in general it is known that nothing ran. */
+function newCallerGone(): Refusal {
+    return { outcome: "notRun", reason: "callerGone", detail: "The caller left before the request started." };
+}
--- /dev/null
+++ b/packages/policy/src/queue/serverQueueSettings.ts
@@ -0,0 +1,17 @@
+import { z } from "zod";
+
+/** Limits and estimates of a server's queue. */
+const ServerQueueSettings = z.strictObject({
+    /** Jobs that may wait at a time. */
+    maxWaiting: z.int().min(0).max(100_000).default(256),
+    /** Service time in ms that is assumed of a class before its first job has ended. */
+    initialServiceMs: z.number().min(0).max(3_600_000).default(10),
+    /** Weight of the newest service time in the running mean. */
+    newestWeight: z.number().gt(0).max(1).default(0.1),
+    /** Classes whose service times are kept apart; further ones share one mean. */
+    maxClasses: z.int().min(1).max(10_000).default(64),
+});
+
+type ServerQueueSettings = z.infer<typeof ServerQueueSettings>;
+
+export { ServerQueueSettings };
