Load policy: tests of invariants, and probes of left-out servers

Cause: the first run of a frozen server showed that a left-out server with a high latency was not chosen again by the picker of least cost, and that an old request's end was taken for the probe's. Conclusion: a due probe goes first, its end is told by its start time, and a request that must not be repeated is used as a probe only when long overdue.

--- a/packages/policy/src/pool/leastCostPicker.ts
+++ b/packages/policy/src/pool/leastCostPicker.ts
@@ -10,8 +10,7 @@
     }
 
     private getCost({ server, slots }: PoolCandidate): number {
-        const { latencyMs = 1, outstanding } = this.observe(server);
-        return latencyMs * (outstanding + 1) / slots;
+        return this.getLatency(server) * (this.observe(server).outstanding + 1) / slots;
     }
 }
 
--- a/packages/policy/src/pool/newObservedServer.ts
+++ b/packages/policy/src/pool/newObservedServer.ts
@@ -13,7 +13,7 @@
         pausedUntil: 0,
         ejectedUntil: undefined,
         ejections: 0,
-        isProbing: false,
+        probeStartedAt: undefined,
         credit: 1,
     };
 }
--- a/packages/policy/src/pool/observedServer.ts
+++ b/packages/policy/src/pool/observedServer.ts
@@ -20,8 +20,8 @@
     ejectedUntil: Milliseconds | undefined;
     /** Times in a row that it was left out. */
     ejections: number;
-    /** Whether the one request that tries a left-out server again is under way. */
-    isProbing: boolean;
+    /** Start of the one request that tries a left-out server again; `undefined` when none is under way. */
+    probeStartedAt: Milliseconds | undefined;
     /** Requests that the server may have outstanding, for pickers that adapt it. */
     credit: number;
 };
--- a/packages/policy/src/pool/outlierDetector.ts
+++ b/packages/policy/src/pool/outlierDetector.ts
@@ -3,6 +3,9 @@
 import type { PoolPickerSettings } from "./poolPickerSettings.js";
 import type { RequestEnd } from "./requestEnd.js";
 
+/** Slack in comparing a start with an end less its duration. */
+const CLOCK_ROUNDING_MS = 0.5;
+
 /**
  * Decides from observations alone which servers of a pool are left out: those that stall, fail or answer far slower
  * than the others. A left-out server is tried again with one request at a time, after growing pauses, and comes back
@@ -17,6 +20,11 @@
         this.settings = settings;
     }
 
+    /** Usual latency of the pool; `undefined` before two servers have answered. */
+    get usualMs(): Milliseconds | undefined {
+        return this.medianMs;
+    }
+
     /** Judges all servers of the pool, at most once in the review interval. */
     review(servers: readonly ObservedServer[], now: Milliseconds): void {
         if (now - this.reviewedAt < this.settings.reviewIntervalMs) {
@@ -34,20 +42,31 @@
         }
     }
 
-    /** Whether a request may go to the server now; a left-out one takes a single request once its time is over. */
+    /** Whether a request may go to the server in the ordinary way. */
     isAvailable(server: ObservedServer, now: Milliseconds): boolean {
-        if (server.ejectedUntil === undefined) {
-            return now >= server.pausedUntil;
+        return server.ejectedUntil === undefined && now >= server.pausedUntil;
+    }
+
+    /**
+     * Whether a left-out server is due to be tried with a request.
+     *
+     * @param isIdempotent whether that request may end unknown without harm; others try it only when long overdue
+     */
+    isProbeDue(server: ObservedServer, isIdempotent: boolean, now: Milliseconds): boolean {
+        if (server.ejectedUntil === undefined || server.probeStartedAt !== undefined) {
+            return false;
         }
-        return now >= server.ejectedUntil && !server.isProbing;
+        return now >= server.ejectedUntil + (isIdempotent ? 0 : this.settings.maxEjectionMs);
     }
 
     /** Takes in how a request ended: an ordinary answer brings a left-out server back, anything else keeps it out. */
     recordEnd(server: ObservedServer, end: RequestEnd, now: Milliseconds): void {
-        if (server.ejectedUntil === undefined || !server.isProbing) {
+        const isOfProbe = server.probeStartedAt !== undefined
+            && now - end.durationMs >= server.probeStartedAt - CLOCK_ROUNDING_MS;
+        if (server.ejectedUntil === undefined || !isOfProbe) {
             return;
         }
-        server.isProbing = false;
+        server.probeStartedAt = undefined;
         if (end.kind === "answered" && !this.isSlow(end.durationMs)) {
             this.restore(server, end.durationMs);
         }
--- a/packages/policy/src/pool/poolPicker.ts
+++ b/packages/policy/src/pool/poolPicker.ts
@@ -26,21 +26,33 @@
     /**
      * A server for a request, or `undefined` when none may take one now.
      *
+     * A left-out server whose time is over comes first, to be tried with this one request.
+     *
      * @param exclude servers that this request has already been to
+     * @param isIdempotent whether the request may be used to try a left-out server
      */
     pick(
         candidates: readonly PoolCandidate[],
         exclude: ReadonlySet<ServerId>,
         now: Milliseconds,
+        isIdempotent = true,
     ): ServerId | undefined {
         this.now = now;
         this.prune(candidates);
-        if (this.settings.isEjecting) {
-            this.detector.review(candidates.map(({ server }) => this.observe(server)), now);
+        const possible = candidates.filter(candidate =>
+            !exclude.has(candidate.server) && this.getOutstanding(candidate.server) < candidate.limit
+        );
+        if (!this.settings.isEjecting) {
+            return possible.length === 0 ? undefined : this.choose(possible, now)?.server;
         }
-        const open = candidates.filter(candidate =>
-            !exclude.has(candidate.server) && this.isOpen(candidate, now)
+        this.detector.review(candidates.map(({ server }) => this.observe(server)), now);
+        const probed = possible.find(({ server }) =>
+            this.detector.isProbeDue(this.observe(server), isIdempotent, now)
         );
+        if (probed) {
+            return probed.server;
+        }
+        const open = possible.filter(({ server }) => this.detector.isAvailable(this.observe(server), now));
         return open.length === 0 ? undefined : this.choose(open, now)?.server;
     }
 
@@ -51,7 +63,7 @@
             observed.progressAt = this.now;
         }
         observed.outstanding++;
-        observed.isProbing = observed.ejectedUntil !== undefined;
+        observed.probeStartedAt = observed.ejectedUntil === undefined ? undefined : this.now;
     }
 
     /** Takes in how a request ended; `notRun` is a refusal of the server or a connection that failed. */
@@ -95,6 +107,11 @@
         return observed;
     }
 
+    /** Expected latency of a server: its own, else the pool's. */
+    protected getLatency(server: ServerId): Milliseconds {
+        return this.observe(server).latencyMs ?? this.detector.usualMs ?? 1;
+    }
+
     /** Two different candidates at random, or the only one twice. */
     protected pickTwo(candidates: readonly PoolCandidate[]): readonly [PoolCandidate, PoolCandidate] {
         const first = this.random.nextInteger(candidates.length);
@@ -105,14 +122,6 @@
         return [candidates[first]!, candidates[(first + offset) % candidates.length]!];
     }
 
-    private isOpen(candidate: PoolCandidate, now: Milliseconds): boolean {
-        const observed = this.observe(candidate.server);
-        if (observed.outstanding >= candidate.limit) {
-            return false;
-        }
-        return !this.settings.isEjecting || this.detector.isAvailable(observed, now);
-    }
-
     private recordEnd(observed: ObservedServer, end: RequestEnd, now: Milliseconds): void {
         const { newestWeight, shedPauseMs, maxShedPauseMs } = this.settings;
         if (end.kind === "answered") {
--- /dev/null
+++ b/packages/policy/tests/pool/poolPicker.test.ts
@@ -0,0 +1,119 @@
+import { RandomSource, type ServerId } from "@arbutusdoor/common";
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { newPoolPicker, type PoolPicker, PoolPickerSettings, splitLimit } from "../../src/index.js";
+
+const PICKERS = ["random", "roundRobin", "leastReported", "twoChoices", "credit", "rateCredit", "leastCost"];
+const CANDIDATES = ["a", "b", "c", "d"].map(name => ({ server: name as ServerId, slots: 4, limit: 3 }));
+const [FROZEN] = CANDIDATES.map(({ server }) => server) as [ServerId];
+
+test.each(PICKERS)("%s goes to no server that is excluded or at its limit, and counts exactly", picker => {
+    const steps = fc.array(fc.tuple(fc.nat(9), fc.nat(3), fc.nat(50)), { maxLength: 80 });
+    fc.assert(
+        fc.property(steps, choices => {
+            const pool = newPicker(picker);
+            const open: ServerId[] = [];
+            let now = 0;
+            for (const [action, index, delay] of choices) {
+                now += delay;
+                const exclude = new Set([CANDIDATES[index]!.server]);
+                const server = action < 7 ? pool.pick(CANDIDATES, exclude, now) : undefined;
+                if (server !== undefined) {
+                    expect(exclude.has(server)).toBe(false);
+                    pool.started(server);
+                    open.push(server);
+                }
+                const ending = action >= 7 ? open.shift() : undefined;
+                if (ending !== undefined) {
+                    const kind = action === 7 ? "answered" : action === 8 ? "notRun" : "unknown";
+                    pool.ended(ending, { kind, durationMs: delay }, now);
+                }
+                for (const candidate of CANDIDATES) {
+                    const count = open.filter(other => other === candidate.server).length;
+                    expect(pool.getOutstanding(candidate.server)).toBe(count);
+                    expect(count).toBeLessThanOrEqual(candidate.limit);
+                }
+            }
+        }),
+        { seed: 1, numRuns: 100 },
+    );
+});
+
+test("a frozen server is left out, tried by single requests at growing pauses, and comes back", () => {
+    const pool = newPicker("leastCost");
+    const seen: string[] = [];
+    let wasEjected = false;
+    let due: { server: ServerId; at: number; startedAt: number; }[] = [];
+    for (let now = 0; now < 12_000; now += 10) {
+        for (const { server, startedAt } of due.filter(({ at }) => at <= now)) {
+            const isFrozen = server === FROZEN && startedAt < 5_000;
+            pool.ended(server, { kind: isFrozen ? "unknown" : "answered", durationMs: now - startedAt }, now);
+        }
+        due = due.filter(({ at }) => at > now);
+        const server = pool.pick(CANDIDATES, new Set(), now);
+        if (server !== undefined) {
+            pool.started(server);
+            due.push({ server, startedAt: now, at: now + (server === FROZEN && now < 5_000 ? 1_000 : 20) });
+        }
+        if (server === FROZEN && wasEjected) {
+            seen.push(`tried at ${now}`);
+        }
+        if (pool.isEjected(FROZEN) !== wasEjected) {
+            wasEjected = !wasEjected;
+            seen.push(`${wasEjected ? "left out" : "back"} at ${now}`);
+        }
+    }
+    expect(seen).toMatchInlineSnapshot(`
+      [
+        "left out at 300",
+        "tried at 1000",
+        "tried at 3000",
+        "tried at 6000",
+        "back at 6020",
+      ]
+    `);
+});
+
+test("a request that must not be repeated tries a left-out server only when nothing else did for long", () => {
+    const pool = newPicker("twoChoices");
+    for (let request = 0; request < 3; request++) {
+        pool.pick(CANDIDATES, new Set(), 0);
+        pool.started(FROZEN);
+    }
+    for (let request = 0; request < 3; request++) {
+        pool.ended(FROZEN, { kind: "unknown", durationMs: 100 }, 100);
+    }
+    const others = new Set(CANDIDATES.slice(1).map(({ server }) => server));
+    const times = [200, 1_000, 8_500, 8_700];
+    const once = times.map(now => pool.pick(CANDIDATES, others, now, false));
+    expect(once).toEqual([undefined, undefined, undefined, FROZEN]);
+    expect(pool.pick(CANDIDATES, others, 1_000, true)).toBe(FROZEN);
+});
+
+test("a server that refuses at once does not draw the traffic", () => {
+    const pool = newPicker("leastCost");
+    let refused = 0;
+    for (let now = 0; now < 2_000; now++) {
+        const server = pool.pick(CANDIDATES, new Set(), now);
+        if (server !== undefined) {
+            pool.started(server);
+            refused += server === FROZEN ? 1 : 0;
+            pool.ended(server, { kind: server === FROZEN ? "notRun" : "answered", durationMs: 0.1 }, now);
+        }
+    }
+    expect(refused).toBeLessThan(10);
+});
+
+test("the parts of a limit add up to it", () => {
+    const parts = Array.from({ length: 10 }, (unused, position) => splitLimit(113, 10, position));
+    expect(parts).toEqual([12, 12, 12, 11, 11, 11, 11, 11, 11, 11]);
+    expect(splitLimit(3, 10, 9)).toBe(1);
+});
+
+test("a name that no picker has is an input error", () => {
+    expect(() => newPicker("fastest")).toThrow(/"fastest" is not one of/);
+});
+
+function newPicker(picker: string): PoolPicker {
+    return newPoolPicker(PoolPickerSettings.parse({ picker }), new RandomSource(3));
+}
--- /dev/null
+++ b/packages/policy/tests/queue/serverQueue.test.ts
@@ -0,0 +1,218 @@
+import { type ClassId, ManualClock, Metrics } from "@arbutusdoor/common";
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { type Job, ServerQueue, ServerQueueSettings, type Submission } from "../../src/index.js";
+
+const START_MS = 1_000;
+
+type Step = {
+    readonly delayMs: number;
+    readonly priority: number;
+    readonly deadlineMs: number;
+    readonly serviceMs: number;
+    readonly isIdempotent: boolean;
+    readonly leavesAfterMs: number | undefined;
+    readonly slots: number | undefined;
+};
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.record({
+    delayMs: fc.nat(20),
+    priority: fc.nat(3),
+    deadlineMs: fc.nat(120),
+    serviceMs: fc.nat(60),
+    isIdempotent: fc.boolean(),
+    leavesAfterMs: fc.option(fc.nat(80), { nil: undefined, freq: 4 }),
+    slots: fc.option(fc.integer({ min: 0, max: 4 }), { nil: undefined, freq: 8 }),
+});
+
+test("never more running than slots, each job settles once, and a refused job never ran", async () => {
+    await fc.assert(
+        fc.asyncProperty(fc.array(stepArbitrary, { maxLength: 60 }), fc.nat(6), async (steps, maxWaiting) => {
+            const session = new Session(3, maxWaiting);
+            for (const step of steps) {
+                await session.advance(step.delayMs);
+                session.take(step);
+            }
+            session.setSlots(3);
+            await session.advance(1_000);
+            await session.queue.drain();
+            session.check(steps.length);
+        }),
+        { seed: 1, numRuns: 300 },
+    );
+});
+
+test("reads are refused first and work that must not be repeated last, and each refusal says why", async () => {
+    const session = new Session(1, 2);
+    session.take(newStep({ serviceMs: 50 }));
+    session.take(newStep({ serviceMs: 50 }));
+    session.take(newStep({ serviceMs: 50 }));
+    session.take(newStep({ serviceMs: 50 }));
+    session.take(newStep({ isIdempotent: false }));
+    session.take(newStep({ isIdempotent: false, priority: 2 }));
+    session.take(newStep({ isIdempotent: false, deadlineMs: 5 }));
+    await session.advance(500);
+    expect(session.getOutcomes()).toMatchInlineSnapshot(`
+      [
+        "0: done at 50",
+        "1: notRun shed at 0",
+        "2: notRun shed at 0",
+        "3: notRun queueFull at 0",
+        "4: done at 70",
+        "5: done at 60",
+        "6: notRun shed at 0",
+      ]
+    `);
+});
+
+test("what waits is refused when its deadline passes, its caller goes or the host stops", async () => {
+    const session = new Session(1, 10);
+    session.take(newStep({ serviceMs: 400 }));
+    session.take(newStep({ deadlineMs: 100 }));
+    session.take(newStep({ leavesAfterMs: 50 }));
+    session.take(newStep({}));
+    await session.advance(200);
+    session.queue.close();
+    session.take(newStep({}));
+    await session.advance(300);
+    expect(session.getOutcomes()).toMatchInlineSnapshot(`
+      [
+        "0: done at 400",
+        "1: notRun deadlineBeforeStart at 100",
+        "2: notRun callerGone at 50",
+        "3: notRun stopping at 200",
+        "4: notRun stopping at 200",
+      ]
+    `);
+});
+
+test("a server that answers nothing any more is recognised by the age of what runs", async () => {
+    const session = new Session(2, 100);
+    for (let index = 0; index < 20; index++) {
+        session.take(newStep({ serviceMs: 10 }));
+        await session.advance(10);
+    }
+    session.take(newStep({ serviceMs: 5_000 }));
+    session.take(newStep({ serviceMs: 5_000 }));
+    await session.advance(300);
+    session.take(newStep({ deadlineMs: 200 }));
+    session.take(newStep({ deadlineMs: 2_000 }));
+    const estimate = session.queue.estimateWait(0, true);
+    await session.advance(5_000);
+    expect({ estimate, last: session.getOutcomes().slice(-2) }).toMatchInlineSnapshot(`
+      {
+        "estimate": 305,
+        "last": [
+          "22: notRun shed at 500",
+          "23: notRun deadlineBeforeStart at 2500",
+        ],
+      }
+    `);
+});
+
+/** A queue with jobs that note when they start, run and settle. */
+class Session {
+    readonly queue: ServerQueue;
+    private readonly clock = new ManualClock(START_MS);
+    private readonly started = new Set<number>();
+    private readonly outcomes: string[][] = [];
+    private running = 0;
+    private slots: number;
+
+    constructor(slots: number, maxWaiting: number) {
+        const settings = ServerQueueSettings.parse({ maxWaiting });
+        this.slots = slots;
+        this.queue = new ServerQueue(this.clock, new Metrics(), slots, settings);
+    }
+
+    setSlots(slots: number): void {
+        this.slots = slots;
+        this.queue.setSlots(slots);
+    }
+
+    take(step: Step): void {
+        this.setSlots(step.slots ?? this.slots);
+        const index = this.outcomes.length;
+        const outcomes: string[] = [];
+        this.outcomes.push(outcomes);
+        this.queue.submit(this.newJob(index, step)).then(
+            submission => outcomes.push(describe(submission, this.clock.now() - START_MS)),
+            () => outcomes.push("rejected"),
+        );
+    }
+
+    async advance(duration: number): Promise<void> {
+        await flush();
+        for (const end = this.clock.now() + duration;;) {
+            const due = this.clock.nextDue();
+            if (due === undefined || due > end) {
+                this.clock.advanceTo(end);
+                return;
+            }
+            this.clock.advanceTo(due);
+            await flush();
+        }
+    }
+
+    getOutcomes(): string[] {
+        return this.outcomes.map((outcomes, index) => `${index}: ${outcomes.join(" and ") || "open"}`);
+    }
+
+    check(submitted: number): void {
+        expect(this.outcomes.length).toBe(submitted);
+        for (const [index, outcomes] of this.outcomes.entries()) {
+            expect(outcomes.length).toBe(1);
+            expect(outcomes[0]!.startsWith("done")).toBe(this.started.has(index));
+        }
+        expect(this.queue.waitingSize + this.queue.runningSize).toBe(0);
+    }
+
+    private newJob(index: number, step: Step): Job<number> {
+        const caller = new AbortController();
+        if (step.leavesAfterMs !== undefined) {
+            this.clock.schedule(step.leavesAfterMs, () => caller.abort());
+        }
+        return {
+            id: String(index),
+            classId: (step.isIdempotent ? "read" : "once") as ClassId,
+            priority: step.priority,
+            deadlineAt: this.clock.now() + step.deadlineMs,
+            isIdempotent: step.isIdempotent,
+            signal: caller.signal,
+            run: () => this.run(index, step.serviceMs),
+        };
+    }
+
+    private async run(index: number, serviceMs: number): Promise<number> {
+        expect(this.started.has(index)).toBe(false);
+        this.started.add(index);
+        this.running++;
+        expect(this.running).toBeLessThanOrEqual(this.slots);
+        await this.clock.sleep(serviceMs);
+        this.running--;
+        return index;
+    }
+}
+
+function describe(submission: Submission<number>, at: number): string {
+    return submission.kind === "done"
+        ? `done at ${at}`
+        : `${submission.refusal.outcome} ${submission.refusal.reason} at ${at}`;
+}
+
+function newStep(step: Partial<Step>): Step {
+    return {
+        delayMs: 0,
+        priority: 0,
+        deadlineMs: 1_000,
+        serviceMs: 10,
+        isIdempotent: true,
+        leavesAfterMs: undefined,
+        slots: undefined,
+        ...step,
+    };
+}
+
+function flush(): Promise<void> {
+    return new Promise(resolve => setImmediate(resolve));
+}
