--- a/packages/common/src/outcome/refusalReason.ts
+++ b/packages/common/src/outcome/refusalReason.ts
@@ -30,6 +30,9 @@
     deadlineAfterStart: { status: 504, outcome: "unknown", retry: false },
     connectionLost: { status: 502, outcome: "unknown", retry: false },
     relayLost: { status: 502, outcome: "unknown", retry: false },
+    relayUnreachable: { status: 503, outcome: "notRun", retry: true },
+    relayNotReceived: { status: 503, outcome: "notRun", retry: true },
+    duplicateRequest: { status: 409, outcome: "unknown", retry: false },
 } as const satisfies Record<string, { status: number; outcome: OutcomeKind; retry: boolean; }>;
 
 /** Reason code of a refusal, sent to the caller in the problem body and the `Arbutusdoor-Reason` header. */
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -1,1 +1,9 @@
-export {};
+export * from "./identity/peerIdentity.js";
+export * from "./mesh.js";
+export * from "./meshHandler.js";
+export * from "./meshOptions.js";
+export * from "./relay/relayAnswer.js";
+export * from "./relay/relayRequest.js";
+export * from "./settings/meshSettings.js";
+export * from "./transport/connection.js";
+export * from "./transport/transport.js";
--- /dev/null
+++ b/packages/mesh/src/relay/relayAnswer.ts
@@ -0,0 +1,12 @@
+import type { Refusal } from "@arbutusdoor/common";
+import type { Readable } from "node:stream";
+
+/** How a relayed request ended: with a backend server's answer, whose body stream errors if it breaks off, or with a refusal. */
+export type RelayAnswer =
+    | {
+        readonly kind: "answered";
+        readonly status: number;
+        readonly headers: Readonly<Record<string, string>>;
+        readonly body: Readable;
+    }
+    | { readonly kind: "refusal"; readonly refusal: Refusal; };
--- /dev/null
+++ b/packages/mesh/src/settings/meshSettings.ts
@@ -0,0 +1,54 @@
+import { z } from "zod";
+
+const KIBIBYTE = 1_024;
+const MEBIBYTE = 1_048_576;
+
+/** Limits and times of the links between entry hosts. */
+const MeshSettings = z.strictObject({
+    /** Hosts link only with hosts of the same cluster name. */
+    cluster: z.string().min(1).max(63).default("arbutusdoor"),
+    /** Longest time in ms that a link is left without sending. */
+    heartbeatIntervalMs: z.int().min(10).max(60_000).default(100),
+    /** Time in ms without hearing anything after which a link counts as lost. */
+    heartbeatTimeoutMs: z.int().min(20).max(600_000).default(400),
+    /** Longest time in ms from a new connection to an open link. */
+    greetingTimeoutMs: z.int().min(10).max(60_000).default(1_000),
+    reconnectMinMs: z.int().min(1).max(60_000).default(50),
+    reconnectMaxMs: z.int().min(1).max(600_000).default(2_000),
+    /** Time in ms before dialling again a peer with which a link was refused. */
+    refusedRetryMs: z.int().min(100).max(3_600_000).default(30_000),
+    /** Largest frame in bytes that is sent or taken. */
+    frameLimitBytes: z.int().min(4 * KIBIBYTE).max(16 * MEBIBYTE).default(MEBIBYTE),
+    /** Largest greeting frame in bytes, before the peer is known. */
+    greetingLimitBytes: z.int().min(KIBIBYTE).max(MEBIBYTE).default(4 * KIBIBYTE),
+    /** Largest piece of a body in one message, in bytes. */
+    chunkBytes: z.int().min(KIBIBYTE).max(MEBIBYTE).default(16 * KIBIBYTE),
+    /** Messages are gathered into a frame up to this size in bytes. */
+    batchBytes: z.int().min(KIBIBYTE).max(MEBIBYTE).default(64 * KIBIBYTE),
+    /** Bytes that may wait in a socket before the link holds back. */
+    socketBufferBytes: z.int().min(KIBIBYTE).max(16 * MEBIBYTE).default(128 * KIBIBYTE),
+    /** Bytes of one body and direction that may be under way or unread. */
+    streamWindowBytes: z.int().min(KIBIBYTE).max(16 * MEBIBYTE).default(256 * KIBIBYTE),
+    /** Most relayed requests at a time on a link, in each direction. */
+    maxStreams: z.int().min(1).max(65_536).default(512),
+    /** Most control messages that wait to be sent on a link. */
+    maxQueuedControl: z.int().min(1).max(1_048_576).default(1_024),
+    /** Most addresses that a host dials. */
+    maxSeeds: z.int().min(1).max(65_536).default(1_024),
+    /** Most connections that have not finished their greeting. */
+    maxGreetings: z.int().min(1).max(65_536).default(256),
+    /** Longest wait in ms for a new link and the verdict on a request whose link was lost. */
+    askTimeoutMs: z.int().min(1).max(600_000).default(1_000),
+    /** Time in ms beyond the deadline that a peer has for its own refusal. */
+    deadlineGraceMs: z.int().min(0).max(60_000).default(100),
+    /** Finished request ids that are remembered. */
+    requestMemory: z.int().min(1).max(16_777_216).default(65_536),
+    /** Lost links whose last request number is remembered. */
+    linkMemory: z.int().min(1).max(1_048_576).default(4_096),
+    /** Longest wait in ms of a graceful close for requests in flight. */
+    closeTimeoutMs: z.int().min(0).max(3_600_000).default(30_000),
+});
+
+type MeshSettings = z.infer<typeof MeshSettings>;
+
+export { MeshSettings };
