--- /dev/null
+++ b/packages/mesh/src/greeting/greeter.ts
@@ -0,0 +1,209 @@
+import type { Clock, Timer } from "@arbutusdoor/common";
+import type { Connection } from "../transport/connection.js";
+import { getProof } from "./getProof.js";
+import type { Greeting } from "./greeting.js";
+import type { GreetingHost } from "./greetingHost.js";
+import type { GreetingRefusalReason } from "./greetingRefusalReason.js";
+import type { GreetingResult } from "./greetingResult.js";
+import type { Hello } from "./hello.js";
+import { isProof } from "./isProof.js";
+import { judgeHello } from "./judgeHello.js";
+import { pickHello } from "./pickHello.js";
+import { readGreeting } from "./readGreeting.js";
+
+type GreeterOptions = {
+    readonly connection: Connection;
+    readonly isDialler: boolean;
+    readonly host: GreetingHost;
+    readonly secret: string;
+    readonly clock: Clock;
+    readonly settings: { readonly greetingTimeoutMs: number; readonly greetingLimitBytes: number; };
+    /** Called once. */
+    readonly onEnd: (result: GreetingResult) => void;
+};
+
+/** Takes a new connection through its greeting: who the peer is, whether it may link, and which of two links stays. */
+export class Greeter {
+    private readonly options: GreeterOptions;
+    private readonly own: Hello;
+    private peer: Hello | undefined;
+    private isProven = false;
+    private timer: Timer | undefined;
+    private isOver = false;
+
+    constructor(options: GreeterOptions) {
+        this.options = options;
+        this.own = options.host.newHello();
+    }
+
+    /** Begins the greeting. */
+    start(): void {
+        const { connection, clock, settings, isDialler } = this.options;
+        this.timer = clock.schedule(settings.greetingTimeoutMs, () => this.end({ kind: "lost" }));
+        connection.listen({
+            onFrame: bytes => this.receive(bytes),
+            onClose: cause => this.end({ kind: cause === "malformed" ? "malformed" : "lost" }),
+            onDrain: () => {},
+        });
+        if (isDialler) {
+            this.send({ kind: "hello", ...this.own });
+        }
+    }
+
+    /** Gives up. */
+    stop(): void {
+        this.end({ kind: "lost" });
+    }
+
+    private receive(bytes: Uint8Array): void {
+        if (this.isOver) {
+            return;
+        }
+        if (bytes.length > this.options.settings.greetingLimitBytes) {
+            this.end({ kind: "malformed" });
+            return;
+        }
+        const read = readGreeting(bytes);
+        switch (read.kind) {
+            case "greeting":
+                this.take(read.greeting);
+                break;
+            case "otherVersion":
+                this.refuse("protocolVersion");
+                break;
+            case "malformed":
+                this.end(read);
+                break;
+        }
+    }
+
+    private take(greeting: Greeting): void {
+        switch (greeting.kind) {
+            case "hello":
+                this.takeHello(greeting);
+                break;
+            case "reply":
+                this.takeReply(greeting);
+                break;
+            case "proof":
+                this.takeProof(greeting);
+                break;
+            case "open":
+                this.takeOpen();
+                break;
+            case "refuse":
+                this.end({ kind: "refused", reason: greeting.reason, isByPeer: true, hello: this.peer });
+                break;
+        }
+    }
+
+    private takeHello(greeting: Extract<Greeting, { kind: "hello"; }>): void {
+        const hello = pickHello(greeting);
+        if (this.options.isDialler || this.peer) {
+            this.end({ kind: "malformed" });
+            return;
+        }
+        if (!this.meet(hello)) {
+            return;
+        }
+        const proof = getProof(this.options.secret, this.own, hello);
+        this.send({ kind: "reply", ...this.own, proof, lost: this.options.host.getLost(hello) });
+    }
+
+    private takeReply(greeting: Extract<Greeting, { kind: "reply"; }>): void {
+        const { proof, lost } = greeting;
+        const hello = pickHello(greeting);
+        if (!this.options.isDialler || this.peer) {
+            this.end({ kind: "malformed" });
+            return;
+        }
+        if (!this.meet(hello) || !this.checkProof(proof, hello)) {
+            return;
+        }
+        const ownProof = getProof(this.options.secret, this.own, hello);
+        this.send({ kind: "proof", proof: ownProof, lost: this.options.host.getLost(hello) });
+        this.judge(hello, lost);
+    }
+
+    private takeProof({ proof, lost }: Extract<Greeting, { kind: "proof"; }>): void {
+        if (this.options.isDialler || !this.peer || this.isProven) {
+            this.end({ kind: "malformed" });
+            return;
+        }
+        if (this.checkProof(proof, this.peer)) {
+            this.judge(this.peer, lost);
+        }
+    }
+
+    private takeOpen(): void {
+        if (!this.peer || !this.isProven || this.isJudge(this.peer)) {
+            this.end({ kind: "malformed" });
+            return;
+        }
+        this.open(this.peer);
+    }
+
+    private meet(hello: Hello): boolean {
+        this.peer = hello;
+        const reason = judgeHello(this.own, hello);
+        if (reason) {
+            this.refuse(reason);
+        }
+        return !reason;
+    }
+
+    private checkProof(proof: string, hello: Hello): boolean {
+        this.isProven = isProof(proof, getProof(this.options.secret, hello, this.own));
+        if (!this.isProven) {
+            this.refuse("secret");
+        }
+        return this.isProven;
+    }
+
+    private isJudge(hello: Hello): boolean {
+        return this.own.identity.host < hello.identity.host;
+    }
+
+    private judge(hello: Hello, lost: number): void {
+        if (!this.isJudge(hello)) {
+            return;
+        }
+        const reason = this.options.host.judge(hello, lost);
+        if (reason) {
+            this.refuse(reason);
+            return;
+        }
+        this.send({ kind: "open" });
+        this.open(hello);
+    }
+
+    private open(hello: Hello): void {
+        this.settle({ kind: "open", hello, serial: this.own.serial });
+    }
+
+    private refuse(reason: GreetingRefusalReason): void {
+        this.send({ kind: "refuse", reason });
+        this.options.connection.close();
+        this.settle({ kind: "refused", reason, isByPeer: false, hello: this.peer });
+    }
+
+    private end(result: GreetingResult): void {
+        if (!this.isOver) {
+            this.options.connection.terminate();
+            this.settle(result);
+        }
+    }
+
+    private settle(result: GreetingResult): void {
+        if (this.isOver) {
+            return;
+        }
+        this.isOver = true;
+        this.timer?.cancel();
+        this.options.onEnd(result);
+    }
+
+    private send(greeting: Greeting): void {
+        this.options.connection.send(Buffer.from(JSON.stringify(greeting)));
+    }
+}
--- /dev/null
+++ b/packages/mesh/src/greeting/judgeHello.ts
@@ -0,0 +1,10 @@
+import type { GreetingRefusalReason } from "./greetingRefusalReason.js";
+import type { Hello } from "./hello.js";
+
+/** Why a host does not go on with a peer, from their hellos alone; `undefined` when it does. */
+export function judgeHello(own: Hello, peer: Hello): GreetingRefusalReason | undefined {
+    if (peer.cluster !== own.cluster) {
+        return "cluster";
+    }
+    return peer.identity.host === own.identity.host ? "sameHost" : undefined;
+}
--- /dev/null
+++ b/packages/mesh/src/greeting/judgePair.ts
@@ -0,0 +1,33 @@
+import type { Hello } from "./hello.js";
+
+/** The link that is open with a host. */
+type OpenLink = {
+    /** The other host's hello on that link. */
+    readonly hello: Hello;
+    /** This host's serial of the link. */
+    readonly serial: number;
+};
+
+/** What to do with a new connection to a host. */
+type PairVerdict = "open" | "replace" | "duplicateLink" | "olderIncarnation";
+
+/**
+ * Keeps one link for each pair of hosts. Only the host with the lower name decides, so both agree.
+ * @param lost this host's serial of the link that the peer says it lost; 0 for none
+ */
+export function judgePair(open: OpenLink | undefined, hello: Hello, lost: number): PairVerdict {
+    if (!open) {
+        return "open";
+    }
+    if (open.hello.identity.incarnation !== hello.identity.incarnation) {
+        return isNewer(hello, open.hello) ? "replace" : "olderIncarnation";
+    }
+    return open.serial === lost ? "replace" : "duplicateLink";
+}
+
+function isNewer(hello: Hello, other: Hello): boolean {
+    if (hello.startedAt !== other.startedAt) {
+        return hello.startedAt > other.startedAt;
+    }
+    return hello.identity.incarnation > other.identity.incarnation;
+}
--- /dev/null
+++ b/packages/mesh/src/greeting/readGreeting.ts
@@ -0,0 +1,31 @@
+import { z } from "zod";
+import { PROTOCOL_VERSION } from "../protocol/protocolVersion.js";
+import { Greeting } from "./greeting.js";
+
+/** A greeting frame that was read: a greeting, one of another protocol version, or neither. */
+type GreetingRead =
+    | { readonly kind: "greeting"; readonly greeting: Greeting; }
+    | { readonly kind: "otherVersion"; readonly protocol: number; }
+    | { readonly kind: "malformed"; };
+
+const Versioned = z.object({ protocol: z.int() });
+
+/** Reads a greeting frame. Never throws. */
+export function readGreeting(bytes: Uint8Array): GreetingRead {
+    const value = parseJson(bytes);
+    const versioned = Versioned.safeParse(value);
+    if (versioned.success && versioned.data.protocol !== PROTOCOL_VERSION) {
+        return { kind: "otherVersion", protocol: versioned.data.protocol };
+    }
+    const greeting = Greeting.safeParse(value);
+    return greeting.success ? { kind: "greeting", greeting: greeting.data } : { kind: "malformed" };
+}
+
+function parseJson(bytes: Uint8Array): unknown {
+    try {
+        return JSON.parse(Buffer.from(bytes).toString("utf8"));
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/packages/mesh/src/link/dialler.ts
@@ -0,0 +1,154 @@
+import type { Clock, HostId, Milliseconds, RandomSource, Timer } from "@arbutusdoor/common";
+import { getBackoff } from "../core/getBackoff.js";
+import type { GreetingResult } from "../greeting/greetingResult.js";
+import type { MeshSettings } from "../settings/meshSettings.js";
+
+type DiallerOptions = {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly settings: MeshSettings;
+    /** Whether a link to the address, or to the host last met there, is open. */
+    readonly isLinked: (address: string, host: HostId | undefined) => boolean;
+    /** Connects and greets. */
+    readonly dial: (address: string) => Promise<GreetingResult>;
+};
+
+/** An address to dial. */
+type Seed = {
+    readonly address: string;
+    /** Whether it is dialled for ever, as the settings' own addresses are. */
+    readonly isKept: boolean;
+    /** Host last met there. */
+    host: HostId | undefined;
+    failures: number;
+    /** When it was added or last answered. */
+    answeredAt: Milliseconds;
+    /** Pending attempt, if any. */
+    timer: Timer | undefined;
+    isDialling: boolean;
+    /** Whether it is this host itself. */
+    isSelf: boolean;
+};
+
+/** Dials the known addresses to which no link is open, with a growing wait. */
+export class Dialler {
+    private readonly options: DiallerOptions;
+    private readonly seeds = new Map<string, Seed>();
+    private isClosed = false;
+
+    constructor(options: DiallerOptions) {
+        this.options = options;
+    }
+
+    /** Adds addresses; those beyond the limit are left out. Returns how many are known. */
+    add(addresses: readonly string[], isKept: boolean): number {
+        for (const address of addresses) {
+            const hasRoom = this.seeds.size < this.options.settings.maxSeeds;
+            if (hasRoom && !this.seeds.has(address)) {
+                this.seeds.set(address, this.newSeed(address, isKept));
+            }
+        }
+        this.wake();
+        return this.seeds.size;
+    }
+
+    /** Plans an attempt for each address that has neither a link nor a plan. */
+    wake(): void {
+        for (const seed of [...this.seeds.values()]) {
+            this.plan(seed, this.getBackoff(seed.failures));
+        }
+    }
+
+    /** Dials no more. */
+    close(): void {
+        this.isClosed = true;
+        for (const seed of this.seeds.values()) {
+            seed.timer?.cancel();
+        }
+    }
+
+    private newSeed(address: string, isKept: boolean): Seed {
+        return {
+            address,
+            isKept,
+            host: undefined,
+            failures: 0,
+            answeredAt: this.options.clock.now(),
+            timer: undefined,
+            isDialling: false,
+            isSelf: false,
+        };
+    }
+
+    private plan(seed: Seed, wait: Milliseconds): void {
+        const isPlanned = seed.isDialling || seed.timer !== undefined || seed.isSelf;
+        if (this.isClosed || isPlanned || this.isLinked(seed)) {
+            return;
+        }
+        seed.timer = this.options.clock.schedule(wait, () => {
+            seed.timer = undefined;
+            void this.attempt(seed);
+        });
+    }
+
+    private async attempt(seed: Seed): Promise<void> {
+        if (this.isLinked(seed)) {
+            seed.failures = 0;
+            return;
+        }
+        seed.isDialling = true;
+        const result = await this.options.dial(seed.address);
+        seed.isDialling = false;
+        this.noteResult(seed, result);
+    }
+
+    private noteResult(seed: Seed, result: GreetingResult): void {
+        const { clock, settings } = this.options;
+        if (result.kind === "open" || result.kind === "refused") {
+            seed.host = result.hello?.identity.host ?? seed.host;
+            seed.answeredAt = clock.now();
+        }
+        if (result.kind === "open") {
+            seed.failures = 0;
+            return;
+        }
+        seed.failures++;
+        if (result.kind === "refused") {
+            this.noteRefusal(seed, result.reason);
+            return;
+        }
+        const isForgotten = !seed.isKept && clock.now() - seed.answeredAt >= settings.seedForgetMs;
+        if (isForgotten) {
+            this.seeds.delete(seed.address);
+            return;
+        }
+        this.plan(seed, this.getBackoff(seed.failures));
+    }
+
+    private noteRefusal(seed: Seed, reason: Extract<GreetingResult, { kind: "refused"; }>["reason"]): void {
+        switch (reason) {
+            case "sameHost":
+                seed.isSelf = true;
+                break;
+            case "protocolVersion":
+            case "cluster":
+            case "secret":
+                this.plan(seed, this.options.settings.refusedRetryMs);
+                break;
+            case "duplicateLink":
+            case "olderIncarnation":
+            case "stopping":
+                this.plan(seed, this.getBackoff(seed.failures));
+                break;
+        }
+    }
+
+    private isLinked(seed: Seed): boolean {
+        return this.options.isLinked(seed.address, seed.host);
+    }
+
+    private getBackoff(failures: number): Milliseconds {
+        const { settings, random } = this.options;
+        return getBackoff(failures, settings.reconnectMinMs, settings.reconnectMaxMs, random);
+    }
+}
--- /dev/null
+++ b/packages/mesh/src/link/link.ts
@@ -0,0 +1,184 @@
+import type { Clock, Logger, Metrics, Timer } from "@arbutusdoor/common";
+import { stepHeartbeat } from "../core/stepHeartbeat.js";
+import type { Hello } from "../greeting/hello.js";
+import type { PeerIdentity } from "../identity/peerIdentity.js";
+import { decodeFrame } from "../protocol/decodeFrame.js";
+import { encodeMessage } from "../protocol/encodeMessage.js";
+import type { Message } from "../protocol/message.js";
+import type { AskedRelay } from "../relay/askedRelay.js";
+import type { ServedRelay } from "../relay/servedRelay.js";
+import type { MeshSettings } from "../settings/meshSettings.js";
+import type { BodySender } from "../stream/bodySender.js";
+import type { Connection } from "../transport/connection.js";
+import type { LinkOwner } from "./linkOwner.js";
+import { Outbox } from "./outbox.js";
+
+type LinkOptions = {
+    readonly connection: Connection;
+    /** The peer's hello. */
+    readonly hello: Hello;
+    /** This host's number of the link. */
+    readonly serial: number;
+    readonly isDialler: boolean;
+    readonly clock: Clock;
+    readonly metrics: Metrics;
+    readonly logger: Logger;
+    readonly settings: MeshSettings;
+    readonly owner: LinkOwner;
+};
+
+const HEARTBEAT = encodeMessage({ kind: "heartbeat" });
+const STREAM_STEP = 2;
+
+/** An open link to a peer. */
+export class Link {
+    readonly hello: Hello;
+    readonly serial: number;
+    /** Requests handed over on this link, by stream. */
+    readonly asked = new Map<number, AskedRelay>();
+    /** Requests received on this link, by stream. */
+    readonly served = new Map<number, ServedRelay>();
+    /** Number of the last request received; 0 for none. */
+    lastStream = 0;
+    private readonly options: LinkOptions;
+    private readonly outbox: Outbox;
+    private nextStream: number;
+    private heartbeat: Parameters<typeof stepHeartbeat>[0];
+    private timer: Timer | undefined;
+    private isLost = false;
+
+    constructor(options: LinkOptions) {
+        this.options = options;
+        this.hello = options.hello;
+        this.serial = options.serial;
+        this.nextStream = options.isDialler ? 1 : STREAM_STEP;
+        const now = options.clock.now();
+        this.heartbeat = { heardAt: now, sentAt: now, tickedAt: now };
+        this.outbox = new Outbox(options.connection, options.settings, bytes => this.noteSent(bytes));
+    }
+
+    /** Who is at the other end. */
+    get peer(): PeerIdentity {
+        return this.hello.identity;
+    }
+
+    /** Takes over the connection and begins to watch it. */
+    open(): void {
+        this.options.connection.listen({
+            onFrame: bytes => this.receiveFrame(bytes),
+            onClose: cause => this.noteClose(cause),
+            onDrain: () => this.outbox.flush(),
+        });
+        this.scheduleTick();
+    }
+
+    /** Number of the next request that is handed over here. */
+    takeStream(): number {
+        const stream = this.nextStream;
+        this.nextStream += STREAM_STEP;
+        return stream;
+    }
+
+    /** Whether a stream was numbered by this host. */
+    isOwnStream(stream: number): boolean {
+        return stream % STREAM_STEP === this.nextStream % STREAM_STEP;
+    }
+
+    /**
+     * Queues a message that belongs to a stream. False when it is larger than a frame or the link is lost.
+     * @param onHanded called when it is handed to the socket; when it returns false the message is left out
+     */
+    send(message: Message, onHanded?: () => boolean): boolean {
+        return this.outbox.add(encodeMessage(message), onHanded);
+    }
+
+    /** Queues a control message. False when too many wait or it is too large. */
+    sendControl(encoded: Uint8Array): boolean {
+        return this.outbox.addControl(encoded);
+    }
+
+    /** Notes that a body has something to send. */
+    addBody(sender: BodySender): void {
+        this.outbox.addBody(sender);
+    }
+
+    /** Leaves out a body. */
+    removeBody(sender: BodySender): void {
+        this.outbox.removeBody(sender);
+    }
+
+    /** Closes at once. */
+    lose(reason: string): void {
+        if (this.isLost) {
+            return;
+        }
+        this.isLost = true;
+        this.timer?.cancel();
+        this.outbox.close();
+        this.options.connection.terminate();
+        this.options.owner.onLost(this, reason);
+    }
+
+    /** Sends what waits and closes. */
+    close(): void {
+        this.outbox.flush();
+        this.options.connection.close();
+    }
+
+    private receiveFrame(bytes: Uint8Array): void {
+        if (this.isLost) {
+            return;
+        }
+        this.heartbeat = { ...this.heartbeat, heardAt: this.options.clock.now() };
+        this.options.metrics.count("arbutusdoor_mesh_received_bytes_total", {}, bytes.length);
+        const frame = decodeFrame(bytes);
+        if (frame.kind === "malformed") {
+            this.noteMalformed(frame.reason);
+            return;
+        }
+        for (const message of frame.messages) {
+            const isTaken = this.isLost || this.options.owner.receive(this, message);
+            if (!isTaken) {
+                this.noteMalformed(`"${message.kind}" is out of place`);
+                return;
+            }
+        }
+    }
+
+    private noteMalformed(reason: string): void {
+        this.options.metrics.count("arbutusdoor_mesh_frames_malformed_total");
+        this.options.logger.log("peerFrameMalformed", { peer: this.peer.host, reason });
+        this.lose("malformed frame");
+    }
+
+    private noteClose(cause: "ended" | "malformed"): void {
+        if (cause === "malformed" && !this.isLost) {
+            this.noteMalformed("the transport's protocol is broken");
+        }
+        this.lose("connection closed");
+    }
+
+    private noteSent(bytes: number): void {
+        this.heartbeat = { ...this.heartbeat, sentAt: this.options.clock.now() };
+        this.options.metrics.count("arbutusdoor_mesh_frames_sent_total");
+        this.options.metrics.count("arbutusdoor_mesh_sent_bytes_total", {}, bytes);
+    }
+
+    private scheduleTick(): void {
+        const { clock, settings } = this.options;
+        this.timer = clock.schedule(settings.heartbeatIntervalMs, () => this.tick());
+    }
+
+    private tick(): void {
+        const step = stepHeartbeat(this.heartbeat, this.options.clock.now(), this.options.settings);
+        this.heartbeat = step.state;
+        if (step.action === "lost") {
+            this.lose("no heartbeat");
+            return;
+        }
+        if (step.action === "send" && this.outbox.isEmpty) {
+            this.outbox.add(HEARTBEAT);
+        }
+        this.scheduleTick();
+    }
+}
--- /dev/null
+++ b/packages/mesh/src/link/linkTable.ts
@@ -0,0 +1,119 @@
+import type { Clock, HostId, HostIncarnation, Logger, Metrics } from "@arbutusdoor/common";
+import { randomBytes } from "node:crypto";
+import type { GreetingHost } from "../greeting/greetingHost.js";
+import type { GreetingRefusalReason } from "../greeting/greetingRefusalReason.js";
+import type { Hello } from "../greeting/hello.js";
+import { judgePair } from "../greeting/judgePair.js";
+import type { PeerIdentity } from "../identity/peerIdentity.js";
+import { PROTOCOL_VERSION } from "../protocol/protocolVersion.js";
+import type { MeshSettings } from "../settings/meshSettings.js";
+import type { Connection } from "../transport/connection.js";
+import { Link } from "./link.js";
+import type { LinkOwner } from "./linkOwner.js";
+
+type LinkTableOptions = {
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+    readonly settings: MeshSettings;
+    /** Who receives the messages. */
+    readonly owner: LinkOwner;
+    readonly onUp: (link: Link) => void;
+};
+
+/** The peer's serial of a lost link, for the peer's incarnation at the time. */
+type LostLink = { readonly incarnation: HostIncarnation; readonly serial: number; };
+
+const NONCE_BYTES = 16;
+
+/** The open links of a host: one for each peer. */
+export class LinkTable implements GreetingHost {
+    private readonly options: LinkTableOptions;
+    private readonly startedAt: number;
+    private readonly links = new Map<HostId, Link>();
+    private readonly lost = new Map<HostId, LostLink>();
+    private self: PeerIdentity;
+    private serials = 0;
+    private isClosed = false;
+
+    constructor(self: PeerIdentity, options: LinkTableOptions) {
+        this.self = self;
+        this.options = options;
+        this.startedAt = options.clock.wallTime();
+    }
+
+    /** Notes the address that was bound. */
+    setAddress(address: string): void {
+        this.self = { ...this.self, address };
+    }
+
+    /** All open links. */
+    list(): readonly Link[] {
+        return [...this.links.values()];
+    }
+
+    /** The open link to a host, if any. */
+    get(host: HostId): Link | undefined {
+        return this.links.get(host);
+    }
+
+    /** The open link of that serial, if any. */
+    find(serial: number): Link | undefined {
+        return this.list().find(link => link.serial === serial);
+    }
+
+    newHello(): Hello {
+        this.serials++;
+        return {
+            protocol: PROTOCOL_VERSION,
+            cluster: this.options.settings.cluster,
+            identity: this.self,
+            startedAt: this.startedAt,
+            serial: this.serials,
+            nonce: randomBytes(NONCE_BYTES).toString("hex"),
+        };
+    }
+
+    judge(hello: Hello, lost: number): GreetingRefusalReason | undefined {
+        if (this.isClosed) {
+            return "stopping";
+        }
+        const verdict = judgePair(this.links.get(hello.identity.host), hello, lost);
+        return verdict === "open" || verdict === "replace" ? undefined : verdict;
+    }
+
+    getLost(hello: Hello): number {
+        const { host, incarnation } = hello.identity;
+        const lost = this.lost.get(host);
+        return lost?.incarnation === incarnation && !this.links.has(host) ? lost.serial : 0;
+    }
+
+    /** Opens a link whose greeting ended well; an older link to the same host goes. */
+    open(connection: Connection, hello: Hello, serial: number, isDialler: boolean): void {
+        const { host } = hello.identity;
+        this.links.get(host)?.lose("replaced by a newer link");
+        const link = new Link({ ...this.options, connection, hello, serial, isDialler });
+        this.links.set(host, link);
+        link.open();
+        this.options.logger.log("peerConnected", { peer: host, address: hello.identity.address });
+        this.options.onUp(link);
+    }
+
+    /** Forgets a link that is gone. */
+    remove(link: Link, reason: string): void {
+        const { host, incarnation } = link.peer;
+        this.links.delete(host);
+        this.lost.set(host, { incarnation, serial: link.hello.serial });
+        if (this.lost.size > this.options.settings.maxSeeds) {
+            const [oldest] = this.lost.keys();
+            this.lost.delete(oldest!);
+        }
+        this.options.metrics.count("arbutusdoor_mesh_links_lost_total");
+        this.options.logger.log("peerLost", { peer: host, reason });
+    }
+
+    /** Opens no more links. */
+    stop(): void {
+        this.isClosed = true;
+    }
+}
--- /dev/null
+++ b/packages/mesh/src/link/outbox.ts
@@ -0,0 +1,172 @@
+import type { BodySender } from "../stream/bodySender.js";
+import type { Connection } from "../transport/connection.js";
+
+/** A message that waits to be sent. */
+type Waiting = {
+    readonly bytes: Uint8Array;
+    readonly isControl: boolean;
+    /** Called when the message is handed to the socket; when it returns false the message is left out. */
+    readonly onHanded: (() => boolean) | undefined;
+};
+
+type OutboxSettings = {
+    readonly frameLimitBytes: number;
+    readonly batchBytes: number;
+    readonly chunkBytes: number;
+    readonly socketBufferBytes: number;
+    readonly maxQueuedControl: number;
+};
+
+/** Bytes of a data message besides its piece, at most. */
+const DATA_OVERHEAD_BYTES = 32;
+
+/**
+ * What waits to be sent on a link. All messages of one turn of the event loop share frames. Short messages go before
+ * bodies, and bodies take turns piece by piece, so that none waits behind a large one.
+ */
+export class Outbox {
+    private readonly connection: Connection;
+    private readonly settings: OutboxSettings;
+    private readonly onSent: (bytes: number, messages: number) => void;
+    private waiting: Waiting[] = [];
+    private next = 0;
+    private controls = 0;
+    private readonly bodies = new Set<BodySender>();
+    private isScheduled = false;
+    private isClosed = false;
+
+    /** @param onSent called for each frame that was handed to the socket */
+    constructor(
+        connection: Connection,
+        settings: OutboxSettings,
+        onSent: (bytes: number, messages: number) => void,
+    ) {
+        this.connection = connection;
+        this.settings = settings;
+        this.onSent = onSent;
+    }
+
+    /** Whether nothing waits. */
+    get isEmpty(): boolean {
+        return this.next === this.waiting.length && this.bodies.size === 0;
+    }
+
+    /** Queues a message that the streams themselves bound. False when it is larger than a frame. */
+    add(bytes: Uint8Array, onHanded?: () => boolean): boolean {
+        return this.push({ bytes, isControl: false, onHanded });
+    }
+
+    /** Queues a control message. False when too many wait or it is larger than a frame. */
+    addControl(bytes: Uint8Array): boolean {
+        if (this.controls >= this.settings.maxQueuedControl) {
+            return false;
+        }
+        return this.push({ bytes, isControl: true, onHanded: undefined });
+    }
+
+    /** Notes that a body has something to send. */
+    addBody(sender: BodySender): void {
+        this.bodies.add(sender);
+        this.schedule();
+    }
+
+    /** Leaves out a body. */
+    removeBody(sender: BodySender): void {
+        this.bodies.delete(sender);
+    }
+
+    /** Sends what waits as far as the socket takes it. */
+    flush(): void {
+        while (!this.isClosed && this.connection.bufferedBytes < this.settings.socketBufferBytes) {
+            const frame = this.gatherFrame();
+            if (frame.length === 0) {
+                return;
+            }
+            const bytes = frame.length === 1 ? frame[0]! : Buffer.concat(frame);
+            this.connection.send(bytes);
+            this.onSent(bytes.length, frame.length);
+        }
+    }
+
+    /** Drops what waits. */
+    close(): void {
+        this.isClosed = true;
+        this.waiting = [];
+        this.next = 0;
+        this.bodies.clear();
+    }
+
+    private push(entry: Waiting): boolean {
+        if (this.isClosed || entry.bytes.length > this.settings.frameLimitBytes) {
+            return false;
+        }
+        this.waiting.push(entry);
+        this.controls += entry.isControl ? 1 : 0;
+        this.schedule();
+        return true;
+    }
+
+    private schedule(): void {
+        if (this.isScheduled || this.isClosed) {
+            return;
+        }
+        this.isScheduled = true;
+        setImmediate(() => {
+            this.isScheduled = false;
+            this.flush();
+        });
+    }
+
+    private gatherFrame(): Uint8Array[] {
+        const frame: Uint8Array[] = [];
+        let size = 0;
+        while (size < this.settings.batchBytes) {
+            const bytes = this.takeWaiting(size) ?? this.takeData(size);
+            if (!bytes) {
+                break;
+            }
+            frame.push(bytes);
+            size += bytes.length;
+        }
+        return frame;
+    }
+
+    private takeWaiting(size: number): Uint8Array | undefined {
+        for (let entry = this.waiting[this.next]; entry; entry = this.waiting[this.next]) {
+            if (size + entry.bytes.length > this.settings.frameLimitBytes) {
+                return undefined;
+            }
+            this.advance(entry);
+            if (entry.onHanded?.() ?? true) {
+                return entry.bytes;
+            }
+        }
+        return undefined;
+    }
+
+    private advance(entry: Waiting): void {
+        this.controls -= entry.isControl ? 1 : 0;
+        this.next++;
+        if (this.next === this.waiting.length) {
+            this.waiting = [];
+            this.next = 0;
+        }
+    }
+
+    private takeData(size: number): Uint8Array | undefined {
+        const { chunkBytes, frameLimitBytes } = this.settings;
+        const isWaiting = this.next < this.waiting.length;
+        if (isWaiting || size + chunkBytes + DATA_OVERHEAD_BYTES > frameLimitBytes) {
+            return undefined;
+        }
+        for (const sender of this.bodies) {
+            this.bodies.delete(sender);
+            const bytes = sender.takeMessage();
+            if (bytes) {
+                this.bodies.add(sender);
+                return bytes;
+            }
+        }
+        return undefined;
+    }
+}
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -1,59 +1,298 @@
-import { type HostId, newRefusal } from "@arbutusdoor/common";
+import type { HostId } from "@arbutusdoor/common";
 import type { Readable } from "node:stream";
+import { Greeter } from "./greeting/greeter.js";
+import type { GreetingResult } from "./greeting/greetingResult.js";
 import type { PeerIdentity } from "./identity/peerIdentity.js";
+import { Dialler } from "./link/dialler.js";
+import type { Link } from "./link/link.js";
+import type { LinkOwner } from "./link/linkOwner.js";
+import { LinkTable } from "./link/linkTable.js";
+import { RateLimit } from "./link/rateLimit.js";
 import type { MeshOptions } from "./meshOptions.js";
+import { encodeMessage } from "./protocol/encodeMessage.js";
+import type { Message } from "./protocol/message.js";
 import type { RelayAnswer } from "./relay/relayAnswer.js";
+import { RelayClient } from "./relay/relayClient.js";
 import type { RelayRequest } from "./relay/relayRequest.js";
+import { RelayServer } from "./relay/relayServer.js";
+import type { Connection } from "./transport/connection.js";
+import type { Transport } from "./transport/transport.js";
+import { WsTransport } from "./transport/wsTransport.js";
+
+const CLOSE_POLL_MS = 20;
 
 /** The links of one entry host to the others, and the requests relayed over them. */
 export class Mesh {
     private readonly options: MeshOptions;
+    private readonly transport: Transport;
+    private readonly links: LinkTable;
+    private readonly client: RelayClient;
+    private readonly server: RelayServer;
+    private readonly dialler: Dialler;
+    private readonly greeters = new Set<Greeter>();
+    private readonly refusalLog: RateLimit;
+    private isClosed = false;
 
     constructor(options: MeshOptions) {
+        const { clock, settings } = options;
         this.options = options;
+        this.transport = options.transport ?? new WsTransport(settings.greetingTimeoutMs);
+        this.refusalLog = new RateLimit(clock, settings.logLinesPerSecond);
+        this.links = new LinkTable(options.self, {
+            ...options,
+            owner: this.newOwner(),
+            onUp: link => this.noteUp(link),
+        });
+        this.client = new RelayClient({
+            ...options,
+            orphanLog: new RateLimit(clock, settings.logLinesPerSecond),
+        });
+        this.server = new RelayServer({ ...options, findLink: serial => this.links.find(serial) });
+        this.dialler = new Dialler({
+            ...options,
+            isLinked: (address, host) => this.isLinked(address, host),
+            dial: address => this.dial(address),
+        });
+        this.registerGauges();
     }
 
     /** Takes and dials links. Resolves to the bound address; rejects when it cannot be bound. */
     async start(): Promise<string> {
-        return this.options.self.address;
+        const { listen, seeds, settings } = this.options;
+        const onConnection = (connection: Connection) => this.accept(connection);
+        const bound = await this.transport.listen(
+            listen.host,
+            listen.port,
+            settings.frameLimitBytes,
+            onConnection,
+        );
+        if (listen.port === 0) {
+            this.links.setAddress(bound);
+        }
+        this.dialler.add(seeds, true);
+        return bound;
     }
 
     /** Peers to which a link is up. */
     listPeers(): readonly PeerIdentity[] {
-        return [];
+        return this.links.list().map(link => link.peer);
     }
 
-    /** Adds addresses to dial; those known already are left as they are. */
+    /** Adds addresses to dial; those known already are left as they are, and those that never answer are forgotten. */
     addSeeds(addresses: readonly string[]): void {
-        void addresses;
+        this.dialler.add(addresses, false);
     }
 
-    /** Queues a control message. False when there is no link, its queue is full or the message is too large. */
+    /** Queues a control message. False when there is no link, too many wait or the message is too large. */
     send(host: HostId, message: unknown): boolean {
-        void [host, message];
-        return false;
+        const isQueued = this.links.get(host)?.sendControl(encodeControl(message)) ?? false;
+        this.countControl(isQueued);
+        return isQueued;
     }
 
     /** Queues a control message to every peer; returns how many links took it. */
     broadcast(message: unknown): number {
-        void message;
-        return 0;
+        const encoded = encodeControl(message);
+        const taken = this.links.list().map(link => link.sendControl(encoded));
+        taken.forEach(isQueued => this.countControl(isQueued));
+        return taken.filter(Boolean).length;
     }
 
-    /** Hands a request to a peer. Never rejects. */
-    async relay(
+    /**
+     * Hands a request to a peer; at most once for a request id. Never rejects.
+     * Refusals: `relayUnreachable`, `queueFull`, `deadlineBeforeStart`, `malformedRequest` and `relayNotReceived` when the
+     * request did not and will not run there; `relayLost`, `deadlineAfterStart`, `duplicateRequest` and `callerGone` when it may;
+     * and every refusal of the peer itself. The body of an answer errors when it breaks off.
+     * @param body the caller's body; what the peer does not want is left unread
+     * @param signal cancels the request at the peer
+     */
+    relay(
         host: HostId,
         request: RelayRequest,
         body: Readable | undefined,
         signal: AbortSignal,
     ): Promise<RelayAnswer> {
-        void [host, request, body, signal];
-        return { kind: "refusal", refusal: newRefusal("relayUnreachable", "no link to the entry host") };
+        return this.client.relay(this.links.get(host), request, body, signal);
     }
 
     /** Refuses relayed requests from now on as not run; those under way go on. */
-    stopAccepting(): void {}
+    stopAccepting(): void {
+        this.server.stopAccepting();
+    }
+
+    /** Waits for requests under way in both directions, up to `closeTimeoutMs`, then closes all links. */
+    async close(): Promise<void> {
+        this.stopAccepting();
+        this.dialler.close();
+        await this.awaitStreams();
+        this.isClosed = true;
+        this.links.stop();
+        this.greeters.forEach(greeter => greeter.stop());
+        await this.closeLinks();
+        await this.transport.close();
+    }
+
+    private newOwner(): LinkOwner {
+        return {
+            receive: (link, message) => this.receive(link, message),
+            onLost: (link, reason) => this.noteLost(link, reason),
+        };
+    }
+
+    private receive(link: Link, message: Message): boolean {
+        switch (message.kind) {
+            case "heartbeat":
+                return true;
+            case "control":
+                this.options.handler.onControl(link.peer, message.payload);
+                return true;
+            case "answer":
+            case "refusal":
+            case "unwanted":
+                return link.isOwnStream(message.stream) && this.client.receive(link, message);
+            case "verdict":
+                return this.client.receive(link, message);
+            case "request":
+            case "cancel":
+                return !link.isOwnStream(message.stream) && this.server.receive(link, message);
+            case "ask":
+                return this.server.receive(link, message);
+            case "data":
+            case "end":
+            case "broken":
+            case "credit":
+                return link.isOwnStream(message.stream)
+                    ? this.client.receive(link, message)
+                    : this.server.receive(link, message);
+        }
+    }
+
+    private noteUp(link: Link): void {
+        this.options.handler.onPeerUp(link.peer);
+        this.client.noteUp(link);
+    }
+
+    private noteLost(link: Link, reason: string): void {
+        this.links.remove(link, reason);
+        this.client.noteLost(link);
+        this.server.noteLost(link);
+        this.options.handler.onPeerDown(link.peer);
+        this.dialler.wake();
+    }
+
+    private isLinked(address: string, host: HostId | undefined): boolean {
+        const isHostLinked = host !== undefined && this.links.get(host) !== undefined;
+        return isHostLinked || this.links.list().some(link => link.peer.address === address);
+    }
+
+    private accept(connection: Connection): void {
+        if (this.isClosed || this.greeters.size >= this.options.settings.maxGreetings) {
+            connection.terminate();
+            return;
+        }
+        this.greet(connection, false, () => {});
+    }
+
+    private async dial(address: string): Promise<GreetingResult> {
+        const connection = await this.transport.dial(address, this.options.settings.frameLimitBytes);
+        if (!connection) {
+            return { kind: "lost" };
+        }
+        if (this.isClosed) {
+            connection.terminate();
+            return { kind: "lost" };
+        }
+        return new Promise(resolve => this.greet(connection, true, resolve));
+    }
+
+    private greet(
+        connection: Connection,
+        isDialler: boolean,
+        onResult: (result: GreetingResult) => void,
+    ): void {
+        const { secret, clock, settings } = this.options;
+        const greeter = new Greeter({
+            connection,
+            isDialler,
+            host: this.links,
+            secret: secret ?? "",
+            clock,
+            settings,
+            onEnd: result => {
+                this.greeters.delete(greeter);
+                this.noteGreeting(connection, isDialler, result);
+                onResult(result);
+            },
+        });
+        this.greeters.add(greeter);
+        greeter.start();
+    }
+
+    private noteGreeting(connection: Connection, isDialler: boolean, result: GreetingResult): void {
+        switch (result.kind) {
+            case "open":
+                this.links.open(connection, result.hello, result.serial, isDialler);
+                break;
+            case "refused":
+                this.noteRefusal(result);
+                break;
+            case "malformed":
+                this.options.metrics.count("arbutusdoor_mesh_frames_malformed_total");
+                this.logLimited("peerFrameMalformed", { reason: "greeting" });
+                break;
+            case "lost":
+                break;
+        }
+    }
+
+    private noteRefusal({ reason, isByPeer, hello }: Extract<GreetingResult, { kind: "refused"; }>): void {
+        this.options.metrics.count("arbutusdoor_mesh_greetings_refused_total", { reason });
+        const isExpected = reason === "sameHost" || reason === "duplicateLink" || reason === "stopping";
+        if (!isExpected) {
+            this.logLimited("peerRefused", { reason, isByPeer, peer: hello?.identity.host });
+        }
+    }
+
+    private logLimited(...line: Parameters<MeshOptions["logger"]["log"]>): void {
+        if (this.refusalLog.take()) {
+            this.options.logger.log(...line);
+        }
+    }
+
+    private countControl(isQueued: boolean): void {
+        this.options.metrics.count("arbutusdoor_mesh_control_total", {
+            outcome: isQueued ? "queued" : "refused",
+        });
+    }
+
+    private async awaitStreams(): Promise<void> {
+        const { clock, settings } = this.options;
+        const end = clock.now() + settings.closeTimeoutMs;
+        while (this.client.size + this.server.size > 0 && clock.now() < end) {
+            await clock.sleep(CLOSE_POLL_MS);
+        }
+    }
+
+    private async closeLinks(): Promise<void> {
+        const { clock, settings } = this.options;
+        const open = this.links.list();
+        open.forEach(link => link.close());
+        const end = clock.now() + settings.greetingTimeoutMs;
+        while (this.links.list().length > 0 && clock.now() < end) {
+            await clock.sleep(CLOSE_POLL_MS);
+        }
+        this.links.list().forEach(link => link.lose("closed"));
+    }
+
+    private registerGauges(): void {
+        const { metrics } = this.options;
+        metrics.gauge("arbutusdoor_mesh_links", () => this.links.list().length);
+        metrics.gauge("arbutusdoor_mesh_relays_asked", () => this.client.size);
+        metrics.gauge("arbutusdoor_mesh_relays_served", () => this.server.size);
+        metrics.gauge("arbutusdoor_mesh_request_ids_remembered", () => this.server.memorySize);
+    }
+}
 
-    /** Waits for requests under way, up to `closeTimeoutMs`, then closes all links. */
-    async close(): Promise<void> {}
+function encodeControl(payload: unknown): Uint8Array {
+    return encodeMessage({ kind: "control", payload });
 }
--- /dev/null
+++ b/packages/mesh/src/relay/askedRelay.ts
@@ -0,0 +1,201 @@
+import type { Clock, Timer } from "@arbutusdoor/common";
+import type { Readable } from "node:stream";
+import { stepRelay } from "../core/stepRelay.js";
+import type { PeerIdentity } from "../identity/peerIdentity.js";
+import type { Link } from "../link/link.js";
+import type { MeshSettings } from "../settings/meshSettings.js";
+import { BodyReceiver } from "../stream/bodyReceiver.js";
+import { BodySender } from "../stream/bodySender.js";
+import type { RelayAnswer } from "./relayAnswer.js";
+import type { RelayRequest } from "./relayRequest.js";
+
+type AskedRelayOptions = {
+    readonly link: Link;
+    readonly request: RelayRequest;
+    readonly body: Readable | undefined;
+    readonly signal: AbortSignal;
+    readonly clock: Clock;
+    readonly settings: MeshSettings;
+    /** Called once, with the answer or a refusal. */
+    readonly onSettled: (answer: RelayAnswer) => void;
+    /** An answer arrived that nobody waits for. */
+    readonly onOrphan: () => void;
+    /** The request and its answer have ended. */
+    readonly onEnd: () => void;
+};
+
+type RelayEvent = Parameters<typeof stepRelay>[1];
+type RelayAction = ReturnType<typeof stepRelay>["actions"][number];
+
+/** A request that this host hands over to a peer, until its answer has ended. */
+export class AskedRelay {
+    readonly stream: number;
+    phase: ReturnType<typeof stepRelay>["phase"] = "queued";
+    private readonly options: AskedRelayOptions;
+    private readonly onAbort = () => this.apply({ kind: "cancelled" });
+    private sender: BodySender | undefined;
+    private head: Omit<Extract<RelayAnswer, { kind: "answered"; }>, "kind" | "body"> | undefined;
+    private answerBody: BodyReceiver | undefined;
+    private deadlineTimer: Timer | undefined;
+    private askTimer: Timer | undefined;
+
+    constructor(options: AskedRelayOptions) {
+        this.options = options;
+        this.stream = options.link.takeStream();
+    }
+
+    get request(): RelayRequest {
+        return this.options.request;
+    }
+
+    /** The peer that the request is handed to. */
+    get peer(): PeerIdentity {
+        return this.options.link.peer;
+    }
+
+    /** The peer's own number of the link on which the request is handed over. */
+    get peerSerial(): number {
+        return this.options.link.hello.serial;
+    }
+
+    /** Queues the request and its body. */
+    start(): void {
+        const { link, request, body, signal, clock, settings } = this.options;
+        const onHanded = () => this.noteHanded();
+        if (!link.send({ kind: "request", stream: this.stream, request }, onHanded)) {
+            this.apply({ kind: "tooLarge" });
+            return;
+        }
+        link.asked.set(this.stream, this);
+        signal.addEventListener("abort", this.onAbort, { once: true });
+        const wait = request.deadline + settings.deadlineGraceMs;
+        this.deadlineTimer = clock.schedule(wait, () => this.apply({ kind: "deadlinePassed" }));
+        if (body) {
+            this.startBody(body);
+        }
+    }
+
+    /** Moves the request on. */
+    apply(event: RelayEvent): void {
+        const step = stepRelay(this.phase, event);
+        const isEnding = this.phase !== "ended" && step.phase === "ended";
+        this.phase = step.phase;
+        for (const action of step.actions) {
+            this.act(action);
+        }
+        if (isEnding) {
+            this.cleanUp();
+        }
+    }
+
+    /** Takes the head of the answer. */
+    takeAnswer(status: number, headers: Readonly<Record<string, string>>): void {
+        this.head ??= { status, headers };
+        this.apply({ kind: "answered" });
+    }
+
+    /** Takes a piece of the answer's body. False when the peer sent more than it had room for. */
+    takeData(bytes: Uint8Array): boolean {
+        return this.answerBody?.receive(bytes) ?? false;
+    }
+
+    /** Takes room for the request's body. */
+    addRoom(bytes: number): void {
+        this.sender?.addRoom(bytes);
+    }
+
+    /** Leaves the rest of the request's body unread. */
+    stopBody(): void {
+        if (this.sender) {
+            this.options.link.removeBody(this.sender);
+            this.sender.stop();
+            this.sender = undefined;
+        }
+    }
+
+    private startBody(body: Readable): void {
+        const { link, settings } = this.options;
+        const sender = new BodySender({
+            stream: this.stream,
+            body,
+            windowBytes: settings.streamWindowBytes,
+            chunkBytes: settings.chunkBytes,
+            events: {
+                onReady: () => link.addBody(sender),
+                onDone: () => {
+                    this.sender = undefined;
+                },
+            },
+        });
+        this.sender = sender;
+        link.addBody(sender);
+    }
+
+    private noteHanded(): boolean {
+        const isWanted = this.phase === "queued";
+        this.apply({ kind: "handed" });
+        return isWanted;
+    }
+
+    private act(action: RelayAction): void {
+        const { link, onSettled, onOrphan } = this.options;
+        switch (action.kind) {
+            case "settle":
+                onSettled({ kind: "refusal", refusal: action.refusal });
+                break;
+            case "deliver":
+                this.deliver();
+                break;
+            case "dropOrphan":
+                onOrphan();
+                break;
+            case "cancelAtPeer":
+                link.send({ kind: "cancel", stream: this.stream });
+                break;
+            case "breakAnswer":
+                this.answerBody?.breakOff("the link to the entry host was lost within the answer");
+                break;
+            case "finishAnswer":
+                this.answerBody?.finish();
+                break;
+            case "ask":
+                this.awaitVerdict();
+                break;
+        }
+    }
+
+    private deliver(): void {
+        const { settings, onSettled } = this.options;
+        this.deadlineTimer?.cancel();
+        const body = new BodyReceiver(settings.streamWindowBytes, {
+            onRead: bytes => this.giveRoom(bytes),
+            onUnwanted: () => this.apply({ kind: "cancelled" }),
+        });
+        this.answerBody = body;
+        if (this.head) {
+            onSettled({ kind: "answered", ...this.head, body: body.readable });
+        }
+    }
+
+    private giveRoom(bytes: number): void {
+        if (this.phase === "answering") {
+            this.options.link.send({ kind: "credit", stream: this.stream, bytes });
+        }
+    }
+
+    private awaitVerdict(): void {
+        const { clock, settings } = this.options;
+        this.stopBody();
+        this.askTimer = clock.schedule(settings.askTimeoutMs, () => this.apply({ kind: "askTimedOut" }));
+    }
+
+    private cleanUp(): void {
+        const { link, signal, onEnd } = this.options;
+        this.stopBody();
+        this.deadlineTimer?.cancel();
+        this.askTimer?.cancel();
+        signal.removeEventListener("abort", this.onAbort);
+        link.asked.delete(this.stream);
+        onEnd();
+    }
+}
--- /dev/null
+++ b/packages/mesh/src/relay/relayClient.ts
@@ -0,0 +1,200 @@
+import {
+    type Clock,
+    type HostIncarnation,
+    type Logger,
+    type Metrics,
+    newRefusal,
+    type RefusalReason,
+    type RequestId,
+} from "@arbutusdoor/common";
+import type { Readable } from "node:stream";
+import type { Link } from "../link/link.js";
+import type { RateLimit } from "../link/rateLimit.js";
+import type { Message } from "../protocol/message.js";
+import type { MeshSettings } from "../settings/meshSettings.js";
+import { AskedRelay } from "./askedRelay.js";
+import type { RelayAnswer } from "./relayAnswer.js";
+import type { RelayRequest } from "./relayRequest.js";
+
+type RelayClientOptions = {
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+    readonly settings: MeshSettings;
+    readonly orphanLog: RateLimit;
+};
+
+/** Messages that belong to a request that this host handed over. */
+type AskedMessage = Extract<
+    Message,
+    { kind: "answer" | "refusal" | "data" | "end" | "broken" | "credit" | "unwanted" | "verdict"; }
+>;
+
+/** Hands requests over to peers and gives each caller its own answer. */
+export class RelayClient {
+    private readonly options: RelayClientOptions;
+    private readonly relays = new Map<RequestId, AskedRelay>();
+
+    constructor(options: RelayClientOptions) {
+        this.options = options;
+    }
+
+    /** Requests handed over that have not ended. */
+    get size(): number {
+        return this.relays.size;
+    }
+
+    /** Hands a request over on a link. Never rejects. */
+    async relay(
+        link: Link | undefined,
+        request: RelayRequest,
+        body: Readable | undefined,
+        signal: AbortSignal,
+    ): Promise<RelayAnswer> {
+        const reason = this.getObstacle(link, request, signal);
+        const answer = reason || !link
+            ? refuse(reason ?? "relayUnreachable")
+            : await this.start(link, { ...request, hasBody: body !== undefined }, body, signal);
+        const outcome = answer.kind === "answered" ? "answered" : answer.refusal.reason;
+        this.options.metrics.count("arbutusdoor_mesh_relays_total", { outcome });
+        return answer;
+    }
+
+    /** Takes a message of the peer. False when it breaks the protocol. */
+    receive(link: Link, message: AskedMessage): boolean {
+        if (message.kind === "verdict") {
+            this.noteVerdict(link, message);
+            return true;
+        }
+        const relay = link.asked.get(message.stream);
+        switch (message.kind) {
+            case "answer":
+            case "refusal":
+                this.takeHead(link, relay, message);
+                return true;
+            case "data":
+                return relay?.takeData(message.bytes) ?? true;
+            case "end":
+                relay?.apply({ kind: "answerEnded" });
+                return true;
+            case "broken":
+                relay?.apply({ kind: "answerBroken" });
+                return true;
+            case "credit":
+                relay?.addRoom(message.bytes);
+                return true;
+            case "unwanted":
+                relay?.stopBody();
+                return true;
+        }
+    }
+
+    /** A link came up: asks what became of the requests whose link to the same incarnation was lost. */
+    noteUp(link: Link): void {
+        for (const relay of [...this.relays.values()]) {
+            if (relay.phase === "asking" && relay.peer.host === link.peer.host) {
+                this.ask(link, relay);
+            }
+        }
+    }
+
+    /** A link is gone. */
+    noteLost(link: Link): void {
+        for (const relay of [...link.asked.values()]) {
+            relay.apply({ kind: "linkLost" });
+        }
+        link.asked.clear();
+    }
+
+    private getObstacle(
+        link: Link | undefined,
+        request: RelayRequest,
+        signal: AbortSignal,
+    ): RefusalReason | undefined {
+        if (this.relays.has(request.id)) {
+            return "duplicateRequest";
+        }
+        if (signal.aborted) {
+            return "callerGone";
+        }
+        if (request.deadline <= 0) {
+            return "deadlineBeforeStart";
+        }
+        if (!link) {
+            return "relayUnreachable";
+        }
+        return link.asked.size >= this.options.settings.maxStreams ? "queueFull" : undefined;
+    }
+
+    private start(
+        link: Link,
+        request: RelayRequest,
+        body: Readable | undefined,
+        signal: AbortSignal,
+    ): Promise<RelayAnswer> {
+        return new Promise(resolve => {
+            const relay = new AskedRelay({
+                ...this.options,
+                link,
+                request,
+                body,
+                signal,
+                onSettled: resolve,
+                onOrphan: () => this.noteOrphan(link, request.id),
+                onEnd: () => this.relays.delete(request.id),
+            });
+            this.relays.set(request.id, relay);
+            relay.start();
+        });
+    }
+
+    private takeHead(
+        link: Link,
+        relay: AskedRelay | undefined,
+        message: Extract<AskedMessage, { kind: "answer" | "refusal"; }>,
+    ): void {
+        if (relay?.request.id !== message.id) {
+            this.noteOrphan(link, message.id);
+        }
+        else if (message.kind === "answer") {
+            relay.takeAnswer(message.status, message.headers);
+        }
+        else {
+            relay.apply({ kind: "refused", refusal: message.refusal });
+        }
+    }
+
+    private noteOrphan(link: Link, id: RequestId): void {
+        this.options.metrics.count("arbutusdoor_mesh_answers_orphaned_total");
+        if (this.options.orphanLog.take()) {
+            this.options.logger.log("answerOrphaned", { peer: link.peer.host, request: id });
+        }
+    }
+
+    private noteVerdict(link: Link, { id, verdict }: Extract<AskedMessage, { kind: "verdict"; }>): void {
+        const relay = this.relays.get(id);
+        if (relay && isSameRun(relay.peer.incarnation, link)) {
+            this.options.metrics.count("arbutusdoor_mesh_verdicts_total", { verdict: verdict.kind });
+            relay.apply({ kind: "verdict", verdict });
+        }
+    }
+
+    private ask(link: Link, relay: AskedRelay): void {
+        if (!isSameRun(relay.peer.incarnation, link)) {
+            relay.apply({ kind: "peerRestarted" });
+            return;
+        }
+        link.send({ kind: "ask", id: relay.request.id, link: relay.peerSerial, stream: relay.stream });
+    }
+}
+
+function isSameRun(incarnation: HostIncarnation, link: Link): boolean {
+    return incarnation === link.peer.incarnation;
+}
+
+function refuse(reason: RefusalReason): RelayAnswer {
+    return {
+        kind: "refusal",
+        refusal: newRefusal(reason, "the request was not handed to the other entry host"),
+    };
+}
--- /dev/null
+++ b/packages/mesh/src/relay/relayServer.ts
@@ -0,0 +1,192 @@
+import { type Metrics, newRefusal, type Refusal, type RequestId } from "@arbutusdoor/common";
+import { judgeAsk } from "../core/judgeAsk.js";
+import { LinkMemory } from "../core/linkMemory.js";
+import { RequestMemory } from "../core/requestMemory.js";
+import type { Link } from "../link/link.js";
+import type { MeshHandler } from "../meshHandler.js";
+import type { Message } from "../protocol/message.js";
+import type { Verdict } from "../protocol/verdict.js";
+import type { MeshSettings } from "../settings/meshSettings.js";
+import type { RelayRequest } from "./relayRequest.js";
+import { ServedRelay } from "./servedRelay.js";
+
+type RelayServerOptions = {
+    readonly metrics: Metrics;
+    readonly settings: MeshSettings;
+    readonly handler: MeshHandler;
+    /** The open link of that serial, if any. */
+    readonly findLink: (serial: number) => Link | undefined;
+};
+
+/** Messages that belong to a request that a peer handed over. */
+type ServedMessage = Extract<
+    Message,
+    { kind: "request" | "data" | "end" | "broken" | "credit" | "cancel" | "ask"; }
+>;
+
+/** Runs the requests that peers hand over, each id at most once, and answers what became of them. */
+export class RelayServer {
+    private readonly options: RelayServerOptions;
+    private readonly requests: RequestMemory;
+    private readonly links: LinkMemory;
+    private readonly askers = new Map<RequestId, Link>();
+    private count = 0;
+    private isAccepting = true;
+
+    constructor(options: RelayServerOptions) {
+        this.options = options;
+        this.requests = new RequestMemory(options.settings.requestMemory);
+        this.links = new LinkMemory(options.settings.linkMemory);
+    }
+
+    /** Requests whose answer is awaited and not yet sent. */
+    get size(): number {
+        return this.count;
+    }
+
+    /** Requests whose handler runs, those included for which nobody waits any more. */
+    get runningSize(): number {
+        return this.requests.runningSize;
+    }
+
+    /** How many request ids are remembered. */
+    get memorySize(): number {
+        return this.requests.size;
+    }
+
+    /** Refuses requests from now on as not run. */
+    stopAccepting(): void {
+        this.isAccepting = false;
+    }
+
+    /** Takes a message of the peer. False when it breaks the protocol. */
+    receive(link: Link, message: ServedMessage): boolean {
+        if (message.kind === "request") {
+            return this.takeRequest(link, message.stream, message.request);
+        }
+        if (message.kind === "ask") {
+            this.takeAsk(link, message);
+            return true;
+        }
+        const relay = link.served.get(message.stream);
+        switch (message.kind) {
+            case "data":
+                return relay?.takeData(message.bytes) ?? true;
+            case "end":
+                relay?.finishBody();
+                return true;
+            case "broken":
+                relay?.breakBody();
+                return true;
+            case "credit":
+                relay?.addRoom(message.bytes);
+                return true;
+            case "cancel":
+                relay?.cancel();
+                return true;
+        }
+    }
+
+    /** A link is gone: nobody waits for the answers of its requests. */
+    noteLost(link: Link): void {
+        this.links.remember(link.serial, link.lastStream);
+        for (const relay of [...link.served.values()]) {
+            relay.cancel();
+        }
+    }
+
+    private takeRequest(link: Link, stream: number, request: RelayRequest): boolean {
+        if (link.isOwnStream(stream) || stream <= link.lastStream) {
+            return false;
+        }
+        link.lastStream = stream;
+        const refusal = this.getRefusal(link, request);
+        if (refusal) {
+            this.options.metrics.count("arbutusdoor_mesh_requests_refused_total", { reason: refusal.reason });
+            link.send({ kind: "refusal", stream, id: request.id, refusal });
+            return true;
+        }
+        this.run(link, stream, request);
+        return true;
+    }
+
+    private getRefusal(link: Link, request: RelayRequest): Refusal | undefined {
+        const remembered = this.requests.get(request.id);
+        if (remembered?.kind === "barred") {
+            return newRefusal(
+                "relayNotReceived",
+                "a late copy of a request that was reported as not received",
+            );
+        }
+        if (remembered) {
+            return newRefusal("duplicateRequest", "a request with this id was received before");
+        }
+        const refusal = this.getObstacle(link);
+        if (refusal) {
+            this.requests.finish(request.id, { kind: "refused", refusal });
+        }
+        return refusal;
+    }
+
+    private getObstacle(link: Link): Refusal | undefined {
+        if (!this.isAccepting) {
+            return newRefusal("stopping", "the entry host is about to stop");
+        }
+        const { maxStreams, maxRunning } = this.options.settings;
+        if (link.served.size >= maxStreams || this.requests.runningSize >= maxRunning) {
+            return newRefusal("queueFull", "too many requests at a time between two entry hosts");
+        }
+        return undefined;
+    }
+
+    private run(link: Link, stream: number, request: RelayRequest): void {
+        this.requests.begin(request.id);
+        this.count++;
+        const relay = new ServedRelay({
+            link,
+            stream,
+            request,
+            handler: this.options.handler,
+            settings: this.options.settings,
+            onRun: refusal => this.noteRun(request.id, refusal),
+            onEnd: () => {
+                this.count--;
+                link.served.delete(stream);
+            },
+        });
+        link.served.set(stream, relay);
+        void relay.run();
+    }
+
+    private noteRun(id: RequestId, refusal: Refusal | undefined): void {
+        this.requests.finish(id, refusal ? { kind: "refused", refusal } : { kind: "ran" });
+        const asker = this.askers.get(id);
+        if (asker) {
+            this.askers.delete(id);
+            sendVerdict(asker, id, refusal ? { kind: "refused", refusal } : { kind: "received" });
+        }
+    }
+
+    private takeAsk(
+        link: Link,
+        { id, link: serial, stream }: Extract<ServedMessage, { kind: "ask"; }>,
+    ): void {
+        const lostLink = this.options.findLink(serial);
+        if (lostLink?.peer.host === link.peer.host) {
+            lostLink.lose("the peer lost it");
+        }
+        const judgement = judgeAsk(this.requests.get(id), stream, this.links.getLastStream(serial));
+        if (judgement.kind === "wait") {
+            this.askers.set(id, link);
+            return;
+        }
+        if (judgement.kind === "notReceived") {
+            this.requests.finish(id, { kind: "barred" });
+        }
+        sendVerdict(link, id, judgement);
+    }
+}
+
+function sendVerdict(link: Link, id: RequestId, verdict: Verdict): void {
+    link.send({ kind: "verdict", id, verdict });
+}
--- /dev/null
+++ b/packages/mesh/src/relay/servedRelay.ts
@@ -0,0 +1,155 @@
+import { newRefusal, type Refusal } from "@arbutusdoor/common";
+import type { Link } from "../link/link.js";
+import type { MeshHandler } from "../meshHandler.js";
+import type { MeshSettings } from "../settings/meshSettings.js";
+import { BodyReceiver } from "../stream/bodyReceiver.js";
+import { BodySender } from "../stream/bodySender.js";
+import type { RelayAnswer } from "./relayAnswer.js";
+import type { RelayRequest } from "./relayRequest.js";
+
+type ServedRelayOptions = {
+    readonly link: Link;
+    readonly stream: number;
+    readonly request: RelayRequest;
+    readonly handler: MeshHandler;
+    readonly settings: MeshSettings;
+    /** The handler has ended; `undefined` when it answered. */
+    readonly onRun: (refusal: Refusal | undefined) => void;
+    /** The answer was sent, or nobody wants it any more. */
+    readonly onEnd: () => void;
+};
+
+/** A peer's request that this host runs, until its answer was sent. */
+export class ServedRelay {
+    private readonly options: ServedRelayOptions;
+    private readonly controller = new AbortController();
+    private readonly body: BodyReceiver | undefined;
+    private sender: BodySender | undefined;
+    private isOver = false;
+
+    constructor(options: ServedRelayOptions) {
+        this.options = options;
+        if (options.request.hasBody) {
+            this.body = this.newBody();
+        }
+    }
+
+    /** Runs the request. Rejects only when the handler does, which is a broken invariant. */
+    async run(): Promise<void> {
+        const { handler, link, request, onRun } = this.options;
+        try {
+            const answer = await handler.onRelay(
+                link.peer,
+                request,
+                this.body?.readable,
+                this.controller.signal,
+            );
+            onRun(answer.kind === "refusal" ? answer.refusal : undefined);
+            this.takeAnswer(answer);
+        }
+        catch (error) {
+            onRun(undefined);
+            this.refuse(newRefusal("relayLost", "the entry host failed"));
+            throw error;
+        }
+    }
+
+    /** Takes a piece of the request's body. False when the peer sent more than it had room for. */
+    takeData(bytes: Uint8Array): boolean {
+        return this.body?.receive(bytes) ?? false;
+    }
+
+    /** The request's body is whole. */
+    finishBody(): void {
+        this.body?.finish();
+    }
+
+    /** The request's body broke off. */
+    breakBody(): void {
+        this.body?.breakOff("the caller's body broke off");
+    }
+
+    /** Takes room for the answer's body. */
+    addRoom(bytes: number): void {
+        this.sender?.addRoom(bytes);
+    }
+
+    /** Nobody waits for the answer any more. */
+    cancel(): void {
+        if (!this.isOver) {
+            this.controller.abort();
+            this.end();
+        }
+    }
+
+    private newBody(): BodyReceiver {
+        const { link, stream, settings } = this.options;
+        return new BodyReceiver(settings.streamWindowBytes, {
+            onRead: bytes => this.isOver || link.send({ kind: "credit", stream, bytes }),
+            onUnwanted: () => this.isOver || link.send({ kind: "unwanted", stream }),
+        });
+    }
+
+    private takeAnswer(answer: RelayAnswer): void {
+        if (answer.kind === "refusal") {
+            this.refuse(answer.refusal);
+        }
+        else if (this.isOver) {
+            answer.body.on("error", () => {});
+            answer.body.destroy();
+        }
+        else {
+            this.answer(answer);
+        }
+    }
+
+    private answer({ status, headers, body }: Extract<RelayAnswer, { kind: "answered"; }>): void {
+        const { link, stream, request } = this.options;
+        if (!link.send({ kind: "answer", stream, id: request.id, status, headers })) {
+            body.on("error", () => {});
+            body.destroy();
+            this.refuse(newRefusal("connectionLost", "the head of the answer is too large to hand over"));
+            return;
+        }
+        this.sender = this.newSender(body);
+        link.addBody(this.sender);
+    }
+
+    private newSender(body: Extract<RelayAnswer, { kind: "answered"; }>["body"]): BodySender {
+        const { link, stream, settings } = this.options;
+        const sender: BodySender = new BodySender({
+            stream,
+            body,
+            windowBytes: settings.streamWindowBytes,
+            chunkBytes: settings.chunkBytes,
+            events: {
+                onReady: () => link.addBody(sender),
+                onDone: () => this.end(),
+            },
+        });
+        return sender;
+    }
+
+    private refuse(refusal: Refusal): void {
+        if (this.isOver) {
+            return;
+        }
+        const { link, stream, request } = this.options;
+        link.send({ kind: "refusal", stream, id: request.id, refusal });
+        this.end();
+    }
+
+    private end(): void {
+        if (this.isOver) {
+            return;
+        }
+        this.isOver = true;
+        const { link, onEnd } = this.options;
+        if (this.sender) {
+            link.removeBody(this.sender);
+            this.sender.abandon();
+        }
+        this.body?.breakOff("the request ended before its body");
+        onEnd();
+    }
+}
--- a/packages/mesh/src/settings/meshSettings.ts
+++ b/packages/mesh/src/settings/meshSettings.ts
@@ -31,12 +31,16 @@
     streamWindowBytes: z.int().min(KIBIBYTE).max(16 * MEBIBYTE).default(256 * KIBIBYTE),
     /** Most relayed requests at a time on a link, in each direction. */
     maxStreams: z.int().min(1).max(65_536).default(512),
+    /** Most requests of peers that run at a time on a host. */
+    maxRunning: z.int().min(1).max(1_048_576).default(16_384),
     /** Most control messages that wait to be sent on a link. */
     maxQueuedControl: z.int().min(1).max(1_048_576).default(1_024),
-    /** Most addresses that a host dials. */
+    /** Most hosts that are dialled or remembered. */
     maxSeeds: z.int().min(1).max(65_536).default(1_024),
+    /** Time in ms after which an added address that never answers is dialled no more. */
+    seedForgetMs: z.int().min(1_000).max(86_400_000).default(600_000),
     /** Most connections that have not finished their greeting. */
-    maxGreetings: z.int().min(1).max(65_536).default(256),
+    maxGreetings: z.int().min(1).max(65_536).default(64),
     /** Longest wait in ms for a new link and the verdict on a request whose link was lost. */
     askTimeoutMs: z.int().min(1).max(600_000).default(1_000),
     /** Time in ms beyond the deadline that a peer has for its own refusal. */
@@ -45,8 +49,19 @@
     requestMemory: z.int().min(1).max(16_777_216).default(65_536),
     /** Lost links whose last request number is remembered. */
     linkMemory: z.int().min(1).max(1_048_576).default(4_096),
+    /** Most log lines in a second of each event that a peer can cause at will. */
+    logLinesPerSecond: z.int().min(1).max(1_000).default(10),
     /** Longest wait in ms of a graceful close for requests in flight. */
     closeTimeoutMs: z.int().min(0).max(3_600_000).default(30_000),
+}).refine(settings => settings.chunkBytes * 2 <= settings.frameLimitBytes, {
+    message: "must be at most half of frameLimitBytes",
+    path: ["chunkBytes"],
+}).refine(settings => settings.batchBytes <= settings.frameLimitBytes, {
+    message: "must be at most frameLimitBytes",
+    path: ["batchBytes"],
+}).refine(settings => settings.heartbeatTimeoutMs >= settings.heartbeatIntervalMs * 2, {
+    message: "must be at least twice heartbeatIntervalMs",
+    path: ["heartbeatTimeoutMs"],
 });
 
 type MeshSettings = z.infer<typeof MeshSettings>;
--- /dev/null
+++ b/packages/mesh/src/stream/bodySender.ts
@@ -0,0 +1,124 @@
+import type { Readable } from "node:stream";
+import { encodeMessage } from "../protocol/encodeMessage.js";
+
+/** What a body's sender tells its link. */
+type BodySenderEvents = {
+    /** There is something to take. */
+    readonly onReady: () => void;
+    /** The last message of the body was taken; nothing follows. */
+    readonly onDone: () => void;
+};
+
+type BodySenderOptions = {
+    readonly stream: number;
+    readonly body: Readable;
+    /** Bytes that the receiver takes before it gives room. */
+    readonly windowBytes: number;
+    /** Largest piece. */
+    readonly chunkBytes: number;
+    readonly events: BodySenderEvents;
+};
+
+const EMPTY = new Uint8Array(0);
+
+/** Reads a body as fast as its receiver gives room and cuts it into messages that a link takes when its turn comes. */
+export class BodySender {
+    private readonly options: BodySenderOptions;
+    private rest: Uint8Array = EMPTY;
+    private roomBytes: number;
+    private state: "open" | "ended" | "broken" | "done" = "open";
+    private readonly notice = () => this.options.events.onReady();
+    private readonly noteEnd = () => this.settle("ended");
+    private readonly noteBreak = () => this.settle("broken");
+
+    constructor(options: BodySenderOptions) {
+        this.options = options;
+        this.roomBytes = options.windowBytes;
+        const { body } = options;
+        body.on("readable", this.notice);
+        body.once("end", this.noteEnd);
+        body.on("error", this.noteBreak);
+        body.once("close", this.noteBreak);
+        if (body.readableEnded) {
+            this.state = "ended";
+        }
+        else if (body.destroyed) {
+            this.state = "broken";
+        }
+    }
+
+    /** Takes room that the receiver gave. */
+    addRoom(bytes: number): void {
+        this.roomBytes += bytes;
+        this.options.events.onReady();
+    }
+
+    /** The next message, or `undefined` when there is none for now. */
+    takeMessage(): Uint8Array | undefined {
+        const bytes = this.takePiece();
+        const { stream } = this.options;
+        if (bytes) {
+            return encodeMessage({ kind: "data", stream, bytes });
+        }
+        if (this.state === "broken") {
+            this.finish();
+            return encodeMessage({ kind: "broken", stream });
+        }
+        if (this.state === "ended" && this.rest.length === 0) {
+            this.finish();
+            return encodeMessage({ kind: "end", stream });
+        }
+        return undefined;
+    }
+
+    /** Stops reading the body, which is left as it is. */
+    stop(): void {
+        this.state = "done";
+        this.rest = EMPTY;
+        const { body } = this.options;
+        body.off("readable", this.notice);
+        body.off("end", this.noteEnd);
+        body.off("close", this.noteBreak);
+    }
+
+    /** Stops and ends the body, which nobody wants any more. */
+    abandon(): void {
+        this.stop();
+        this.options.body.destroy();
+    }
+
+    private takePiece(): Uint8Array | undefined {
+        const canSend = this.roomBytes > 0 && (this.state === "open" || this.state === "ended");
+        if (!canSend) {
+            return undefined;
+        }
+        if (this.rest.length === 0) {
+            this.rest = this.readBody();
+        }
+        const length = Math.min(this.rest.length, this.roomBytes, this.options.chunkBytes);
+        if (length === 0) {
+            return undefined;
+        }
+        const piece = this.rest.subarray(0, length);
+        this.rest = this.rest.subarray(length);
+        this.roomBytes -= length;
+        return piece;
+    }
+
+    private readBody(): Uint8Array {
+        const chunk: Uint8Array | string | undefined = this.options.body.read() ?? undefined;
+        return typeof chunk === "string" ? Buffer.from(chunk) : chunk ?? EMPTY;
+    }
+
+    private settle(state: "ended" | "broken"): void {
+        if (this.state === "open") {
+            this.state = state;
+            this.options.events.onReady();
+        }
+    }
+
+    private finish(): void {
+        this.stop();
+        this.options.events.onDone();
+    }
+}
--- a/packages/mesh/src/transport/connection.ts
+++ b/packages/mesh/src/transport/connection.ts
@@ -1,19 +1,12 @@
-/** What a connection reports to whoever uses it. */
-type ConnectionEvents = {
-    readonly onFrame: (bytes: Uint8Array) => void;
-    /** The connection is gone; called once, also after `close` and `terminate`. */
-    readonly onClose: () => void;
-    /** Bytes that waited were handed to the operating system. */
-    readonly onDrain: () => void;
-};
+import type { ConnectionEvents } from "./connectionEvents.js";
 
-/** An ordered connection that carries frames of bytes. */
+/** A connection between two hosts that carries frames of bytes in order. */
 export abstract class Connection {
     /** Bytes that wait in this process. */
     abstract get bufferedBytes(): number;
 
-    /** Names who receives the events; events before that are kept. */
-    abstract open(events: ConnectionEvents): void;
+    /** Names who receives the events from now on; events before the first call are kept. */
+    abstract listen(events: ConnectionEvents): void;
 
     /** Hands a frame to the socket. */
     abstract send(bytes: Uint8Array): void;
