--- a/packages/common/src/logging/logger.ts
+++ b/packages/common/src/logging/logger.ts
@@ -3,11 +3,14 @@
 import { LOG_EVENTS, type LogEvent } from "./logEvent.js";
 import type { LogFields } from "./logFields.js";
 
+type LogListener = (event: LogEvent, fields: LogFields) => void;
+
 /** Writes numbered events as one JSON object a line. */
 export class Logger {
     private readonly sink: loglevel.Logger;
     private readonly clock: Clock;
     private readonly origin: string;
+    private readonly listeners = new Set<LogListener>();
 
     /** @param origin name of the process, printed on each line */
     constructor(clock: Clock, origin: string, level: loglevel.LogLevelDesc = "info") {
@@ -22,5 +25,12 @@
         const { number, level, text } = LOG_EVENTS[event];
         const time = new Date(this.clock.wallTime()).toISOString();
         this.sink[level](JSON.stringify({ time, number, event, text, origin: this.origin, ...fields }));
+        this.listeners.forEach(listener => listener(event, fields));
+    }
+
+    /** Calls the listener with each event, whatever its level, until the returned function is called. */
+    onEvent(listener: LogListener): () => void {
+        this.listeners.add(listener);
+        return () => this.listeners.delete(listener);
     }
 }
--- /dev/null
+++ b/packages/daemon/src/configuration/configurationMessage.ts
@@ -0,0 +1,22 @@
+import { z } from "zod";
+
+const MAX_DIGEST_LENGTH = 128;
+
+/**
+ * What entry hosts tell each other about configurations: `inForce` says which version the sender has;
+ * `wanted` asks for the text of the receiver's version; `text` brings it.
+ */
+const ConfigurationMessage = z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal("inForce"), version: z.int().min(0) }),
+    z.object({ kind: z.literal("wanted") }),
+    z.object({
+        kind: z.literal("text"),
+        version: z.int().min(1),
+        digest: z.string().max(MAX_DIGEST_LENGTH),
+        body: z.string(),
+    }),
+]);
+
+type ConfigurationMessage = z.infer<typeof ConfigurationMessage>;
+
+export { ConfigurationMessage };
--- /dev/null
+++ b/packages/daemon/src/configuration/configurationPlugin.ts
@@ -0,0 +1,43 @@
+import { ConfigurationKeeper } from "@arbutusdoor/configuration";
+import type { Kernel } from "../kernel/kernel.js";
+import { Plugin } from "../kernel/plugin.js";
+import { plugins } from "../kernel/plugins.js";
+import { PEERS } from "../peers/peersService.js";
+import { PLATFORM } from "../platform/platformServices.js";
+import { CONFIGURATION } from "./configurationService.js";
+import { ConfigurationSpread } from "./configurationSpread.js";
+
+/** Keeps the configuration in force and spreads it. */
+export class ConfigurationPlugin extends Plugin {
+    override readonly name = "configuration";
+    private spread!: ConfigurationSpread;
+
+    override install(kernel: Kernel): void {
+        const { clock, logger, metrics, random, settings } = kernel;
+        const keeper = new ConfigurationKeeper({
+            clock,
+            logger,
+            metrics,
+            random,
+            table: kernel.get(PLATFORM.TABLE),
+            objects: kernel.get(PLATFORM.OBJECTS),
+            settings: {
+                ...settings.groups.configuration,
+                isPoller: false,
+                pollIntervalMs: settings.pollIntervalMs,
+            },
+        });
+        this.spread = new ConfigurationSpread(keeper, kernel.get(PEERS));
+        kernel.provide(CONFIGURATION, this.spread);
+    }
+
+    override async start(): Promise<void> {
+        this.spread.start();
+    }
+
+    override async stop(): Promise<void> {
+        this.spread.keeper.stop();
+    }
+}
+
+plugins.register({ name: "configuration", newPlugin: () => new ConfigurationPlugin() });
--- /dev/null
+++ b/packages/daemon/src/configuration/configurationSpread.ts
@@ -0,0 +1,116 @@
+import type { Digest, HostId } from "@arbutusdoor/common";
+import {
+    type ConfigurationKeeper,
+    type ConfigurationVersion,
+    printDeclaration,
+} from "@arbutusdoor/configuration";
+import type { PeerIdentity } from "@arbutusdoor/mesh";
+import type { Peers } from "../peers/peers.js";
+import { ConfigurationMessage } from "./configurationMessage.js";
+import type { HostVersion } from "./hostVersion.js";
+
+const TOPIC = "configuration";
+const MAX_HOSTS = 10_000;
+
+/**
+ * Spreads configurations between entry hosts: each says which version it has, and who has an older one asks for the text.
+ * One host of each data centre polls the head row, the one with the lowest name among those linked.
+ */
+export class ConfigurationSpread {
+    readonly keeper: ConfigurationKeeper;
+    private readonly peers: Peers;
+    private readonly versions = new Map<HostId, HostVersion>();
+
+    constructor(keeper: ConfigurationKeeper, peers: Peers) {
+        this.keeper = keeper;
+        this.peers = peers;
+    }
+
+    /** Begins to listen to peers and to poll. */
+    start(): void {
+        this.peers.onTopic(TOPIC, (peer, message) => this.take(peer, message));
+        this.peers.listen({
+            onUp: peer => {
+                this.say(peer.host);
+                this.choosePoller();
+            },
+            onDown: () => this.choosePoller(),
+        });
+        this.keeper.onAdopted(() => this.peers.broadcast(TOPIC, this.newInForce()));
+        this.choosePoller();
+        this.keeper.start();
+    }
+
+    /** The configuration in force on this host. */
+    current(): ConfigurationVersion | undefined {
+        return this.keeper.current();
+    }
+
+    /** Versions of all hosts that have ever said theirs, this one first. */
+    listVersions(): readonly HostVersion[] {
+        const { host, dataCentre } = this.peers.self;
+        const own = { host, dataCentre, version: this.getVersion() };
+        return [own, ...this.versions.values()];
+    }
+
+    private take(peer: PeerIdentity, content: unknown): void {
+        const parsed = ConfigurationMessage.safeParse(content);
+        if (!parsed.success) {
+            return;
+        }
+        const message = parsed.data;
+        switch (message.kind) {
+            case "inForce":
+                this.note(peer, message.version);
+                return;
+            case "wanted":
+                this.sendText(peer.host);
+                return;
+            case "text":
+                this.keeper.offer({ ...message, digest: message.digest as Digest });
+        }
+    }
+
+    private note(peer: PeerIdentity, version: number): void {
+        this.versions.delete(peer.host);
+        this.versions.set(peer.host, { host: peer.host, dataCentre: peer.dataCentre, version });
+        if (this.versions.size > MAX_HOSTS) {
+            const [oldest] = this.versions.keys();
+            this.versions.delete(oldest as HostId);
+        }
+        if (version > this.getVersion()) {
+            this.peers.send(peer.host, TOPIC, { kind: "wanted" });
+        }
+    }
+
+    private sendText(host: HostId): void {
+        const current = this.keeper.current();
+        if (current) {
+            const { version, digest, declaration } = current;
+            this.peers.send(host, TOPIC, {
+                kind: "text",
+                version,
+                digest,
+                body: printDeclaration(declaration),
+            });
+        }
+    }
+
+    private say(host: HostId): void {
+        this.peers.send(host, TOPIC, this.newInForce());
+    }
+
+    private newInForce(): ConfigurationMessage {
+        return { kind: "inForce", version: this.getVersion() };
+    }
+
+    private getVersion(): number {
+        return this.keeper.current()?.version ?? 0;
+    }
+
+    private choosePoller(): void {
+        const { host, dataCentre } = this.peers.self;
+        const near = this.peers.list().filter(peer => peer.dataCentre === dataCentre);
+        this.keeper.setPoller(near.every(peer => host < peer.host));
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/callerPort.ts
@@ -0,0 +1,225 @@
+import { type Clock, type Metrics, newRefusal, type Refusal } from "@arbutusdoor/common";
+import { type Declaration, getClass } from "@arbutusdoor/configuration";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import polka from "polka";
+import type { RequestRouter } from "../routing/requestRouter.js";
+import type { Answer } from "../serving/answer.js";
+import type { CallerRequest } from "./callerRequest.js";
+import { getForwardedHeaders } from "./getForwardedHeaders.js";
+import { parseCallerPath } from "./parseCallerPath.js";
+import { readRequestBody } from "./readRequestBody.js";
+import type { RequestIds } from "./requestIds.js";
+import { sendAnswer } from "./sendAnswer.js";
+import { sendRefusal } from "./sendRefusal.js";
+
+const MICROSECONDS_PER_MS = 1_000;
+const DEADLINE_HEADER = "arbutusdoor-deadline-ms";
+const IDEMPOTENCY_HEADER = "idempotency-key";
+const MAX_IDEMPOTENCY_KEY_LENGTH = 255;
+
+/** Limits of the callers' port. */
+type CallerLimits = {
+    readonly headerLimitBytes: number;
+    readonly bufferedBodyBytes: number;
+    readonly inFlightLimit: number;
+};
+
+/** What the callers' port needs. */
+type CallerPortOptions = {
+    readonly clock: Clock;
+    readonly metrics: Metrics;
+    readonly ids: RequestIds;
+    readonly router: RequestRouter;
+    readonly limits: CallerLimits;
+    readonly getDeclaration: () => Declaration | undefined;
+};
+
+/** A request that can be routed, or the refusal of one that cannot. */
+type Reading =
+    | { readonly kind: "request"; readonly request: CallerRequest; }
+    | { readonly kind: "refusal"; readonly refusal: Refusal; };
+
+/** The callers' port: takes HTTP requests, has them routed and writes the answers. */
+export class CallerPort {
+    private readonly options: CallerPortOptions;
+    private readonly server: Server;
+    private inFlight = 0;
+    private isClosing = false;
+    private notifyIdle: (() => void) | undefined;
+
+    constructor(options: CallerPortOptions) {
+        this.options = options;
+        this.server = createServer({ maxHeaderSize: options.limits.headerLimitBytes, requestTimeout: 0 });
+        options.metrics.gauge("arbutusdoor_requests_in_flight", () => this.inFlight);
+    }
+
+    /** Begins to listen; resolves with the port. Rejects when the address cannot be had. */
+    listen(host: string, port: number): Promise<number> {
+        const app = polka({
+            server: this.server,
+            onNoMatch: (message, response) => void this.take(message, response),
+        });
+        return new Promise((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.once("listening", () => resolve((this.server.address() as AddressInfo).port));
+            app.listen(port, host);
+        });
+    }
+
+    /** Takes no more connections and resolves once every request has its whole answer. */
+    async close(): Promise<void> {
+        this.isClosing = true;
+        this.server.close();
+        this.server.closeIdleConnections();
+        while (this.inFlight > 0) {
+            await new Promise<void>(resolve => {
+                this.notifyIdle = resolve;
+            });
+        }
+        this.server.closeIdleConnections();
+    }
+
+    private async take(message: IncomingMessage, response: ServerResponse): Promise<void> {
+        const { clock, metrics } = this.options;
+        const id = this.options.ids.next();
+        const beganAt = clock.now();
+        const gone = new AbortController();
+        this.inFlight++;
+        response.once("close", () => {
+            gone.abort();
+            this.end();
+        });
+        if (this.isClosing) {
+            response.setHeader("connection", "close");
+        }
+        const reading = await this.read(message, id, beganAt, gone.signal);
+        const answer = reading.kind === "request"
+            ? await this.options.router.route(reading.request)
+            : reading;
+        const labels = getLabels(reading, answer);
+        metrics.record("arbutusdoor_request_us", labels, (clock.now() - beganAt) * MICROSECONDS_PER_MS);
+        this.answer(message, response, id, answer);
+    }
+
+    private answer(
+        message: IncomingMessage,
+        response: ServerResponse,
+        id: CallerRequest["id"],
+        answer: Answer,
+    ): void {
+        if (!message.complete) {
+            response.setHeader("connection", "close");
+        }
+        if (answer.kind === "answered") {
+            sendAnswer(response, id, answer);
+        }
+        else {
+            sendRefusal(response, id, answer.refusal);
+        }
+        message.resume();
+    }
+
+    private async read(
+        message: IncomingMessage,
+        id: CallerRequest["id"],
+        beganAt: number,
+        signal: AbortSignal,
+    ): Promise<Reading> {
+        if (this.inFlight > this.options.limits.inFlightLimit) {
+            return refuse("queueFull", "the entry host has as many requests in flight as it takes");
+        }
+        const declaration = this.options.getDeclaration();
+        if (!declaration) {
+            return refuse("noConfiguration", "no configuration is in force on this entry host yet");
+        }
+        const url = message.url ?? "/";
+        const isKeyed = (name: string) =>
+            declaration.services.some(service => service.name === name && service.kind === "keyed");
+        const path = parseCallerPath(url, isKeyed);
+        const service = declaration.services.find(other => other.name === path?.service);
+        if (!path) {
+            return refuse("malformedRequest", "the path is not well formed");
+        }
+        if (!service) {
+            return refuse("unknownService", `no service "${path.service}" is declared`);
+        }
+        if (service.kind === "keyed" && path.key === undefined) {
+            return refuse("missingKey", `a path of service "${service.name}" is /${service.name}/KEY/...`);
+        }
+        const method = message.method ?? "GET";
+        const requestClass = getClass(service, method, path.rest);
+        if (!requestClass) {
+            return refuse(
+                "unknownClass",
+                `no class of service "${service.name}" takes ${method} on this path`,
+            );
+        }
+        const idempotencyKey = getSingle(message.headers[IDEMPOTENCY_HEADER]);
+        if (idempotencyKey !== undefined && idempotencyKey.length > MAX_IDEMPOTENCY_KEY_LENGTH) {
+            return refuse(
+                "malformedRequest",
+                `an Idempotency-Key has ${MAX_IDEMPOTENCY_KEY_LENGTH} characters at most`,
+            );
+        }
+        const deadline = getDeadline(message, requestClass.deadlineMs);
+        if (deadline === undefined) {
+            return refuse("malformedRequest", `${DEADLINE_HEADER} must be a positive number of milliseconds`);
+        }
+        const limits = { ...this.options.limits, bodyLimitBytes: requestClass.bodyLimitBytes };
+        const body = await readRequestBody(message, limits);
+        if (body.kind === "refusal") {
+            return body;
+        }
+        const request: CallerRequest = {
+            id,
+            tenant: declaration.tenant,
+            service,
+            requestClass,
+            key: path.key,
+            method,
+            path: url,
+            headers: getForwardedHeaders(message.headers),
+            body: body.body,
+            deadlineAt: beganAt + deadline,
+            idempotencyKey,
+            signal,
+        };
+        return { kind: "request", request };
+    }
+
+    private end(): void {
+        this.inFlight--;
+        if (this.inFlight === 0) {
+            this.notifyIdle?.();
+        }
+    }
+}
+
+function refuse(reason: Refusal["reason"], detail: string): Reading {
+    return { kind: "refusal", refusal: newRefusal(reason, detail) };
+}
+
+function getSingle(header: string | string[] | undefined): string | undefined {
+    return Array.isArray(header) ? header.join(", ") : header;
+}
+
+/** The shorter of the class's deadline and the caller's own; `undefined` when the caller's is not a positive number. */
+function getDeadline(message: IncomingMessage, classDeadline: number): number | undefined {
+    const own = getSingle(message.headers[DEADLINE_HEADER]);
+    if (own === undefined) {
+        return classDeadline;
+    }
+    const milliseconds = Number(own);
+    return milliseconds > 0 ? Math.min(classDeadline, milliseconds) : undefined;
+}
+
+function getLabels(reading: Reading, answer: Answer): Record<string, string> {
+    const outcome = answer.kind === "answered" ? "answered" : answer.refusal.outcome;
+    const reason = answer.kind === "answered" ? "none" : answer.refusal.reason;
+    if (reading.kind === "refusal") {
+        return { tenant: "none", service: "none", class: "none", outcome, reason };
+    }
+    const { tenant, service, requestClass } = reading.request;
+    return { tenant, service: service.name, class: requestClass.name, outcome, reason };
+}
--- /dev/null
+++ b/packages/daemon/src/entry/entryPlugin.ts
@@ -0,0 +1,42 @@
+import { CONFIGURATION } from "../configuration/configurationService.js";
+import type { Kernel } from "../kernel/kernel.js";
+import { Plugin } from "../kernel/plugin.js";
+import { plugins } from "../kernel/plugins.js";
+import { PEERS } from "../peers/peersService.js";
+import { ROUTER } from "../serving/routerService.js";
+import { CallerPort } from "./callerPort.js";
+import { RequestIds } from "./requestIds.js";
+
+/** Serves callers. */
+export class EntryPlugin extends Plugin {
+    override readonly name = "entry";
+    private kernel!: Kernel;
+    private port!: CallerPort;
+
+    override install(kernel: Kernel): void {
+        const { clock, metrics, settings } = kernel;
+        const configuration = kernel.get(CONFIGURATION);
+        this.kernel = kernel;
+        this.port = new CallerPort({
+            clock,
+            metrics,
+            ids: new RequestIds(kernel.get(PEERS).self.incarnation),
+            router: kernel.get(ROUTER),
+            limits: settings,
+            getDeclaration: () => configuration.current()?.declaration,
+        });
+    }
+
+    override async start(): Promise<void> {
+        const { callerPort, listen } = this.kernel.settings;
+        await this.port.listen(listen, callerPort);
+    }
+
+    /** Goes on serving until the balancer has had time to see that this host is not ready, then finishes what is in flight. */
+    override async drain(): Promise<void> {
+        await this.kernel.clock.sleep(this.kernel.settings.readyDelayMs);
+        await this.port.close();
+    }
+}
+
+plugins.register({ name: "entry", newPlugin: () => new EntryPlugin() });
--- a/packages/daemon/src/entry/getForwardedHeaders.ts
+++ b/packages/daemon/src/entry/getForwardedHeaders.ts
@@ -17,7 +17,9 @@
 
 /** The headers that go on to the other side: neither those of one connection alone nor our own. */
 export function getForwardedHeaders(headers: IncomingHttpHeaders): Record<string, string> {
-    const perConnection = new Set((headers.connection ?? "").toLowerCase().split(",").map(name => name.trim()));
+    const perConnection = new Set(
+        (headers.connection ?? "").toLowerCase().split(",").map(name => name.trim()),
+    );
     const forwarded: Record<string, string> = {};
     for (const [name, value] of Object.entries(headers)) {
         const isDropped = HOP_BY_HOP.has(name) || perConnection.has(name) || name.startsWith(OWN_PREFIX);
--- a/packages/daemon/src/entry/readRequestBody.ts
+++ b/packages/daemon/src/entry/readRequestBody.ts
@@ -13,8 +13,8 @@
 
 /** A body that can be sent on, or the refusal of one that cannot. */
 type BodyReading =
-    | { readonly kind: "body"; readonly body: RequestBody }
-    | { readonly kind: "refusal"; readonly refusal: Refusal };
+    | { readonly kind: "body"; readonly body: RequestBody; }
+    | { readonly kind: "refusal"; readonly refusal: Refusal; };
 
 /** Reads a small body whole and opens a long one as a stream. Nothing has been sent on when it refuses. */
 export async function readRequestBody(message: IncomingMessage, limits: BodyLimits): Promise<BodyReading> {
--- /dev/null
+++ b/packages/daemon/src/entry/sendAnswer.ts
@@ -0,0 +1,20 @@
+import type { RequestId } from "@arbutusdoor/common";
+import type { ServerResponse } from "node:http";
+import { pipeline } from "node:stream";
+import type { Answer } from "../serving/answer.js";
+import { getForwardedHeaders } from "./getForwardedHeaders.js";
+import { OUTCOME_HEADERS } from "./outcomeHeaders.js";
+
+/** Writes a backend server's answer. A body that breaks off breaks the connection, so that the caller sees that it is not whole. */
+export function sendAnswer(
+    response: ServerResponse,
+    requestId: RequestId,
+    answer: Extract<Answer, { kind: "answered"; }>,
+): void {
+    response.writeHead(answer.status, {
+        ...getForwardedHeaders(answer.headers),
+        [OUTCOME_HEADERS.OUTCOME]: "answered",
+        [OUTCOME_HEADERS.REQUEST_ID]: requestId,
+    });
+    pipeline(answer.body, response, () => undefined);
+}
--- a/packages/daemon/src/kernel/kernel.ts
+++ b/packages/daemon/src/kernel/kernel.ts
@@ -1,11 +1,17 @@
-import { type Clock, InvariantError, type Logger, type Metrics, type RandomSource } from "@arbutusdoor/common";
-import type { DaemonSettings } from "../settings/daemonSettings.js";
+import {
+    type Clock,
+    InvariantError,
+    type Logger,
+    type Metrics,
+    type RandomSource,
+} from "@arbutusdoor/common";
+import type { Settings } from "../settings/settings.js";
 import type { Plugin } from "./plugin.js";
 import type { Service } from "./service.js";
 
 /** What every plug-in may use. */
 type KernelOptions = {
-    readonly settings: DaemonSettings;
+    readonly settings: Settings;
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly logger: Logger;
@@ -14,7 +20,7 @@
 
 /** Holds the plug-ins of one daemon, starts and stops them, and hands their services to each other. */
 export class Kernel {
-    readonly settings: DaemonSettings;
+    readonly settings: Settings;
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly logger: Logger;
--- /dev/null
+++ b/packages/daemon/src/kernel/newPlugins.ts
@@ -0,0 +1,16 @@
+// The order of these lines is the order in which plug-ins are installed and started.
+import "../platform/platformPlugin.js";
+import "../peers/peersPlugin.js";
+import "../configuration/configurationPlugin.js";
+import "../hosts/hostsPlugin.js";
+import "../ownership/ownershipPlugin.js";
+import "../serving/servingPlugin.js";
+import "../monitor/monitorPlugin.js";
+import "../operator/operatorPlugin.js";
+import "../entry/entryPlugin.js";
+import { plugins } from "./plugins.js";
+
+/** Makes one of each registered plug-in. */
+export function newPlugins() {
+    return plugins.list().map(({ newPlugin }) => newPlugin());
+}
--- /dev/null
+++ b/packages/daemon/src/peers/controlTopic.ts
@@ -0,0 +1,2 @@
+/** Subjects of the control messages between entry hosts. */
+export type ControlTopic = "ownership" | "configuration";
--- /dev/null
+++ b/packages/daemon/src/peers/peers.ts
@@ -0,0 +1,124 @@
+import { type HostId, newRefusal } from "@arbutusdoor/common";
+import {
+    Mesh,
+    MeshHandler,
+    type MeshOptions,
+    type PeerIdentity,
+    type RelayAnswer,
+    type RelayRequest,
+} from "@arbutusdoor/mesh";
+import type { Readable } from "node:stream";
+import type { ControlTopic } from "./controlTopic.js";
+import type { PeerListener } from "./peerListener.js";
+import type { RelayHandler } from "./relayHandler.js";
+
+type ControlListener = (peer: PeerIdentity, message: unknown) => void;
+
+/** The links to the other entry hosts, shared by plug-ins: control messages by topic, and relayed requests. */
+export class Peers extends MeshHandler {
+    /** This host as its peers know it. */
+    readonly self: PeerIdentity;
+    private readonly mesh: Mesh;
+    private readonly listeners: PeerListener[] = [];
+    private readonly controlListeners = new Map<ControlTopic, ControlListener>();
+    private relayHandler: RelayHandler | undefined;
+
+    constructor(options: Omit<MeshOptions, "handler">) {
+        super();
+        this.self = options.self;
+        this.mesh = new Mesh({ ...options, handler: this });
+    }
+
+    /** Calls the listener whenever a link comes up or goes down. */
+    listen(listener: PeerListener): void {
+        this.listeners.push(listener);
+    }
+
+    /** Takes the control messages of a topic. Their content is unchecked. */
+    onTopic(topic: ControlTopic, listener: ControlListener): void {
+        this.controlListeners.set(topic, listener);
+    }
+
+    /** Takes relayed requests. */
+    onRelayed(handler: RelayHandler): void {
+        this.relayHandler = handler;
+    }
+
+    /** Takes and dials links. Rejects when the address cannot be bound. */
+    async start(): Promise<void> {
+        await this.mesh.start();
+    }
+
+    /** Peers to which a link is up. */
+    list(): readonly PeerIdentity[] {
+        return this.mesh.listPeers();
+    }
+
+    /** Adds addresses to dial. */
+    addSeeds(addresses: readonly string[]): void {
+        this.mesh.addSeeds(addresses);
+    }
+
+    /** Sends a control message; false when it could not be queued. */
+    send(host: HostId, topic: ControlTopic, message: unknown): boolean {
+        return this.mesh.send(host, { topic, message });
+    }
+
+    /** Sends a control message to every peer. */
+    broadcast(topic: ControlTopic, message: unknown): void {
+        this.mesh.broadcast({ topic, message });
+    }
+
+    /** Hands a request to a peer. Never rejects. */
+    relay(
+        host: HostId,
+        request: RelayRequest,
+        body: Readable | undefined,
+        signal: AbortSignal,
+    ): Promise<RelayAnswer> {
+        return this.mesh.relay(host, request, body, signal);
+    }
+
+    /** Refuses relayed requests from now on; those under way go on. */
+    stopAccepting(): void {
+        this.mesh.stopAccepting();
+    }
+
+    /** Waits for relayed requests under way, then closes all links. */
+    async close(): Promise<void> {
+        await this.mesh.close();
+    }
+
+    override onPeerUp(peer: PeerIdentity): void {
+        this.listeners.forEach(listener => listener.onUp?.(peer));
+    }
+
+    override onPeerDown(peer: PeerIdentity): void {
+        this.listeners.forEach(listener => listener.onDown?.(peer));
+    }
+
+    override onControl(peer: PeerIdentity, content: unknown): void {
+        if (typeof content !== "object" || !content) {
+            return;
+        }
+        const { topic, message } = content as { topic?: ControlTopic; message?: unknown; };
+        if (topic !== undefined) {
+            this.controlListeners.get(topic)?.(peer, message);
+        }
+    }
+
+    override async onRelay(
+        peer: PeerIdentity,
+        request: RelayRequest,
+        body: Readable | undefined,
+        signal: AbortSignal,
+    ): Promise<RelayAnswer> {
+        if (!this.relayHandler) {
+            return {
+                kind: "refusal",
+                refusal: newRefusal("stopping", "the entry host is starting or stopping"),
+            };
+        }
+        return this.relayHandler(peer, request, body, signal);
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/peers/relayHandler.ts
@@ -0,0 +1,10 @@
+import type { PeerIdentity, RelayAnswer, RelayRequest } from "@arbutusdoor/mesh";
+import type { Readable } from "node:stream";
+
+/** Runs a request that a peer handed over; see MeshHandler.onRelay. */
+export type RelayHandler = (
+    peer: PeerIdentity,
+    request: RelayRequest,
+    body: Readable | undefined,
+    signal: AbortSignal,
+) => Promise<RelayAnswer>;
--- a/packages/daemon/src/routing/keyedRouter.ts
+++ b/packages/daemon/src/routing/keyedRouter.ts
@@ -9,7 +9,7 @@
 import { RequestRouter } from "./requestRouter.js";
 import type { RetryRules } from "./retryRules.js";
 
-type OpenRoute = Extract<Route, { kind: "route" }>;
+type OpenRoute = Extract<Route, { kind: "route"; }>;
 
 /**
  * Routes a request of a keyed service: to a grantor of the server that owns the key, which is this host or a peer.
--- a/packages/daemon/src/routing/pooledRouter.ts
+++ b/packages/daemon/src/routing/pooledRouter.ts
@@ -1,6 +1,12 @@
 import type { Clock, Metrics, RandomSource, ServerId } from "@arbutusdoor/common";
 import type { Declaration, Server } from "@arbutusdoor/configuration";
-import { newPoolPicker, type PoolCandidate, type PoolPicker, PoolPickerSettings, splitLimit } from "@arbutusdoor/policy";
+import {
+    newPoolPicker,
+    type PoolCandidate,
+    type PoolPicker,
+    type PoolPickerSettings,
+    splitLimit,
+} from "@arbutusdoor/policy";
 import type { CallerRequest } from "../entry/callerRequest.js";
 import type { Answer } from "../serving/answer.js";
 import { refuse } from "../serving/refuse.js";
@@ -13,10 +19,11 @@
 /** What the pooled router needs to know of the system around it. */
 type PoolView = {
     readonly dataCentre: string;
+    readonly pickerSettings: PoolPickerSettings;
     /** The declaration in force. */
     readonly getDeclaration: () => Declaration | undefined;
     /** Number of entry hosts that share the servers' connections, and the place of this one among them. */
-    readonly getShare: () => { readonly hosts: number; readonly position: number };
+    readonly getShare: () => { readonly hosts: number; readonly position: number; };
     /** Whether a server has said that it leaves, or the platform's list says so. */
     readonly isLeaving: (server: ServerId) => boolean;
 };
@@ -64,11 +71,17 @@
         }
     }
 
-    private async waitForServer(request: CallerRequest, visited: ReadonlySet<ServerId>): Promise<Server | undefined> {
+    private async waitForServer(
+        request: CallerRequest,
+        visited: ReadonlySet<ServerId>,
+    ): Promise<Server | undefined> {
         while (!request.signal.aborted && this.clock.now() < request.deadlineAt) {
             const servers = this.listServers(request);
             const picked = this.pick(request, servers, visited);
-            if (picked || servers.length === 0 || servers.every(server => visited.has(server.name as ServerId))) {
+            if (
+                picked || servers.length === 0
+                || servers.every(server => visited.has(server.name as ServerId))
+            ) {
                 return picked;
             }
             await this.clock.sleep(LOOK_AGAIN_MS);
@@ -148,7 +161,7 @@
     private getPicker(service: string): PoolPicker {
         let picker = this.pickers.get(service);
         if (!picker) {
-            picker = newPoolPicker(PoolPickerSettings.parse({}), this.random);
+            picker = newPoolPicker(this.view.pickerSettings, this.random);
             this.pickers.set(service, picker);
         }
         return picker;
--- a/packages/daemon/src/routing/retryRules.ts
+++ b/packages/daemon/src/routing/retryRules.ts
@@ -1,14 +1,15 @@
 import type { ClassId, Clock, Refusal, ServiceId } from "@arbutusdoor/common";
-import { mayRetry, RetryBudget, RetryBudgetSettings } from "@arbutusdoor/policy";
+import { mayRetry, RetryBudget, type RetryBudgetSettings } from "@arbutusdoor/policy";
 import type { CallerRequest } from "../entry/callerRequest.js";
 
 /** Decides whether a request is attempted again, within the retry budget of its class. */
 export class RetryRules {
     private readonly clock: Clock;
-    private readonly budget = new RetryBudget(RetryBudgetSettings.parse({}));
+    private readonly budget: RetryBudget;
 
-    constructor(clock: Clock) {
+    constructor(clock: Clock, settings: RetryBudgetSettings) {
         this.clock = clock;
+        this.budget = new RetryBudget(settings);
     }
 
     /** Counts a first attempt. */
--- /dev/null
+++ b/packages/daemon/src/routing/serviceRouter.ts
@@ -0,0 +1,19 @@
+import type { CallerRequest } from "../entry/callerRequest.js";
+import type { Answer } from "../serving/answer.js";
+import { RequestRouter } from "./requestRouter.js";
+
+/** Chooses between the routers of keyed and pooled services. */
+export class ServiceRouter extends RequestRouter {
+    private readonly keyed: RequestRouter;
+    private readonly pooled: RequestRouter;
+
+    constructor(keyed: RequestRouter, pooled: RequestRouter) {
+        super();
+        this.keyed = keyed;
+        this.pooled = pooled;
+    }
+
+    override route(request: CallerRequest): Promise<Answer> {
+        return request.service.kind === "keyed" ? this.keyed.route(request) : this.pooled.route(request);
+    }
+}
--- a/packages/daemon/src/serving/answer.ts
+++ b/packages/daemon/src/serving/answer.ts
@@ -9,4 +9,4 @@
         readonly headers: Readonly<Record<string, string>>;
         readonly body: Readable;
     }
-    | { readonly kind: "refusal"; readonly refusal: Refusal };
+    | { readonly kind: "refusal"; readonly refusal: Refusal; };
--- a/packages/daemon/src/serving/serverGate.ts
+++ b/packages/daemon/src/serving/serverGate.ts
@@ -1,6 +1,6 @@
 import type { Clock, Metrics, ServerId } from "@arbutusdoor/common";
 import type { ClassId } from "@arbutusdoor/common";
-import { ServerQueue, ServerQueueSettings } from "@arbutusdoor/policy";
+import { ServerQueue, type ServerQueueSettings } from "@arbutusdoor/policy";
 import type { Answer } from "./answer.js";
 import { Deferred } from "./deferred.js";
 import type { ServerSender } from "./serverSender.js";
@@ -19,13 +19,21 @@
     private readonly metrics: Metrics;
     private readonly serving: ServingPort;
     private readonly sender: ServerSender;
+    private readonly queueSettings: ServerQueueSettings;
     private readonly gates = new Map<ServerId, Gate>();
 
-    constructor(clock: Clock, metrics: Metrics, serving: ServingPort, sender: ServerSender) {
+    constructor(
+        clock: Clock,
+        metrics: Metrics,
+        serving: ServingPort,
+        sender: ServerSender,
+        queueSettings: ServerQueueSettings,
+    ) {
         this.clock = clock;
         this.metrics = metrics;
         this.serving = serving;
         this.sender = sender;
+        this.queueSettings = queueSettings;
     }
 
     /**
@@ -99,7 +107,7 @@
 
     private newGate(request: ServingRequest, slots: number): Gate {
         const labels = { tenant: request.tenant, service: request.service };
-        const queue = new ServerQueue(this.clock, this.metrics, slots, ServerQueueSettings.parse({}), labels);
+        const queue = new ServerQueue(this.clock, this.metrics, slots, this.queueSettings, labels);
         const gate = { queue, slots };
         this.gates.set(request.server, gate);
         return gate;
--- a/packages/daemon/src/serving/serverSender.ts
+++ b/packages/daemon/src/serving/serverSender.ts
@@ -76,7 +76,7 @@
     }
 
     private getRefusal(
-        reply: Exclude<BackendAnswer, { kind: "answered" }>,
+        reply: Exclude<BackendAnswer, { kind: "answered"; }>,
         request: ServingRequest,
         isStalled: boolean,
     ): Answer {
@@ -98,7 +98,7 @@
         return refuse("connectionLost", "the connection to the backend server broke off");
     }
 
-    private getNotRun(reply: Extract<BackendAnswer, { kind: "notRun" }>, request: ServingRequest): Answer {
+    private getNotRun(reply: Extract<BackendAnswer, { kind: "notRun"; }>, request: ServingRequest): Answer {
         switch (reply.cause) {
             case "unreachable":
                 return this.clock.now() >= request.deadlineAt
@@ -110,7 +110,10 @@
             case "leaving":
                 return refuse("serverRefused", `the backend server did not run it: ${reply.cause}`);
             case "cancelled":
-                return { kind: "refusal", refusal: { ...newRefusal("callerGone", "the caller left"), outcome: "notRun" } };
+                return {
+                    kind: "refusal",
+                    refusal: { ...newRefusal("callerGone", "the caller left"), outcome: "notRun" },
+                };
         }
     }
 }
--- /dev/null
+++ b/packages/daemon/src/serving/servingPlugin.ts
@@ -0,0 +1,84 @@
+import type { ServerId } from "@arbutusdoor/common";
+import { CONFIGURATION } from "../configuration/configurationService.js";
+import { LISTED_HOSTS } from "../hosts/hostsService.js";
+import type { Kernel } from "../kernel/kernel.js";
+import { Plugin } from "../kernel/plugin.js";
+import { plugins } from "../kernel/plugins.js";
+import { OWNERSHIP } from "../ownership/ownershipService.js";
+import type { Peers } from "../peers/peers.js";
+import { PEERS } from "../peers/peersService.js";
+import { PLATFORM } from "../platform/platformServices.js";
+import { KeyedRouter } from "../routing/keyedRouter.js";
+import { OwnerWait } from "../routing/ownerWait.js";
+import { PooledRouter } from "../routing/pooledRouter.js";
+import { RetryRules } from "../routing/retryRules.js";
+import { ServiceRouter } from "../routing/serviceRouter.js";
+import { LocalRelay } from "./localRelay.js";
+import { ROUTER } from "./routerService.js";
+import { ServerGate } from "./serverGate.js";
+import { ServerSender } from "./serverSender.js";
+
+/** The path of requests from this host to backend servers, directly or by way of peers. */
+export class ServingPlugin extends Plugin {
+    override readonly name = "serving";
+    private kernel!: Kernel;
+    private gate!: ServerGate;
+    private relay!: LocalRelay;
+
+    override install(kernel: Kernel): void {
+        const { clock, metrics, random, settings } = kernel;
+        const { groups } = settings;
+        const peers = kernel.get(PEERS);
+        const ownership = kernel.get(OWNERSHIP);
+        const configuration = kernel.get(CONFIGURATION);
+        const listed = kernel.get(LISTED_HOSTS);
+        const getDeclaration = () => configuration.current()?.declaration;
+        const sender = new ServerSender(clock, metrics, kernel.get(PLATFORM.TRAFFIC));
+        const retryRules = new RetryRules(clock, groups.retry);
+        const wait = new OwnerWait(
+            clock,
+            metrics,
+            ownership,
+            settings.heldRequestLimit,
+            settings.ownerWaitMs,
+        );
+        this.kernel = kernel;
+        this.gate = new ServerGate(clock, metrics, ownership, sender, groups.queue);
+        this.relay = new LocalRelay(clock, peers, this.gate, getDeclaration);
+        const keyed = new KeyedRouter(clock, ownership, this.relay, wait, retryRules);
+        const pooled = new PooledRouter(clock, metrics, random, sender, retryRules, {
+            dataCentre: settings.dataCentre,
+            pickerSettings: groups.pool,
+            getDeclaration,
+            getShare: () => getShare(peers),
+            isLeaving: server => listed.isLeaving(server),
+        });
+        kernel.provide(ROUTER, new ServiceRouter(keyed, pooled));
+    }
+
+    override async start(): Promise<void> {
+        const traffic = this.kernel.get(PLATFORM.TRAFFIC);
+        const configuration = this.kernel.get(CONFIGURATION);
+        this.kernel.get(PEERS).onRelayed((_peer, request, body, signal) =>
+            this.relay.serve(request, body, signal)
+        );
+        configuration.keeper.onAdopted(({ declaration }) => {
+            this.gate.retain(new Set(declaration.servers.map(server => server.name as ServerId)));
+            declaration.servers.forEach(server =>
+                traffic.limitConnections(server.address, server.connections)
+            );
+        });
+    }
+
+    override drain(): Promise<void> {
+        return this.gate.drain();
+    }
+}
+
+/** Entry hosts share the connections of pooled servers evenly; hosts of every data centre may send to them. */
+function getShare(peers: Peers): { hosts: number; position: number; } {
+    const names = [...peers.list().map(peer => peer.host), peers.self.host].sort();
+    return { hosts: names.length, position: names.indexOf(peers.self.host) };
+}
+
+plugins.register({ name: "serving", newPlugin: () => new ServingPlugin() });
--- a/packages/daemon/src/settings/daemonSettings.ts
+++ b/packages/daemon/src/settings/daemonSettings.ts
@@ -6,10 +6,14 @@
 const MAX_PORT = 65_535;
 
 const portSchema = z.coerce.number().int("must be a whole number").min(0).max(MAX_PORT);
-const millisecondsSchema = z.coerce.number().int("must be a whole number of milliseconds").min(1).max(3_600_000);
+const millisecondsSchema = z.coerce.number().int("must be a whole number of milliseconds").min(1).max(
+    3_600_000,
+);
 const countSchema = z.coerce.number().int("must be a whole number").min(1).max(10_000_000);
 const nameSchema = z.string().regex(NAME_PATTERN, "must be 1 to 63 lower-case letters, digits or hyphens");
-const addressListSchema = z.string().transform(text => text.split(",").map(part => part.trim()).filter(Boolean))
+const addressListSchema = z.string().transform(text =>
+    text.split(",").map(part => part.trim()).filter(Boolean)
+)
     .pipe(z.array(z.string().regex(ADDRESS_PATTERN, "must be IP numbers with ports, separated by commas")));
 
 /** Settings of the daemon, each a flag and an environment variable; see docs/SETTINGS.md. */
@@ -17,12 +21,16 @@
     host: nameSchema.describe("name of this entry host, unique in the whole system"),
     dataCentre: nameSchema.describe("data centre of this entry host"),
     listen: z.string().default("127.0.0.1").describe("IP number to listen on"),
-    advertise: z.string().optional().describe("IP number that other entry hosts reach this one by; `listen` when absent"),
+    advertise: z.string().optional().describe(
+        "IP number that other entry hosts reach this one by; `listen` when absent",
+    ),
     callerPort: portSchema.default(7080).describe("port for callers"),
     operatorPort: portSchema.default(7081).describe("port for operators"),
     peerPort: portSchema.default(7082).describe("port for other entry hosts"),
     monitorPort: portSchema.default(7083).describe("port for /healthz, /readyz and /metrics"),
-    seeds: addressListSchema.default([]).describe("peer addresses to connect to at first, separated by commas"),
+    seeds: addressListSchema.default([]).describe(
+        "peer addresses to connect to at first, separated by commas",
+    ),
     tableService: z.url().describe("base address of the platform's table service"),
     objectStore: z.url().describe("base address of the platform's object store"),
     hostList: z.url().describe("base address of the platform's host list"),
@@ -31,16 +39,24 @@
     peerToken: z.string().min(MIN_TOKEN_LENGTH, "must have 16 characters at least").optional()
         .describe("token shared by all entry hosts; environment only"),
     logLevel: z.enum(["debug", "info", "warn", "error"]).default("info").describe("least level of log lines"),
-    seed: z.coerce.number().int().optional().describe("seed of random numbers; from the time of start when absent"),
+    seed: z.coerce.number().int().optional().describe(
+        "seed of random numbers; from the time of start when absent",
+    ),
     headerLimitBytes: countSchema.default(16_384).describe("most bytes of a request's header section"),
-    bufferedBodyBytes: countSchema.default(65_536).describe("bodies up to this size are read whole before they are sent on"),
+    bufferedBodyBytes: countSchema.default(65_536).describe(
+        "bodies up to this size are read whole before they are sent on",
+    ),
     inFlightLimit: countSchema.default(10_000).describe("most requests of callers in flight"),
     heldRequestLimit: countSchema.default(2_000).describe("most requests that wait for an owner to be found"),
-    ownerWaitMs: millisecondsSchema.default(2_000).describe("longest wait in ms of a request for its key to have an owner"),
+    ownerWaitMs: millisecondsSchema.default(2_000).describe(
+        "longest wait in ms of a request for its key to have an owner",
+    ),
     readyDelayMs: z.coerce.number().int().min(0).max(600_000).default(2_000)
         .describe("time in ms between not ready and the end of listening in a graceful stop"),
     stopLimitMs: millisecondsSchema.default(120_000).describe("longest graceful stop in ms"),
-    pollIntervalMs: millisecondsSchema.default(1_000).describe("time in ms between looks at the configuration head"),
+    pollIntervalMs: millisecondsSchema.default(1_000).describe(
+        "time in ms between looks at the configuration head",
+    ),
     tableTimeoutMs: millisecondsSchema.default(1_000).describe("longest wait in ms for the table service"),
     tableReadsPerSecond: countSchema.default(100).describe("reads of the table service a second"),
     tableWritesPerSecond: countSchema.default(30).describe("writes to the table service a second"),
--- a/packages/daemon/src/settings/readSettings.ts
+++ b/packages/daemon/src/settings/readSettings.ts
@@ -1,48 +1,72 @@
 import { InputError } from "@arbutusdoor/common";
 import { DaemonSettings } from "./daemonSettings.js";
 import { getSettingName } from "./getSettingName.js";
+import { listSettings } from "./listSettings.js";
 import { SECRET_SETTINGS } from "./secretSettings.js";
+import { SETTING_GROUPS } from "./settingGroups.js";
+import type { Settings } from "./settings.js";
+
+type RawValues = Readonly<Record<string, unknown>>;
+type Environment = Readonly<Record<string, string | undefined>>;
+type GroupName = keyof typeof SETTING_GROUPS;
+type Issue = { readonly path: readonly PropertyKey[]; readonly message: string; };
 
 /**
  * Reads the settings; a flag goes before its environment variable.
- * @param flags flags by setting name
+ * @param flags flags by full setting name, such as `callerPort`
  * @throws InputError that names every wrong setting with its flag and variable, and never a secret's value
  */
-export function readSettings(
-    flags: Readonly<Record<string, unknown>>,
-    environment: Readonly<Record<string, string | undefined>>,
-): DaemonSettings {
-    const raw: Record<string, unknown> = {};
-    for (const setting of Object.keys(DaemonSettings.shape)) {
-        const value = getRawValue(setting, flags, environment);
-        if (value !== undefined) {
-            raw[setting] = value;
-        }
-    }
-    const unknown = Object.keys(flags).filter(flag => !(flag in DaemonSettings.shape));
-    const result = DaemonSettings.safeParse(raw);
-    const problems = unknown.map(flag => `${getSettingName(flag).flag}: no such setting`);
-    for (const issue of result.error?.issues ?? []) {
-        const setting = String(issue.path[0]);
-        const { flag, variable } = getSettingName(setting);
-        const isMissing = raw[setting] === undefined;
-        const names = SECRET_SETTINGS.has(setting) ? variable : `${flag} (${variable})`;
-        problems.push(`${names}: ${isMissing ? "is required" : issue.message}`);
+export function readSettings(flags: RawValues, environment: Environment): Settings {
+    const known = new Set(listSettings().map(setting => setting.fullName));
+    const problems = Object.keys(flags)
+        .filter(flag => !known.has(flag))
+        .map(flag => `${getSettingName(flag).flag}: no such setting`);
+    const own = collect(undefined, flags, environment);
+    const result = DaemonSettings.safeParse(own);
+    problems.push(...getProblems(result.error?.issues ?? [], undefined, own));
+    const groups: Record<string, unknown> = {};
+    for (const [group, schema] of Object.entries(SETTING_GROUPS)) {
+        const raw = collect(group as GroupName, flags, environment);
+        const parsed = schema.safeParse(raw);
+        groups[group] = parsed.data;
+        problems.push(...getProblems(parsed.error?.issues ?? [], group as GroupName, raw));
     }
     if (problems.length > 0 || !result.success) {
-        throw new InputError(`settings cannot be taken:\n${problems.map(problem => `  ${problem}`).join("\n")}`);
+        throw new InputError(
+            `settings cannot be taken:\n${problems.map(problem => `  ${problem}`).join("\n")}`,
+        );
     }
-    return result.data;
+    return { ...result.data, groups: groups as Settings["groups"] };
 }
 
-function getRawValue(
-    setting: string,
-    flags: Readonly<Record<string, unknown>>,
-    environment: Readonly<Record<string, string | undefined>>,
-): unknown {
-    const { variable } = getSettingName(setting);
-    if (SECRET_SETTINGS.has(setting)) {
-        return environment[variable];
+function collect(group: GroupName | undefined, flags: RawValues, environment: Environment): RawValues {
+    const values: Record<string, unknown> = {};
+    for (const setting of listSettings().filter(other => other.group === group)) {
+        const { variable } = getSettingName(setting.fullName);
+        const isSecret = SECRET_SETTINGS.has(setting.fullName);
+        const value = isSecret ? environment[variable] : flags[setting.fullName] ?? environment[variable];
+        if (value !== undefined) {
+            values[setting.name] = group === undefined ? value : toPlainValue(value);
+        }
     }
-    return flags[setting] ?? environment[variable];
+    return values;
+}
+
+/** Flags and variables are texts; the settings of groups are numbers and booleans, but for a few names. */
+function toPlainValue(value: unknown): unknown {
+    if (value === "true" || value === "false") {
+        return value === "true";
+    }
+    const isNumber = typeof value === "string" && value.trim() !== "" && Number.isFinite(Number(value));
+    return isNumber ? Number(value) : value;
+}
+
+function getProblems(issues: readonly Issue[], group: GroupName | undefined, raw: RawValues): string[] {
+    return issues.map(issue => {
+        const name = String(issue.path[0]);
+        const setting = listSettings().find(other => other.group === group && other.name === name);
+        const { flag, variable } = getSettingName(setting?.fullName ?? name);
+        const names = SECRET_SETTINGS.has(name) ? variable : `${flag} (${variable})`;
+        return `${names}: ${raw[name] === undefined ? "is required" : issue.message}`;
+    });
 }
--- /dev/null
+++ b/packages/daemon/src/settings/settingGroups.ts
@@ -0,0 +1,19 @@
+import { ConfigurationSettings } from "@arbutusdoor/configuration";
+import { MeshSettings } from "@arbutusdoor/mesh";
+import { OwnershipSettings } from "@arbutusdoor/ownership";
+import { BackendTrafficSettings, ServerOrdersSettings } from "@arbutusdoor/platform";
+import { PoolPickerSettings, RetryBudgetSettings, ServerQueueSettings } from "@arbutusdoor/policy";
+import { OperatorSettings } from "../operator/operatorSettings.js";
+
+/** Settings of the daemon's parts; a setting's flag begins with the name of its group. */
+export const SETTING_GROUPS = {
+    ownership: OwnershipSettings,
+    mesh: MeshSettings,
+    configuration: ConfigurationSettings.omit({ isPoller: true, pollIntervalMs: true }),
+    queue: ServerQueueSettings,
+    pool: PoolPickerSettings,
+    retry: RetryBudgetSettings,
+    backend: BackendTrafficSettings.omit({ host: true }),
+    orders: ServerOrdersSettings,
+    operator: OperatorSettings.omit({ address: true, port: true }),
+} as const;
--- /dev/null
+++ b/packages/daemon/tests/settings.test.ts
@@ -0,0 +1,39 @@
+import { expect, test } from "vitest";
+import { readSettings } from "../src/settings/readSettings.js";
+
+const REQUIRED = {
+    host: "entry-1",
+    dataCentre: "north",
+    tableService: "http://127.0.0.1:9001",
+    objectStore: "http://127.0.0.1:9002",
+    hostList: "http://127.0.0.1:9003",
+};
+const SECRETS = { ARBUTUSDOOR_OPERATOR_TOKEN: "a-token-of-operators" };
+
+test("a flag goes before its variable, and groups have defaults of their own", () => {
+    const environment = { ...SECRETS, ARBUTUSDOOR_CALLER_PORT: "1", ARBUTUSDOOR_MESH_CHUNK_BYTES: "2048" };
+    const settings = readSettings({ ...REQUIRED, callerPort: "2", ownershipLeaseMs: "700" }, environment);
+    expect(settings).toMatchObject({
+        callerPort: 2,
+        operatorPort: 7081,
+        groups: { mesh: { chunkBytes: 2048 }, ownership: { leaseMs: 700, renewIntervalMs: 200 } },
+    });
+});
+
+test("every wrong setting is named at once, and a secret's value is not", () => {
+    const flags = {
+        ...REQUIRED,
+        host: "Entry 1",
+        callerPort: "high",
+        seeds: "localhost:1",
+        meshChunkBytes: "3",
+        colour: "red",
+        operatorToken: "given-as-a-flag-16",
+    };
+    expect(() => readSettings(flags, { ARBUTUSDOOR_OPERATOR_TOKEN: "short-secret" }))
+        .toThrowErrorMatchingInlineSnapshot();
+});
+
+test("what is required is said to be missing", () => {
+    expect(() => readSettings({}, {})).toThrowErrorMatchingInlineSnapshot();
+});
