--- /dev/null
+++ b/packages/ownership/src/actions/index.ts
@@ -0,0 +1,13 @@
+import "./configurationChangedAction.js";
+import "./moveWantedAction.js";
+import "./orderReplyAction.js";
+import "./peerDownAction.js";
+import "./peerMessageAction.js";
+import "./peerUpAction.js";
+import "./requestEndedAction.js";
+import "./requestStartedAction.js";
+import "./resignAction.js";
+import "./splitWantedAction.js";
+import "./tableDoneAction.js";
+import "./tableReadAction.js";
+import "./tickAction.js";
--- /dev/null
+++ b/packages/ownership/src/actions/moveWantedAction.ts
@@ -0,0 +1,18 @@
+import { addWanted } from "../decider/addWanted.js";
+import { Action } from "../kernel/action.js";
+import { actionManager } from "../kernel/actionManager.js";
+import type { Input } from "../kernel/input.js";
+import type { Step } from "../kernel/step.js";
+import type { HostState } from "../state/hostState.js";
+
+/** Policy wants a planned move. */
+export class MoveWantedAction extends Action<"moveWanted"> {
+    readonly name = "moveWanted";
+
+    perform(state: HostState, input: Extract<Input, { kind: "moveWanted"; }>): Step {
+        const { service, slice, to } = input;
+        return { state: addWanted(state, { kind: "move", service, slice, to }), effects: [] };
+    }
+}
+
+actionManager.register(new MoveWantedAction());
--- /dev/null
+++ b/packages/ownership/src/actions/orderReplyAction.ts
@@ -0,0 +1,36 @@
+import type { Milliseconds } from "@arbutusdoor/common";
+import { takeReply } from "../grantor/takeReply.js";
+import { Action } from "../kernel/action.js";
+import { actionManager } from "../kernel/actionManager.js";
+import type { Input } from "../kernel/input.js";
+import { sequence } from "../kernel/sequence.js";
+import type { Step } from "../kernel/step.js";
+import type { HostState } from "../state/hostState.js";
+
+type OrderReplyInput = Extract<Input, { kind: "orderReply"; }>;
+
+/** An order ended, with or without a reply. */
+export class OrderReplyAction extends Action<"orderReply"> {
+    readonly name = "orderReply";
+
+    perform(state: HostState, input: OrderReplyInput, now: Milliseconds): Step {
+        return sequence(
+            state,
+            current => takeReply(current, input.order, input.sentAt, input.outcome, now),
+            current => ({ state: noteProbe(current, input), effects: [] }),
+        );
+    }
+}
+
+/** The decider's probe of a server without a row found out its incarnation. */
+function noteProbe(state: HostState, { order, outcome }: OrderReplyInput): HostState {
+    const probe = state.decider.probes[order.server];
+    if (!probe || state.servers[order.server] || outcome.kind !== "reply") {
+        return state;
+    }
+    const { incarnation } = outcome.reply;
+    const probes = { ...state.decider.probes, [order.server]: { ...probe, incarnation } };
+    return { ...state, isPlanDue: true, decider: { ...state.decider, probes } };
+}
+
+actionManager.register(new OrderReplyAction());
--- /dev/null
+++ b/packages/ownership/src/actions/peerDownAction.ts
@@ -0,0 +1,23 @@
+import type { Milliseconds } from "@arbutusdoor/common";
+import { Action } from "../kernel/action.js";
+import { actionManager } from "../kernel/actionManager.js";
+import type { Input } from "../kernel/input.js";
+import type { Step } from "../kernel/step.js";
+import type { HostState } from "../state/hostState.js";
+
+/** A link to a peer is down. That proves nothing about the peer but that it can't be reached from here. */
+export class PeerDownAction extends Action<"peerDown"> {
+    readonly name = "peerDown";
+
+    perform(state: HostState, input: Extract<Input, { kind: "peerDown"; }>, now: Milliseconds): Step {
+        const { identity } = input;
+        const known = state.peers[identity.host];
+        if (!known?.isUp || known.identity.incarnation !== identity.incarnation) {
+            return { state, effects: [] };
+        }
+        const peers = { ...state.peers, [identity.host]: { ...known, isUp: false, changedAt: now } };
+        return { state: { ...state, peers, isPlanDue: true }, effects: [] };
+    }
+}
+
+actionManager.register(new PeerDownAction());
--- /dev/null
+++ b/packages/ownership/src/actions/peerUpAction.ts
@@ -0,0 +1,31 @@
+import type { Milliseconds } from "@arbutusdoor/common";
+import { Action } from "../kernel/action.js";
+import { actionManager } from "../kernel/actionManager.js";
+import type { Effect } from "../kernel/effect.js";
+import type { Input } from "../kernel/input.js";
+import type { Step } from "../kernel/step.js";
+import { ROW_KEYS } from "../rows/rowKeys.js";
+import type { HostState } from "../state/hostState.js";
+
+/** A link to a peer is up: it learns this host's status, and is asked for rows if this host could not read them itself. */
+export class PeerUpAction extends Action<"peerUp"> {
+    readonly name = "peerUp";
+
+    perform(state: HostState, input: Extract<Input, { kind: "peerUp"; }>, now: Milliseconds): Step {
+        const { identity } = input;
+        const peer = { identity, isUp: true, changedAt: now, isResigning: false };
+        const peers = { ...state.peers, [identity.host]: peer };
+        const effects: Effect[] = [{
+            kind: "sendPeer",
+            to: identity.host,
+            message: { kind: "hostStatus", isResigning: state.isResigning },
+        }];
+        const hasRead = state.table.scanned[ROW_KEYS.assignmentPrefix] !== undefined;
+        if (!hasRead || state.table.failures > 0) {
+            effects.push({ kind: "sendPeer", to: identity.host, message: { kind: "rowsWanted" } });
+        }
+        return { state: { ...state, peers, isPlanDue: true }, effects };
+    }
+}
+
+actionManager.register(new PeerUpAction());
--- /dev/null
+++ b/packages/ownership/src/actions/resignAction.ts
@@ -0,0 +1,31 @@
+import { Action } from "../kernel/action.js";
+import { actionManager } from "../kernel/actionManager.js";
+import type { Step } from "../kernel/step.js";
+import type { HostState } from "../state/hostState.js";
+
+/** The host is to stop: its peers learn it, so that the decider takes it out of the grantor lists. */
+export class ResignAction extends Action<"resign"> {
+    readonly name = "resign";
+
+    perform(state: HostState): Step {
+        if (state.isResigning) {
+            return { state, effects: [] };
+        }
+        const peers = Object.values(state.peers).filter(peer => peer.isUp);
+        return {
+            state: {
+                ...state,
+                isResigning: true,
+                isPlanDue: true,
+                decider: { ...state.decider, nextCheckAt: 0 },
+            },
+            effects: peers.map(peer => ({
+                kind: "sendPeer",
+                to: peer.identity.host,
+                message: { kind: "hostStatus", isResigning: true },
+            })),
+        };
+    }
+}
+
+actionManager.register(new ResignAction());
--- /dev/null
+++ b/packages/ownership/src/actions/splitWantedAction.ts
@@ -0,0 +1,18 @@
+import { addWanted } from "../decider/addWanted.js";
+import { Action } from "../kernel/action.js";
+import { actionManager } from "../kernel/actionManager.js";
+import type { Input } from "../kernel/input.js";
+import type { Step } from "../kernel/step.js";
+import type { HostState } from "../state/hostState.js";
+
+/** Policy wants a planned split. */
+export class SplitWantedAction extends Action<"splitWanted"> {
+    readonly name = "splitWanted";
+
+    perform(state: HostState, input: Extract<Input, { kind: "splitWanted"; }>): Step {
+        const { service, slice, key } = input;
+        return { state: addWanted(state, { kind: "split", service, slice, key }), effects: [] };
+    }
+}
+
+actionManager.register(new SplitWantedAction());
--- /dev/null
+++ b/packages/ownership/src/actions/tickAction.ts
@@ -0,0 +1,20 @@
+import type { Milliseconds } from "@arbutusdoor/common";
+import { Action } from "../kernel/action.js";
+import { actionManager } from "../kernel/actionManager.js";
+import type { Input } from "../kernel/input.js";
+import type { Step } from "../kernel/step.js";
+import type { HostState } from "../state/hostState.js";
+import { expireCalls } from "../table/expireCalls.js";
+
+type Tick = Extract<Input, { kind: "tick"; }>;
+
+/** Time has passed: calls without an answer are given up; all else follows from the state. */
+export class TickAction extends Action<"tick"> {
+    readonly name = "tick";
+
+    perform(...[state, , now]: [state: HostState, input: Tick, now: Milliseconds]): Step {
+        return expireCalls(state, now);
+    }
+}
+
+actionManager.register(new TickAction());
--- /dev/null
+++ b/packages/ownership/src/decider/abandonRound.ts
@@ -0,0 +1,31 @@
+import type { Milliseconds, ServerId } from "@arbutusdoor/common";
+import { sendTo } from "../kernel/sendTo.js";
+import { sequence } from "../kernel/sequence.js";
+import type { Step } from "../kernel/step.js";
+import type { HostState } from "../state/hostState.js";
+import { getMembers } from "./getMembers.js";
+
+/**
+ * Ends a round because the server answers. The promises are given back at once if no transaction may go by them; otherwise only
+ * a new version of the row ends them.
+ */
+export function abandonRound(state: HostState, server: ServerId, now: Milliseconds): Step {
+    const { [server]: round, ...others } = state.decider.rounds;
+    const row = state.servers[server]?.value;
+    if (!round || !row) {
+        return { state, effects: [] };
+    }
+    if (round.operations.length > 0) {
+        const rounds = { ...others, [server]: { ...round, isAbandoned: true } };
+        return { state: { ...state, decider: { ...state.decider, rounds } }, effects: [] };
+    }
+    const roundsAfter = { ...state.decider.roundsAfter, [server]: now + state.settings.reportIntervalMs };
+    const ended = { ...state, decider: { ...state.decider, rounds: others, roundsAfter } };
+    const { barId } = round;
+    return sequence(
+        ended,
+        ...getMembers(row).map(member => (current: HostState) =>
+            sendTo(current, member.host, { kind: "unbar", server, barId }, now)
+        ),
+    );
+}
--- /dev/null
+++ b/packages/ownership/src/decider/chooseGrantors.ts
@@ -0,0 +1,43 @@
+import { getKeyHash, type Milliseconds } from "@arbutusdoor/common";
+import type { GrantorList } from "../rows/grantorList.js";
+import type { ServerRow } from "../rows/serverRow.js";
+import type { HostIdentity } from "../state/hostIdentity.js";
+import type { HostState } from "../state/hostState.js";
+
+/** The grantors that a server should have: of those it has the ones that live and stay, and others by rendezvous hash. */
+export function chooseGrantors(
+    state: HostState,
+    server: ServerRow["server"],
+    present: GrantorList["grantors"],
+    now: Milliseconds,
+): GrantorList["grantors"] {
+    const candidates = getCandidates(state)
+        .map(identity => ({ identity, weight: getKeyHash(`${server}/${identity.host}`) }))
+        .sort((left, right) => right.weight - left.weight)
+        .map(({ identity }) => ({ host: identity.host, incarnation: identity.incarnation }));
+    const staying = present.filter(grantor => isStaying(state, grantor, now));
+    const isNew = (grantor: GrantorList["grantors"][number]) =>
+        !staying.some(other => other.host === grantor.host);
+    return [...staying, ...candidates.filter(isNew)].slice(0, state.settings.grantorsPerServer);
+}
+
+/** Entry hosts of this data centre that are up and stay. */
+function getCandidates(state: HostState): readonly HostIdentity[] {
+    const peers = Object.values(state.peers)
+        .filter(peer => peer.isUp && !peer.isResigning)
+        .map(peer => peer.identity)
+        .filter(identity => identity.dataCentre === state.self.dataCentre);
+    return state.isResigning ? peers : [state.self, ...peers];
+}
+
+/** Whether a grantor lives, or its loss is too recent to act on. */
+function isStaying(state: HostState, grantor: GrantorList["grantors"][number], now: Milliseconds): boolean {
+    if (grantor.host === state.self.host) {
+        return grantor.incarnation === state.self.incarnation && !state.isResigning;
+    }
+    const peer = state.peers[grantor.host];
+    if (peer?.identity.incarnation !== grantor.incarnation || peer.isResigning) {
+        return false;
+    }
+    return peer.isUp || now - peer.changedAt < state.settings.grantorLossMs;
+}
--- /dev/null
+++ b/packages/ownership/src/decider/createShards.ts
@@ -0,0 +1,77 @@
+import type { DataCentreId, Milliseconds, ServiceId } from "@arbutusdoor/common";
+import type { Service } from "@arbutusdoor/configuration";
+import { sequence } from "../kernel/sequence.js";
+import type { Step } from "../kernel/step.js";
+import { ROW_KEYS } from "../rows/rowKeys.js";
+import type { HostState } from "../state/hostState.js";
+import { canWrite } from "../table/canWrite.js";
+import { startTransaction } from "../table/startTransaction.js";
+import { isServiceReady } from "./isServiceReady.js";
+import { newPlanning } from "./newPlanning.js";
+import { newShards } from "./newShards.js";
+import type { Planning } from "./planning.js";
+import { planShard } from "./planShard.js";
+
+const DELAYS_PER_RANK = 5;
+
+/** Writes the assignment rows of services that have none, all rows of a service in one transaction. */
+export function createShards(state: HostState, now: Milliseconds): Step {
+    const { configuration } = state;
+    if (!configuration) {
+        return { state, effects: [] };
+    }
+    const keyed = configuration.declaration.services.filter(service => service.kind === "keyed");
+    return sequence(
+        state,
+        ...keyed.map(service => (current: HostState) => createFor(current, service, now)),
+    );
+}
+
+function createFor(state: HostState, service: Service, now: Milliseconds): Step {
+    const name = service.name as ServiceId;
+    const planning = newPlanning(state, state.configuration!.declaration);
+    const seen = noteSeen(planning, name, now);
+    const rank = getRank(planning, name);
+    const since = seen.decider.seenSince[name];
+    const isKnown = state.slices[name] !== undefined;
+    const isDue = since !== undefined && rank >= 0
+        && now - since >= rank * DELAYS_PER_RANK * state.settings.firstAssignmentDelayMs;
+    const current = { ...planning, state: seen };
+    if (isKnown || !isDue || !isServiceReady(current, name)) {
+        return { state: seen, effects: [] };
+    }
+    const shards = newShards(current.declaration, service, state.settings.slicesPerShard);
+    const keys = shards.map(row => ROW_KEYS.assignment(name, row.shard));
+    if (!canWrite(seen, keys)) {
+        return { state: seen, effects: [] };
+    }
+    const writes = shards.map((row, index) => ({
+        key: keys[index]!,
+        expectedVersion: 0,
+        value: planShard(current, row) ?? row,
+    }));
+    return startTransaction(seen, writes, now);
+}
+
+/** Notes when the first server of a service answered. */
+function noteSeen(planning: Planning, service: ServiceId, now: Milliseconds): HostState {
+    const { state } = planning;
+    const hasServer = Object.values(planning.servers).some(row =>
+        row.service === service && planning.homes.includes(row.dataCentre)
+    );
+    if (!hasServer || state.decider.seenSince[service] !== undefined) {
+        return state;
+    }
+    const seenSince = { ...state.decider.seenSince, [service]: now };
+    return { ...state, decider: { ...state.decider, seenSince } };
+}
+
+/** Position of this data centre among those with servers of the service: the first creates, the others only if it does not. */
+function getRank(planning: Planning, service: ServiceId): number {
+    const hasServer = (dataCentre: string) =>
+        planning.declaration.servers.some(server =>
+            server.service === service && server.dataCentre === dataCentre && !server.isDraining
+        );
+    const centres = planning.declaration.dataCentres.filter(hasServer) as DataCentreId[];
+    return centres.indexOf(planning.state.self.dataCentre);
+}
--- /dev/null
+++ b/packages/ownership/src/decider/isEligible.ts
@@ -0,0 +1,28 @@
+import type { ServerId } from "@arbutusdoor/common";
+import type { ServerRow } from "../rows/serverRow.js";
+import type { HeardReport } from "../state/heardReport.js";
+import { getReports } from "./getReports.js";
+import { isLeaving } from "./isLeaving.js";
+import type { Planning } from "./planning.js";
+
+/** Whether a server can be given slices now: declared, staying, and answering the grantors as the run that its row names. */
+export function isEligible(planning: Planning, server: ServerId): boolean {
+    const row = planning.servers[server];
+    if (!row || isLeaving(planning, server)) {
+        return false;
+    }
+    if (!planning.homes.includes(row.dataCentre)) {
+        return true;
+    }
+    const before = planning.state.servers[server]?.value ?? row;
+    const isBarred = planning.state.decider.rounds[server] !== undefined;
+    const reports = getReports(planning.state, before);
+    if (before.incarnation !== row.incarnation) {
+        return reports.some(({ report }) => report.otherIncarnation === row.incarnation);
+    }
+    return !isBarred && reports.some(heard => isAnswering(heard, row));
+}
+
+function isAnswering({ report }: HeardReport, row: ServerRow): boolean {
+    return report.incarnation === row.incarnation && !report.isSuspect && report.epoch > 0;
+}
--- /dev/null
+++ b/packages/ownership/src/decider/isServiceReady.ts
@@ -0,0 +1,18 @@
+import type { DataCentreId, ServerId, ServiceId } from "@arbutusdoor/common";
+import { isEligible } from "./isEligible.js";
+import type { Planning } from "./planning.js";
+
+/** Whether the first assignment of a service in this data centre can begin: all its servers answer, or enough time went by for them to. */
+export function isServiceReady(planning: Planning, service: ServiceId): boolean {
+    const { state, declaration } = planning;
+    const isHere = (dataCentre: string) => planning.homes.includes(dataCentre as DataCentreId);
+    const servers = declaration.servers.filter(server =>
+        server.service === service && isHere(server.dataCentre) && !server.isDraining
+    );
+    const since = state.decider.seenSince[service];
+    if (since === undefined || servers.length === 0) {
+        return false;
+    }
+    const isOverdue = state.updatedAt - since >= state.settings.firstAssignmentDelayMs;
+    return isOverdue || servers.every(server => isEligible(planning, server.name as ServerId));
+}
--- /dev/null
+++ b/packages/ownership/src/decider/keepLease.ts
@@ -0,0 +1,54 @@
+import type { Milliseconds } from "@arbutusdoor/common";
+import { getJitter } from "../kernel/getJitter.js";
+import type { Step } from "../kernel/step.js";
+import type { DeciderRow } from "../rows/deciderRow.js";
+import { ROW_KEYS } from "../rows/rowKeys.js";
+import type { HostState } from "../state/hostState.js";
+import { canWrite } from "../table/canWrite.js";
+import { startRead } from "../table/startRead.js";
+import { startTransaction } from "../table/startTransaction.js";
+
+const LEASES_BEFORE_FORCED_CLAIM = 3;
+
+/** Renews the decider row of the holder; another host watches it when no decider is heard, and claims it when it is not renewed. */
+export function keepLease(state: HostState, now: Milliseconds): Step {
+    const key = ROW_KEYS.decider(state.self.dataCentre);
+    if (now < state.decider.nextCheckAt || !canWrite(state, [key])) {
+        return { state, effects: [] };
+    }
+    if (state.decider.isHeld) {
+        return writeRow(delayCheck(state, now, 1), state.isResigning, now);
+    }
+    const isHeard = now - state.decider.heardAt < state.settings.deciderLeaseMs / 2;
+    if (isHeard || state.isResigning) {
+        return { state, effects: [] };
+    }
+    const waiting = delayCheck(state, now, 0.5 + getJitter(state, "decider") / 2);
+    return isClaimable(state, now) ? writeRow(waiting, false, now) : startRead(waiting, { keys: [key] }, now);
+}
+
+function delayCheck(state: HostState, now: Milliseconds, share: number): HostState {
+    const nextCheckAt = now + state.settings.deciderRenewMs * share;
+    return { ...state, decider: { ...state.decider, nextCheckAt } };
+}
+
+/** Whether the row may be claimed: it was read, and is absent, released, not renewed, or its holder is unheard for long. */
+function isClaimable(state: HostState, now: Milliseconds): boolean {
+    const { row, rowSeenAt, heardAt, checkedAt } = state.decider;
+    const { deciderLeaseMs } = state.settings;
+    if (checkedAt === 0 || now - checkedAt > deciderLeaseMs) {
+        return false;
+    }
+    const isExpired = now - rowSeenAt >= deciderLeaseMs && checkedAt - rowSeenAt >= deciderLeaseMs / 2;
+    const isUnheard = now - heardAt >= LEASES_BEFORE_FORCED_CLAIM * deciderLeaseMs;
+    return !row || row.value.isReleased || isExpired || isUnheard;
+}
+
+function writeRow(state: HostState, isReleased: boolean, now: Milliseconds): Step {
+    const { row, isHeld } = state.decider;
+    const { host, incarnation, dataCentre } = state.self;
+    const term = (row?.value.term ?? 0) + (isHeld ? 0 : 1);
+    const value: DeciderRow = { dataCentre, host, incarnation, term, isReleased, operationId: "" };
+    const key = ROW_KEYS.decider(dataCentre);
+    return startTransaction(state, [{ key, expectedVersion: row?.version ?? 0, value }], now);
+}
--- /dev/null
+++ b/packages/ownership/src/decider/plan.ts
@@ -0,0 +1,45 @@
+import type { Milliseconds } from "@arbutusdoor/common";
+import { sequence } from "../kernel/sequence.js";
+import type { Step } from "../kernel/step.js";
+import { ROW_KEYS } from "../rows/rowKeys.js";
+import type { HostState } from "../state/hostState.js";
+import { beat } from "./beat.js";
+import { createServers } from "./createServers.js";
+import { createShards } from "./createShards.js";
+import { keepLease } from "./keepLease.js";
+import { planServers } from "./planServers.js";
+import { planShards } from "./planShards.js";
+import { probeServers } from "./probeServers.js";
+import { pruneDecider } from "./pruneDecider.js";
+import { runRounds } from "./runRounds.js";
+
+/** All that the decider of a data centre does: its lease, and the next decisions about servers and slices. */
+export function plan(state: HostState, now: Milliseconds): Step {
+    return sequence(
+        state,
+        current => keepLease(current, now),
+        current => beat(current, now),
+        current => decide(current, now),
+    );
+}
+
+function decide(state: HostState, now: Milliseconds): Step {
+    const { decider, configuration, isPlanDue } = state;
+    const prefixes = [ROW_KEYS.serverPrefix, ROW_KEYS.assignmentPrefix, ROW_KEYS.attestedPrefix];
+    const hasRead = prefixes.every(prefix => state.table.scanned[prefix] !== undefined);
+    const isDue = isPlanDue || now >= decider.nextPlanAt;
+    if (!decider.isHeld || !configuration || !hasRead || !isDue) {
+        return { state, effects: [] };
+    }
+    const nextPlanAt = now + state.settings.barRepeatMs;
+    const begun = { ...state, isPlanDue: false, decider: { ...decider, nextPlanAt } };
+    return sequence(
+        pruneDecider(begun),
+        current => runRounds(current, now),
+        current => planServers(current, now),
+        current => probeServers(current, now),
+        current => createServers(current, now),
+        current => createShards(current, now),
+        current => planShards(current, now),
+    );
+}
--- /dev/null
+++ b/packages/ownership/src/decider/planServer.ts
@@ -0,0 +1,75 @@
+import type { Milliseconds } from "@arbutusdoor/common";
+import { isGrantorOf } from "../grantor/isGrantorOf.js";
+import type { GrantorList } from "../rows/grantorList.js";
+import type { ServerRow } from "../rows/serverRow.js";
+import type { HostState } from "../state/hostState.js";
+import { chooseGrantors } from "./chooseGrantors.js";
+import { getReports } from "./getReports.js";
+import { isHostAttested } from "./isHostAttested.js";
+
+/** The next value of a server's row as far as its grantor list goes, or `undefined` when there is nothing to decide. */
+export function planServer(state: HostState, row: ServerRow, now: Milliseconds): ServerRow | undefined {
+    if (row.dataCentre !== state.self.dataCentre) {
+        return undefined;
+    }
+    if (row.change) {
+        return isChangeProved(state, row, row.change)
+            ? endChange(row, row.change)
+            : supersede(state, row, now);
+    }
+    const grantors = chooseGrantors(state, row.server, row.list.grantors, now);
+    const isSame = grantors.length === row.list.grantors.length
+        && grantors.every(grantor => hasGrantor(row.list, grantor));
+    if (grantors.length === 0 || isSame) {
+        return undefined;
+    }
+    return { ...row, change: { listVersion: row.list.listVersion + 1, grantors } };
+}
+
+/**
+ * Whether the server goes by the new list alone. One that checks orders says so itself; for another one, each host that the list drops
+ * must have said that it sends nothing more.
+ */
+function isChangeProved(state: HostState, row: ServerRow, change: GrantorList): boolean {
+    const isAcknowledged = getReports(state, row).some(({ from, report }) =>
+        isGrantorOf(change, from) && report.listVersion >= change.listVersion
+    );
+    if (row.checksOrders) {
+        return isAcknowledged;
+    }
+    const dropped = row.list.grantors.filter(grantor => !hasGrantor(change, grantor));
+    const retired = state.decider.retired[row.server] ?? {};
+    return dropped.every(grantor =>
+        (retired[grantor.host] ?? 0) >= change.listVersion || isHostAttested(state, grantor)
+    );
+}
+
+function endChange(row: ServerRow, change: GrantorList): ServerRow {
+    const { change: ended, ...rest } = row;
+    return { ...rest, list: ended ?? change };
+}
+
+/** A change none of whose hosts lives is followed by another; all hosts so far go on counting until the server acknowledges that one. */
+function supersede(state: HostState, row: ServerRow, now: Milliseconds): ServerRow | undefined {
+    const change = row.change!;
+    const grantors = chooseGrantors(state, row.server, change.grantors, now);
+    const isAnyLeft = grantors.some(grantor => hasGrantor(change, grantor));
+    if (isAnyLeft || grantors.length === 0) {
+        return undefined;
+    }
+    const joined = [
+        ...row.list.grantors,
+        ...change.grantors.filter(grantor => !hasGrantor(row.list, grantor)),
+    ];
+    return {
+        ...row,
+        list: { listVersion: change.listVersion, grantors: joined },
+        change: { listVersion: change.listVersion + 1, grantors },
+    };
+}
+
+function hasGrantor(list: GrantorList, grantor: GrantorList["grantors"][number]): boolean {
+    return list.grantors.some(other =>
+        other.host === grantor.host && other.incarnation === grantor.incarnation
+    );
+}
--- /dev/null
+++ b/packages/ownership/src/decider/planServers.ts
@@ -0,0 +1,52 @@
+import type { Milliseconds, ServerId } from "@arbutusdoor/common";
+import { sequence } from "../kernel/sequence.js";
+import type { Step } from "../kernel/step.js";
+import { ROW_KEYS } from "../rows/rowKeys.js";
+import type { HostState } from "../state/hostState.js";
+import { canWrite } from "../table/canWrite.js";
+import { startTransaction } from "../table/startTransaction.js";
+import { getAttestation } from "./getAttestation.js";
+import { getMembers } from "./getMembers.js";
+import { getResponsibilities } from "./getResponsibilities.js";
+import { isHostAttested } from "./isHostAttested.js";
+import { planServer } from "./planServer.js";
+import { takeOver } from "./takeOver.js";
+
+/** Writes the next decisions about servers: takeovers whose stop is proved, and changes of grantor lists. */
+export function planServers(state: HostState, now: Milliseconds): Step {
+    const homes = getResponsibilities(state);
+    const servers = Object.values(state.servers).filter(({ value }) => homes.includes(value.dataCentre));
+    return sequence(
+        state,
+        ...servers.map(({ value }) => (current: HostState) => planOne(current, value.server, now)),
+    );
+}
+
+function planOne(state: HostState, server: ServerId, now: Milliseconds): Step {
+    const row = state.servers[server]!;
+    const key = ROW_KEYS.server(server);
+    const attestation = getAttestation(state, row.value);
+    if (!canWrite(state, [key])) {
+        return { state, effects: [] };
+    }
+    if (attestation !== undefined || isRoundComplete(state, server)) {
+        return takeOver(state, row, attestation, now);
+    }
+    const isTouchDue = state.decider.rounds[server]?.isAbandoned ?? false;
+    const next = planServer(state, row.value, now) ?? (isTouchDue ? row.value : undefined);
+    return next
+        ? startTransaction(state, [{ key, expectedVersion: row.version, value: next }], now)
+        : { state, effects: [] };
+}
+
+/** Whether every host that may renew the server's lease, by the row on which the round is based, has promised not to. */
+function isRoundComplete(state: HostState, server: ServerId): boolean {
+    const round = state.decider.rounds[server];
+    const row = state.servers[server]!;
+    if (!round || round.isAbandoned || round.basisVersion !== row.version) {
+        return false;
+    }
+    return getMembers(row.value).every(member =>
+        round.confirmed.includes(member.host) || isHostAttested(state, member)
+    );
+}
--- /dev/null
+++ b/packages/ownership/src/decider/runRounds.ts
@@ -0,0 +1,71 @@
+import type { Milliseconds, ServerId } from "@arbutusdoor/common";
+import { omit } from "../kernel/omit.js";
+import { sendTo } from "../kernel/sendTo.js";
+import { sequence } from "../kernel/sequence.js";
+import type { Step } from "../kernel/step.js";
+import type { ServerRow } from "../rows/serverRow.js";
+import type { Versioned } from "../rows/versioned.js";
+import type { HostState } from "../state/hostState.js";
+import type { Round } from "../state/round.js";
+import { getMembers } from "./getMembers.js";
+import { getResponsibilities } from "./getResponsibilities.js";
+import { isTakeoverWanted } from "./isTakeoverWanted.js";
+
+/** Begins rounds for servers that are suspect, repeats bars without an answer, and drops rounds that a newer row has overtaken. */
+export function runRounds(state: HostState, now: Milliseconds): Step {
+    const homes = getResponsibilities(state);
+    const rows = Object.values(state.servers).filter(({ value }) => homes.includes(value.dataCentre));
+    return sequence(state, ...rows.map(row => (current: HostState) => runRound(current, row, now)));
+}
+
+function runRound(state: HostState, row: Versioned<ServerRow>, now: Milliseconds): Step {
+    const { server } = row.value;
+    const round = state.decider.rounds[server];
+    if (round && round.basisVersion < row.version) {
+        return runRound(dropRound(state, server), row, now);
+    }
+    if (round) {
+        const isRepeatDue = now - round.sentAt >= state.settings.barRepeatMs && !round.isAbandoned;
+        return isRepeatDue
+            ? sendBars(state, row.value, { ...round, sentAt: now }, now)
+            : { state, effects: [] };
+    }
+    const isHeldOff = now < (state.decider.roundsAfter[server] ?? 0);
+    if (isHeldOff || !isTakeoverWanted(state, row.value, now)) {
+        return { state, effects: [] };
+    }
+    const counter = state.counter + 1;
+    const begun: Round = {
+        barId: counter,
+        basisVersion: row.version,
+        incarnation: row.value.incarnation,
+        confirmed: [],
+        operations: [],
+        isAbandoned: false,
+        sentAt: now,
+    };
+    const step = sendBars({ ...state, counter }, row.value, begun, now);
+    return {
+        state: step.state,
+        effects: [{ kind: "log", event: "serverSuspected", fields: { server } }, ...step.effects],
+    };
+}
+
+function sendBars(state: HostState, row: ServerRow, round: Round, now: Milliseconds): Step {
+    const { server } = row;
+    const rounds = { ...state.decider.rounds, [server]: round };
+    const noted = { ...state, decider: { ...state.decider, rounds } };
+    const { barId, basisVersion, incarnation } = round;
+    const missing = getMembers(row).filter(member => !round.confirmed.includes(member.host));
+    return sequence(
+        noted,
+        ...missing.map(member => (current: HostState) =>
+            sendTo(current, member.host, { kind: "bar", server, incarnation, barId, basisVersion }, now)
+        ),
+    );
+}
+
+function dropRound(state: HostState, server: ServerId): HostState {
+    const rounds = omit(state.decider.rounds, server);
+    return { ...state, decider: { ...state.decider, rounds } };
+}
--- /dev/null
+++ b/packages/ownership/src/decider/takeOver.ts
@@ -0,0 +1,63 @@
+import type { Milliseconds, OperationId, RowKey, ServerIncarnation } from "@arbutusdoor/common";
+import type { RowWrite } from "@arbutusdoor/platform";
+import type { Step } from "../kernel/step.js";
+import { ROW_KEYS } from "../rows/rowKeys.js";
+import type { ServerRow } from "../rows/serverRow.js";
+import type { Versioned } from "../rows/versioned.js";
+import type { HostState } from "../state/hostState.js";
+import { canWrite } from "../table/canWrite.js";
+import { startTransaction } from "../table/startTransaction.js";
+import { getReports } from "./getReports.js";
+import { newPlanning } from "./newPlanning.js";
+import { planShard } from "./planShard.js";
+
+/**
+ * Ends the epoch of a server whose stop is proved, and gives its slices to others in the same transaction, as far as the rows of
+ * one transaction reach; the rest follows, because a holder of an ended epoch counts as stopped.
+ */
+export function takeOver(
+    state: HostState,
+    row: Versioned<ServerRow>,
+    attestation: number | undefined,
+    now: Milliseconds,
+): Step {
+    const key = ROW_KEYS.server(row.value.server);
+    if (!canWrite(state, [key]) || !state.configuration) {
+        return { state, effects: [] };
+    }
+    const next: ServerRow = {
+        ...row.value,
+        incarnation: getNewIncarnation(state, row.value) ?? row.value.incarnation,
+        epoch: row.value.epoch + 1,
+        ...(attestation === undefined ? {} : { attestation }),
+    };
+    const planning = newPlanning(state, state.configuration.declaration, [next]);
+    const writes: RowWrite[] = [{ key, expectedVersion: row.version, value: next }];
+    for (const [name, assignment] of Object.entries(state.assignments)) {
+        const isFree = assignment.value.service === next.service && canWrite(state, [name as RowKey]);
+        const isFull = writes.length >= state.settings.rowsPerTransaction;
+        const value = isFree && !isFull ? planShard(planning, assignment.value) : undefined;
+        if (value) {
+            writes.push({ key: name as RowKey, expectedVersion: assignment.version, value });
+        }
+    }
+    const step = startTransaction(state, writes, now);
+    return { state: noteOperation(step.state, row.value), effects: step.effects };
+}
+
+/** A run that answers at the server's address now, if it is another one. */
+function getNewIncarnation(state: HostState, row: ServerRow): ServerIncarnation | undefined {
+    const others = getReports(state, row).flatMap(({ report }) => report.otherIncarnation ?? []);
+    return others[0];
+}
+
+function noteOperation(state: HostState, row: ServerRow): HostState {
+    const round = state.decider.rounds[row.server];
+    if (!round) {
+        return state;
+    }
+    const operationId = `${state.self.incarnation}-${state.counter}` as OperationId;
+    const operations = [...round.operations, operationId];
+    const rounds = { ...state.decider.rounds, [row.server]: { ...round, operations } };
+    return { ...state, decider: { ...state.decider, rounds } };
+}
--- /dev/null
+++ b/packages/ownership/src/grantor/getFences.ts
@@ -0,0 +1,21 @@
+import type { SliceGeneration } from "@arbutusdoor/platform";
+import { getSlicePath } from "../lookups/getSlicePath.js";
+import type { ServerRow } from "../rows/serverRow.js";
+import type { Grant } from "../state/grant.js";
+import type { HostState } from "../state/hostState.js";
+
+/** Slices that a server is to give up by the rows, whether or not it acknowledged that to this host. */
+export function getFences(state: HostState, grant: Grant, row: ServerRow): readonly SliceGeneration[] {
+    const slices = Object.values(state.slices[row.service]?.byName ?? {});
+    const fences = new Map<string, SliceGeneration>();
+    for (const former of slices.flatMap(slice => slice.former)) {
+        const isHere = former.server === grant.server
+            && former.incarnation === row.incarnation
+            && former.epoch === row.epoch;
+        if (isHere) {
+            const fence = { service: row.service, slice: former.slice, generation: former.fence };
+            fences.set(getSlicePath(row.service, former.slice), fence);
+        }
+    }
+    return [...fences.values()].slice(0, state.settings.slicesPerOrder);
+}
--- /dev/null
+++ b/packages/ownership/src/grantor/getTakes.ts
@@ -0,0 +1,24 @@
+import type { SliceGeneration } from "@arbutusdoor/platform";
+import { getSlicePath } from "../lookups/getSlicePath.js";
+import type { ServerRow } from "../rows/serverRow.js";
+import type { Slice } from "../rows/slice.js";
+import type { Grant } from "../state/grant.js";
+import type { HostState } from "../state/hostState.js";
+
+/** Slices that a server is to hold by the rows and did not yet say that it holds. Only slices without former holders. */
+export function getTakes(state: HostState, grant: Grant, row: ServerRow): readonly SliceGeneration[] {
+    const index = state.slices[row.service];
+    if (!index) {
+        return [];
+    }
+    const isWanted = (slice: Slice) =>
+        slice.owner?.server === row.server
+        && slice.owner.epoch === row.epoch
+        && slice.owner.incarnation === row.incarnation
+        && slice.former.length === 0
+        && grant.taken[getSlicePath(row.service, slice.slice)] !== slice.generation;
+    return Object.values(index.byName)
+        .filter(isWanted)
+        .slice(0, state.settings.slicesPerOrder)
+        .map(({ slice, generation }) => ({ service: row.service, slice, generation }));
+}
--- /dev/null
+++ b/packages/ownership/src/grantor/newOrder.ts
@@ -0,0 +1,47 @@
+import type { Milliseconds } from "@arbutusdoor/common";
+import type { Order } from "@arbutusdoor/platform";
+import { isBarred } from "../lookups/isBarred.js";
+import { isGrantReady } from "../lookups/isGrantReady.js";
+import type { ServerRow } from "../rows/serverRow.js";
+import type { Grant } from "../state/grant.js";
+import type { HostState } from "../state/hostState.js";
+import { getFences } from "./getFences.js";
+import { getTakes } from "./getTakes.js";
+import { isGrantorOf } from "./isGrantorOf.js";
+
+/**
+ * The order that a grantor sends now. It renews the lease only up to the server's own newest clock reading and the lease time:
+ * an order that is delayed for longer than that is already lapsed when the server reads it.
+ * A barred grantor, or one without a reading, only probes.
+ */
+export function newOrder(state: HostState, grant: Grant, row: ServerRow): Order {
+    const isChanging = isGrantorOf(row.change, state.self);
+    const list = isChanging && row.change ? row.change : row.list;
+    const { host, incarnation } = state.self;
+    const base: Order = {
+        server: row.server,
+        from: { host, incarnation },
+        listVersion: list.listVersion,
+        epoch: row.epoch,
+        take: [],
+        fence: [],
+    };
+    const reading = grant.readings[0];
+    if (!reading || isBarred(state, row.server)) {
+        return base;
+    }
+    const isRetiring = row.change !== undefined && !isChanging;
+    const mayTake = isGrantReady(state, grant) && !isRetiring;
+    return {
+        ...base,
+        incarnation: row.incarnation,
+        ...(grant.listVersion < list.listVersion ? { grantors: list.grantors } : {}),
+        leaseUntil: getLeaseUntil(state, reading.clock),
+        take: mayTake ? getTakes(state, grant, row) : [],
+        fence: getFences(state, grant, row),
+    };
+}
+
+function getLeaseUntil(state: HostState, reading: Milliseconds): Milliseconds {
+    return reading + state.settings.leaseMs;
+}
--- /dev/null
+++ b/packages/ownership/src/grantor/reportStops.ts
@@ -0,0 +1,54 @@
+import type { Milliseconds, ServerId } from "@arbutusdoor/common";
+import { sendTo } from "../kernel/sendTo.js";
+import { sequence } from "../kernel/sequence.js";
+import type { Step } from "../kernel/step.js";
+import { getSlicePath } from "../lookups/getSlicePath.js";
+import type { OwnershipMessage } from "../messages/ownershipMessage.js";
+import type { FormerHolder } from "../rows/formerHolder.js";
+import type { HostState } from "../state/hostState.js";
+
+/**
+ * Tells the deciders which former holders of slices have stopped, as far as this host can prove it: by the server's word,
+ * or, for a server that does not check orders, that this host sends it nothing more. Repeated until the rows say so.
+ */
+export function reportStops(state: HostState, server: ServerId, now: Milliseconds): Step {
+    const row = state.servers[server]?.value;
+    const grant = state.grants[server];
+    if (!row || !grant) {
+        return { state, effects: [] };
+    }
+    const messages: [FormerHolder, OwnershipMessage, string][] = [];
+    for (const slice of Object.values(state.slices[row.service]?.byName ?? {})) {
+        for (const former of slice.former) {
+            const path = getSlicePath(row.service, former.slice);
+            const isHere = former.server === server && former.incarnation === grant.incarnation;
+            const isStopped = (grant.fenced[path] ?? 0) >= former.fence;
+            const isIdle = (state.inFlight[server]?.[path] ?? 0) === 0;
+            const by = row.checksOrders ? "server" : "grantor";
+            if (isHere && former.epoch === row.epoch && (row.checksOrders ? isStopped : isIdle)) {
+                const { incarnation, fence } = former;
+                const message: OwnershipMessage = {
+                    kind: "sliceStopped",
+                    service: row.service,
+                    slice: former.slice,
+                    fence,
+                    server,
+                    incarnation,
+                    by,
+                };
+                messages.push([former, message, slice.home]);
+            }
+        }
+    }
+    return sequence(
+        state,
+        ...messages.map(([, message, home]) => (current: HostState) =>
+            sendToDecider(current, home, message, now)
+        ),
+    );
+}
+
+function sendToDecider(state: HostState, home: string, message: OwnershipMessage, now: Milliseconds): Step {
+    const decider = state.deciders[home as keyof HostState["deciders"]];
+    return decider ? sendTo(state, decider.identity.host, message, now) : { state, effects: [] };
+}
--- /dev/null
+++ b/packages/ownership/src/grantor/sendReports.ts
@@ -0,0 +1,67 @@
+import type { HostId, Milliseconds } from "@arbutusdoor/common";
+import { sendTo } from "../kernel/sendTo.js";
+import { sequence } from "../kernel/sequence.js";
+import type { Step } from "../kernel/step.js";
+import type { ServerReport } from "../messages/serverReport.js";
+import type { ServerRow } from "../rows/serverRow.js";
+import type { Grant } from "../state/grant.js";
+import type { HostState } from "../state/hostState.js";
+import { isGrantorOf } from "./isGrantorOf.js";
+
+/** Reports servers to the decider of their data centre: at once when something changed, and at an interval. */
+export function sendReports(state: HostState, now: Milliseconds): Step {
+    const isDue = (grant: Grant) =>
+        now >= grant.nextReportAt || isSuspect(state, grant, now) !== grant.isReportedSuspect;
+    const due = Object.values(state.grants).filter(isDue);
+    return sequence(state, ...due.map(grant => (current: HostState) => sendReport(current, grant, now)));
+}
+
+function isSuspect(state: HostState, grant: Grant, now: Milliseconds): boolean {
+    return now - grant.repliedAt >= state.settings.suspectAfterMs
+        || grant.isRefused
+        || grant.otherIncarnation !== undefined;
+}
+
+function sendReport(state: HostState, grant: Grant, now: Milliseconds): Step {
+    const row = state.servers[grant.server]!.value;
+    const decider = state.deciders[row.dataCentre]?.identity.host;
+    if (!decider) {
+        return { state, effects: [] };
+    }
+    const timed = {
+        ...grant,
+        nextReportAt: now + state.settings.reportIntervalMs,
+        isReportedSuspect: isSuspect(state, grant, now),
+    };
+    const next = { ...state, grants: { ...state.grants, [grant.server]: timed } };
+    const report = newReport(state, grant, now);
+    return sequence(
+        next,
+        current => sendTo(current, decider, { kind: "serverReport", report }, now),
+        current => sendRetired(current, row, decider, now),
+    );
+}
+
+/** A host that a change of the list drops says when nothing of its own is under way to the server any more. */
+function sendRetired(state: HostState, row: ServerRow, decider: HostId, now: Milliseconds): Step {
+    const isRetiring = row.change !== undefined && !isGrantorOf(row.change, state.self);
+    const isIdle = Object.values(state.inFlight[row.server] ?? {}).every(count => count === 0);
+    if (!row.change || !isRetiring || !isIdle) {
+        return { state, effects: [] };
+    }
+    const { listVersion } = row.change;
+    return sendTo(state, decider, { kind: "retired", server: row.server, listVersion }, now);
+}
+
+function newReport(state: HostState, grant: Grant, now: Milliseconds): ServerReport {
+    return {
+        server: grant.server,
+        incarnation: grant.incarnation,
+        ...(grant.otherIncarnation === undefined ? {} : { otherIncarnation: grant.otherIncarnation }),
+        listVersion: grant.listVersion,
+        epoch: grant.acknowledgedEpoch,
+        isLeaving: grant.isLeaving,
+        isSuspect: isSuspect(state, grant, now),
+        silence: now - grant.repliedAt,
+    };
+}
--- /dev/null
+++ b/packages/ownership/src/grantor/syncGrant.ts
@@ -0,0 +1,82 @@
+import type { Milliseconds } from "@arbutusdoor/common";
+import type { ServerRow } from "../rows/serverRow.js";
+import type { Grant } from "../state/grant.js";
+import type { HostState } from "../state/hostState.js";
+import { isGrantorOf } from "./isGrantorOf.js";
+
+/** Begins, changes or ends this host's part as grantor of a server after the server's row has changed. */
+export function syncGrant(
+    state: HostState,
+    before: ServerRow | undefined,
+    row: ServerRow,
+    now: Milliseconds,
+): HostState {
+    const { [row.server]: known, ...others } = state.grants;
+    const versions = getListVersions(state, row);
+    if (versions.length === 0) {
+        return { ...state, grants: others };
+    }
+    const versionsBefore = before ? getListVersions(state, before) : [];
+    const isContinuous = versions.some(version => versionsBefore.includes(version));
+    const grant = known && isContinuous
+        ? updateGrant(known, row, now)
+        : newGrant(state, row, now, known?.boundUntil ?? 0);
+    return { ...state, grants: { ...others, [row.server]: grant } };
+}
+
+/** Versions of the lists that hold this host. A gap between two rows may hide a time in which it was no grantor. */
+function getListVersions(state: HostState, row: ServerRow): readonly number[] {
+    return [row.list, row.change].flatMap(list =>
+        list && isGrantorOf(list, state.self) ? [list.listVersion] : []
+    );
+}
+
+function newGrant(state: HostState, row: ServerRow, now: Milliseconds, boundUntil: Milliseconds): Grant {
+    return {
+        server: row.server,
+        incarnation: row.incarnation,
+        epoch: row.epoch,
+        since: state.counter,
+        learntAt: now,
+        readings: [],
+        boundUntil,
+        freshUntil: 0,
+        repliedAt: now,
+        listVersion: 0,
+        acknowledgedEpoch: 0,
+        taken: {},
+        fenced: {},
+        otherIncarnation: undefined,
+        isLeaving: false,
+        isRefused: false,
+        orderSentAt: undefined,
+        nextOrderAt: now,
+        nextReportAt: now,
+        isReportedSuspect: false,
+    };
+}
+
+function updateGrant(grant: Grant, row: ServerRow, now: Milliseconds): Grant {
+    const awake = { ...grant, nextOrderAt: now, nextReportAt: now };
+    if (grant.incarnation !== row.incarnation) {
+        return {
+            ...awake,
+            incarnation: row.incarnation,
+            epoch: row.epoch,
+            learntAt: now,
+            readings: [],
+            freshUntil: 0,
+            repliedAt: now,
+            listVersion: 0,
+            acknowledgedEpoch: 0,
+            taken: {},
+            fenced: {},
+            otherIncarnation: undefined,
+            isLeaving: false,
+            isRefused: false,
+        };
+    }
+    return grant.epoch === row.epoch
+        ? awake
+        : { ...awake, epoch: row.epoch, freshUntil: 0, taken: {}, fenced: {} };
+}
--- /dev/null
+++ b/packages/ownership/src/grantor/takeReply.ts
@@ -0,0 +1,91 @@
+import type { Milliseconds, ServerId } from "@arbutusdoor/common";
+import type { Order, OrderOutcome, OrderReply } from "@arbutusdoor/platform";
+import type { Step } from "../kernel/step.js";
+import type { Grant } from "../state/grant.js";
+import type { HostState } from "../state/hostState.js";
+import { noteReading } from "./noteReading.js";
+import { noteSlices } from "./noteSlices.js";
+import { reportStops } from "./reportStops.js";
+
+/** Takes the outcome of an order to a server of which this host is grantor. */
+export function takeReply(
+    state: HostState,
+    order: Order,
+    sentAt: Milliseconds,
+    outcome: OrderOutcome,
+    now: Milliseconds,
+): Step {
+    const grant = state.grants[order.server];
+    if (!grant) {
+        return { state, effects: [] };
+    }
+    const isNewest = grant.orderSentAt === sentAt;
+    const ended: Grant = isNewest ? { ...grant, orderSentAt: undefined } : grant;
+    if (outcome.kind !== "reply") {
+        const isRefused = outcome.kind === "refused";
+        const wake = isRefused && !grant.isRefused ? { nextReportAt: now } : {};
+        return { state: setGrant(state, { ...ended, isRefused, ...wake }), effects: [] };
+    }
+    const { reply } = outcome;
+    if (reply.incarnation !== grant.incarnation) {
+        return { state: setGrant(state, noteOther(ended, reply, sentAt, now)), effects: [] };
+    }
+    const answered = noteReply(state, ended, order, reply, sentAt, now);
+    const adopted = setGrant(state, answered);
+    const isStale = reply.epoch > grant.epoch || isListBehind(adopted, order.server, reply);
+    return reportStops(isStale ? wantScan(adopted, now) : adopted, order.server, now);
+}
+
+function noteReply(
+    state: HostState,
+    grant: Grant,
+    order: Order,
+    reply: OrderReply,
+    sentAt: Milliseconds,
+    now: Milliseconds,
+): Grant {
+    const read = noteReading(state, grant, order, reply, sentAt, now);
+    const noted = noteSlices(read, order, reply, now);
+    const isNews = reply.isLeaving !== grant.isLeaving
+        || reply.listVersion > grant.listVersion
+        || reply.epoch > grant.acknowledgedEpoch;
+    return {
+        ...noted,
+        repliedAt: Math.max(grant.repliedAt, sentAt),
+        listVersion: Math.max(grant.listVersion, reply.listVersion),
+        acknowledgedEpoch: Math.max(grant.acknowledgedEpoch, reply.epoch),
+        isLeaving: reply.isLeaving,
+        isRefused: false,
+        otherIncarnation: undefined,
+        nextReportAt: isNews ? now : noted.nextReportAt,
+    };
+}
+
+/** Another run answers at the server's address. A reply to an order from before this host learnt of the present run is old. */
+function noteOther(grant: Grant, reply: OrderReply, sentAt: Milliseconds, now: Milliseconds): Grant {
+    if (sentAt <= grant.learntAt || sentAt <= grant.repliedAt) {
+        return grant;
+    }
+    const isNews = grant.otherIncarnation !== reply.incarnation;
+    return {
+        ...grant,
+        otherIncarnation: reply.incarnation,
+        isRefused: false,
+        nextReportAt: isNews ? now : grant.nextReportAt,
+    };
+}
+
+function isListBehind(state: HostState, server: ServerId, reply: OrderReply): boolean {
+    const row = state.servers[server]?.value;
+    const newest = row?.change?.listVersion ?? row?.list.listVersion ?? 0;
+    return reply.listVersion > newest;
+}
+
+function wantScan(state: HostState, now: Milliseconds): HostState {
+    const soon = now + state.settings.reportIntervalMs;
+    return { ...state, table: { ...state.table, nextScanAt: Math.min(state.table.nextScanAt, soon) } };
+}
+
+function setGrant(state: HostState, grant: Grant): HostState {
+    return { ...state, grants: { ...state.grants, [grant.server]: grant } };
+}
--- /dev/null
+++ b/packages/ownership/src/kernel/settle.ts
@@ -0,0 +1,21 @@
+import type { Milliseconds } from "@arbutusdoor/common";
+import { plan } from "../decider/plan.js";
+import { sendOrders } from "../grantor/sendOrders.js";
+import { sendReports } from "../grantor/sendReports.js";
+import { settleBars } from "../grantor/settleBars.js";
+import type { HostState } from "../state/hostState.js";
+import { scanRows } from "../table/scanRows.js";
+import { sequence } from "./sequence.js";
+import type { Step } from "./step.js";
+
+/** Decisions that follow from the state itself, whatever changed it. */
+export function settle(state: HostState, now: Milliseconds, isTick: boolean): Step {
+    return sequence(
+        state,
+        current => settleBars(current, now),
+        current => current.isPlanDue || isTick ? plan(current, now) : { state: current, effects: [] },
+        current => sendOrders(current, now),
+        current => sendReports(current, now),
+        current => scanRows(current, now),
+    );
+}
--- /dev/null
+++ b/packages/ownership/src/lookups/mayServe.ts
@@ -0,0 +1,59 @@
+import {
+    type Milliseconds,
+    newRefusal,
+    type Refusal,
+    type ServerId,
+    type ServiceId,
+    type SliceId,
+} from "@arbutusdoor/common";
+import type { Slice } from "../rows/slice.js";
+import type { HostState } from "../state/hostState.js";
+import { getSlicePath } from "./getSlicePath.js";
+import { isBarred } from "./isBarred.js";
+import { isGrantReady } from "./isGrantReady.js";
+
+/**
+ * Whether this host, as grantor, may send a request of a slice to a server now; `undefined` when it may, else the refusal.
+ * To be asked right before the request is handed to the network.
+ */
+export function mayServe(
+    state: HostState,
+    server: ServerId,
+    service: ServiceId,
+    slice: SliceId,
+    generation: number,
+    now: Milliseconds,
+): Refusal | undefined {
+    const row = state.servers[server]?.value;
+    const grant = state.grants[server];
+    if (!row || !grant || isRetiring(state, server)) {
+        return newRefusal("staleOwner", "this host may not send to the server");
+    }
+    const known = findSlice(state, service, slice);
+    if (known?.generation !== generation || known.owner?.server !== server) {
+        return newRefusal("staleOwner", "the key has another owner by now");
+    }
+    if (known.former.length > 0) {
+        return newRefusal("ownerMoving", "the key is on its way to another server");
+    }
+    const isOwner = known.owner.epoch === row.epoch && known.owner.incarnation === row.incarnation;
+    if (!isOwner || grant.epoch !== row.epoch) {
+        return newRefusal("noOwner", "the server that owned the key was lost");
+    }
+    if (isBarred(state, server) || now >= grant.freshUntil || !isGrantReady(state, grant)) {
+        return newRefusal("ownerUnreachable", "the server's lease is not fresh on this host");
+    }
+    if (row.checksOrders && grant.taken[getSlicePath(service, slice)] !== generation) {
+        return newRefusal("noOwner", "the server has not taken the key yet");
+    }
+    return undefined;
+}
+
+function findSlice(state: HostState, service: ServiceId, slice: SliceId): Slice | undefined {
+    return state.slices[service]?.byName[slice];
+}
+
+function isRetiring(state: HostState, server: ServerId): boolean {
+    const change = state.servers[server]?.value.change;
+    return change !== undefined && !change.grantors.some(grantor => grantor.host === state.self.host);
+}
--- /dev/null
+++ b/packages/ownership/src/messages/takeBar.ts
@@ -0,0 +1,53 @@
+import type { Milliseconds } from "@arbutusdoor/common";
+import type { Step } from "../kernel/step.js";
+import { ROW_KEYS } from "../rows/rowKeys.js";
+import type { Bar } from "../state/bar.js";
+import type { HostIdentity } from "../state/hostIdentity.js";
+import type { HostState } from "../state/hostState.js";
+import type { OwnershipMessage } from "./ownershipMessage.js";
+
+const BARS_PER_SERVER = 16;
+
+/** Takes a decider's bar; it is answered when it can be. A repeat of a confirmed bar is confirmed again. */
+export function takeBar(
+    state: HostState,
+    from: HostIdentity,
+    message: Extract<OwnershipMessage, { kind: "bar"; }>,
+    now: Milliseconds,
+): Step {
+    const { server, incarnation, barId, basisVersion } = message;
+    const row = state.servers[server];
+    if (row && row.version > basisVersion) {
+        const newer = { key: ROW_KEYS.server(server), version: row.version, value: row.value };
+        return {
+            state,
+            effects: from.host === state.self.host
+                ? []
+                : [{ kind: "sendPeer", to: from.host, message: { kind: "rows", rows: [newer] } }],
+        };
+    }
+    const bars = state.bars[server] ?? [];
+    const isSame = (bar: Bar) =>
+        bar.decider.host === from.host && bar.decider.incarnation === from.incarnation;
+    const known = bars.find(isSame);
+    const isOld = known !== undefined
+        && (known.barId > barId || (known.barId === barId && known.state !== "confirmed"));
+    const others = bars.filter(bar => !isSame(bar));
+    if (isOld || others.length >= BARS_PER_SERVER) {
+        return { state, effects: [] };
+    }
+    const bar: Bar = { decider: from, barId, basisVersion, incarnation, receivedAt: now, state: "pending" };
+    if (known?.barId === barId) {
+        return { state, effects: [confirm(from, message)] };
+    }
+    return { state: { ...state, bars: { ...state.bars, [server]: [...others, bar] } }, effects: [] };
+}
+
+function confirm(from: HostIdentity, message: Extract<OwnershipMessage, { kind: "bar"; }>) {
+    const { server, barId, basisVersion } = message;
+    return {
+        kind: "sendPeer",
+        to: from.host,
+        message: { kind: "barConfirmed", server, barId, basisVersion },
+    } as const;
+}
--- /dev/null
+++ b/packages/ownership/src/messages/takeBarAnswer.ts
@@ -0,0 +1,35 @@
+import type { Milliseconds } from "@arbutusdoor/common";
+import { abandonRound } from "../decider/abandonRound.js";
+import { getMembers } from "../decider/getMembers.js";
+import type { Step } from "../kernel/step.js";
+import type { HostIdentity } from "../state/hostIdentity.js";
+import type { HostState } from "../state/hostState.js";
+import type { OwnershipMessage } from "./ownershipMessage.js";
+
+/** Takes a grantor's answer to a bar of this host's present round. */
+export function takeBarAnswer(
+    state: HostState,
+    from: HostIdentity,
+    message: Extract<OwnershipMessage, { kind: "barConfirmed" | "barRefused"; }>,
+    now: Milliseconds,
+): Step {
+    const { server, barId } = message;
+    const round = state.decider.rounds[server];
+    const row = state.servers[server]?.value;
+    if (!round || !row || round.barId !== barId) {
+        return { state, effects: [] };
+    }
+    if (message.kind === "barRefused") {
+        return abandonRound(state, server, now);
+    }
+    const isMember = getMembers(row).some(member =>
+        member.host === from.host && member.incarnation === from.incarnation
+    );
+    const isKnown = round.confirmed.includes(from.host);
+    if (!isMember || isKnown || message.basisVersion !== round.basisVersion) {
+        return { state, effects: [] };
+    }
+    const confirmed = [...round.confirmed, from.host];
+    const rounds = { ...state.decider.rounds, [server]: { ...round, confirmed } };
+    return { state: { ...state, isPlanDue: true, decider: { ...state.decider, rounds } }, effects: [] };
+}
--- /dev/null
+++ b/packages/ownership/src/messages/takeDeciderHere.ts
@@ -0,0 +1,32 @@
+import type { Milliseconds } from "@arbutusdoor/common";
+import type { Step } from "../kernel/step.js";
+import type { HostIdentity } from "../state/hostIdentity.js";
+import type { HostState } from "../state/hostState.js";
+import type { OwnershipMessage } from "./ownershipMessage.js";
+
+/** Notes who decides for a data centre. A new decider gets all reports at once. */
+export function takeDeciderHere(
+    state: HostState,
+    from: HostIdentity,
+    message: Extract<OwnershipMessage, { kind: "deciderHere"; }>,
+    now: Milliseconds,
+): Step {
+    const { dataCentre, term } = message;
+    const known = state.deciders[dataCentre];
+    if (known && known.term > term) {
+        return { state, effects: [] };
+    }
+    const isOwn = dataCentre === state.self.dataCentre;
+    const isNew = known?.identity.incarnation !== from.incarnation;
+    const deciders = { ...state.deciders, [dataCentre]: { identity: from, term, heardAt: now } };
+    const decider = isOwn ? { ...state.decider, heardAt: now } : state.decider;
+    const next = { ...state, deciders, decider };
+    return { state: isNew ? reportAll(next, now) : next, effects: [] };
+}
+
+function reportAll(state: HostState, now: Milliseconds): HostState {
+    const grants = Object.fromEntries(
+        Object.entries(state.grants).map(([server, grant]) => [server, { ...grant, nextReportAt: now }]),
+    );
+    return { ...state, grants };
+}
--- /dev/null
+++ b/packages/ownership/src/messages/takeReport.ts
@@ -0,0 +1,25 @@
+import type { Milliseconds } from "@arbutusdoor/common";
+import { abandonRound } from "../decider/abandonRound.js";
+import type { Step } from "../kernel/step.js";
+import type { HostIdentity } from "../state/hostIdentity.js";
+import type { HostState } from "../state/hostState.js";
+import type { ServerReport } from "./serverReport.js";
+
+/** Notes what a grantor sees of a server. One that answers ends a round of bars against it. */
+export function takeReport(
+    state: HostState,
+    from: HostIdentity,
+    report: ServerReport,
+    now: Milliseconds,
+): Step {
+    const known = state.decider.reports[report.server] ?? {};
+    const heard = { from, heardAt: now, report };
+    const reports = { ...state.decider.reports, [report.server]: { ...known, [from.host]: heard } };
+    const noted = { ...state, isPlanDue: true, decider: { ...state.decider, reports } };
+    const round = state.decider.rounds[report.server];
+    const hasAnswered = round !== undefined
+        && report.incarnation === round.incarnation
+        && !report.isSuspect
+        && known[from.host]?.report.isSuspect === true;
+    return hasAnswered ? abandonRound(noted, report.server, now) : { state: noted, effects: [] };
+}
--- /dev/null
+++ b/packages/ownership/src/messages/takeRetired.ts
@@ -0,0 +1,25 @@
+import { getMembers } from "../decider/getMembers.js";
+import type { Step } from "../kernel/step.js";
+import type { HostIdentity } from "../state/hostIdentity.js";
+import type { HostState } from "../state/hostState.js";
+import type { OwnershipMessage } from "./ownershipMessage.js";
+
+/** Notes that a host which a grantor list drops sends the server nothing more. */
+export function takeRetired(
+    state: HostState,
+    from: HostIdentity,
+    message: Extract<OwnershipMessage, { kind: "retired"; }>,
+): Step {
+    const { server, listVersion } = message;
+    const row = state.servers[server]?.value;
+    const isMember = row
+        && getMembers(row).some(member =>
+            member.host === from.host && member.incarnation === from.incarnation
+        );
+    if (!isMember) {
+        return { state, effects: [] };
+    }
+    const known = state.decider.retired[server] ?? {};
+    const retired = { ...state.decider.retired, [server]: { ...known, [from.host]: listVersion } };
+    return { state: { ...state, isPlanDue: true, decider: { ...state.decider, retired } }, effects: [] };
+}
--- /dev/null
+++ b/packages/ownership/src/messages/takeSliceStopped.ts
@@ -0,0 +1,25 @@
+import { getStopPath } from "../decider/getStopPath.js";
+import type { Step } from "../kernel/step.js";
+import type { HostIdentity } from "../state/hostIdentity.js";
+import type { HostState } from "../state/hostState.js";
+import type { OwnershipMessage } from "./ownershipMessage.js";
+
+/** Notes a stop proof of a former holder that the rows name; others are of no use. */
+export function takeSliceStopped(
+    state: HostState,
+    from: HostIdentity,
+    message: Extract<OwnershipMessage, { kind: "sliceStopped"; }>,
+): Step {
+    const path = getStopPath(message.service, message);
+    const name = `${from.host}/${from.incarnation}`;
+    const known = state.decider.stops[path] ?? [];
+    const slices = Object.values(state.slices[message.service]?.byName ?? {});
+    const isAsked = slices.some(slice =>
+        slice.former.some(former => getStopPath(message.service, former) === path)
+    );
+    if (!isAsked || known.includes(name)) {
+        return { state, effects: [] };
+    }
+    const stops = { ...state.decider.stops, [path]: [...known, name] };
+    return { state: { ...state, isPlanDue: true, decider: { ...state.decider, stops } }, effects: [] };
+}
--- /dev/null
+++ b/packages/ownership/src/rows/deciderRow.ts
@@ -0,0 +1,18 @@
+import type { DataCentreId, HostId, HostIncarnation } from "@arbutusdoor/common";
+import { z } from "zod";
+
+/** Value of a decider row. It only prevents that two hosts decide at cross purposes; safety rests on compare-and-set. */
+const DeciderRow = z.object({
+    dataCentre: z.string().transform(name => name as DataCentreId),
+    host: z.string().transform(name => name as HostId),
+    incarnation: z.string().transform(name => name as HostIncarnation),
+    /** Grows with each change of the host. */
+    term: z.int(),
+    /** True when the host gave the role up and another may claim it at once. */
+    isReleased: z.boolean(),
+    operationId: z.string(),
+});
+
+type DeciderRow = Readonly<z.infer<typeof DeciderRow>>;
+
+export { DeciderRow };
--- /dev/null
+++ b/packages/ownership/src/rows/grantorList.ts
@@ -0,0 +1,15 @@
+import type { HostId, HostIncarnation } from "@arbutusdoor/common";
+import { z } from "zod";
+
+/** Entry hosts that may renew a server's lease, under a version that only grows. */
+const GrantorList = z.object({
+    listVersion: z.int(),
+    grantors: z.array(z.object({
+        host: z.string().transform(name => name as HostId),
+        incarnation: z.string().transform(name => name as HostIncarnation),
+    })).readonly(),
+});
+
+type GrantorList = Readonly<z.infer<typeof GrantorList>>;
+
+export { GrantorList };
--- /dev/null
+++ b/packages/ownership/src/settings/ownershipSettings.ts
@@ -0,0 +1,55 @@
+import { z } from "zod";
+
+/** Settings of the ownership kernel; every time is in milliseconds. */
+const OwnershipSettings = z.strictObject({
+    /** Time between two renewals of a server's lease by one grantor. */
+    renewIntervalMs: z.int().min(10).max(60_000).default(200),
+    /** Validity of a renewal, counted from the server's own clock reading. */
+    leaseMs: z.int().min(50).max(600_000).default(600),
+    /** Longest wait for a server's reply to an order. */
+    orderTimeoutMs: z.int().min(10).max(60_000).default(150),
+    /** Silence after which a grantor suspects a server. */
+    suspectAfterMs: z.int().min(20).max(600_000).default(300),
+    /** Largest difference in rate between two clocks, in parts per million. */
+    clockDriftPpm: z.int().min(0).max(100_000).default(1000),
+    /** Entry hosts that may renew one server's lease. */
+    grantorsPerServer: z.int().min(1).max(7).default(3),
+    /** Time after the loss of a peer link before the peer is replaced as grantor. */
+    grantorLossMs: z.int().min(0).max(600_000).default(500),
+    /** Time between a grantor's reports about a server to the decider. */
+    reportIntervalMs: z.int().min(10).max(60_000).default(400),
+    /** Time without a renewed decider row after which another host claims it. */
+    deciderLeaseMs: z.int().min(100).max(600_000).default(1200),
+    /** Time between two renewals of the decider row. */
+    deciderRenewMs: z.int().min(20).max(600_000).default(400),
+    /** Time between two announcements of the decider to its peers. */
+    beatIntervalMs: z.int().min(10).max(60_000).default(200),
+    /** Time between two repeats of an unanswered bar. */
+    barRepeatMs: z.int().min(10).max(60_000).default(100),
+    /** Mean time between two scans of all rows by one host. */
+    tableReadIntervalMs: z.int().min(100).max(3_600_000).default(5000),
+    /** Time after which a table call without a result counts as unknown. */
+    tableTimeoutMs: z.int().min(50).max(600_000).default(2000),
+    /** First wait after a table failure; doubles up to the longest, with jitter. */
+    tableBackoffMinMs: z.int().min(1).max(60_000).default(50),
+    /** Longest wait after a table failure. */
+    tableBackoffMaxMs: z.int().min(1).max(600_000).default(2000),
+    /** Transactions of one host under way at a time. */
+    transactionsInProgress: z.int().min(1).max(1000).default(16),
+    /** Rows of one transaction. */
+    rowsPerTransaction: z.int().min(2).max(1000).default(32),
+    /** Slices of one assignment row when a service is first divided. */
+    slicesPerShard: z.int().min(1).max(4096).default(64),
+    /** Planned moves of one service under way at a time. */
+    movesInProgress: z.int().min(1).max(65_536).default(256),
+    /** Moves and splits that wait for their turn. */
+    wantedMoves: z.int().min(1).max(65_536).default(256),
+    /** Slices named in one order, to take or to fence. */
+    slicesPerOrder: z.int().min(1).max(65_536).default(512),
+    /** Wait for the remaining declared servers before a service's slices are first assigned. */
+    firstAssignmentDelayMs: z.int().min(0).max(600_000).default(2000),
+});
+
+type OwnershipSettings = z.infer<typeof OwnershipSettings>;
+
+export { OwnershipSettings };
--- /dev/null
+++ b/packages/ownership/src/state/deciderRole.ts
@@ -0,0 +1,38 @@
+import type { HostId, Milliseconds, RowKey, ServerId, ServiceId } from "@arbutusdoor/common";
+import type { AttestedRow } from "../rows/attestedRow.js";
+import type { DeciderRow } from "../rows/deciderRow.js";
+import type { Versioned } from "../rows/versioned.js";
+import type { HeardReport } from "./heardReport.js";
+import type { Probe } from "./probe.js";
+import type { Round } from "./round.js";
+import type { WantedChange } from "./wantedChange.js";
+
+/** What this host keeps as decider of its data centre, or as one that may become it. */
+export type DeciderRole = {
+    /** Whether this host wrote the newest version of the row that it knows. */
+    readonly isHeld: boolean;
+    readonly row: Versioned<DeciderRow> | undefined;
+    /** When this host first saw that version. */
+    readonly rowSeenAt: Milliseconds;
+    /** When the row was last read or written. */
+    readonly checkedAt: Milliseconds;
+    readonly nextCheckAt: Milliseconds;
+    readonly nextBeatAt: Milliseconds;
+    /** When a decider was last heard, or this host began to listen. */
+    readonly heardAt: Milliseconds;
+    readonly nextPlanAt: Milliseconds;
+    /** Newest report of each grantor about each server. */
+    readonly reports: Readonly<Record<ServerId, Readonly<Record<HostId, HeardReport>>>>;
+    readonly rounds: Readonly<Record<ServerId, Round>>;
+    /** Time before which no new round begins, by server. */
+    readonly roundsAfter: Readonly<Record<ServerId, Milliseconds>>;
+    /** Hosts that gave a stop proof (the server's own word is kept under its grantor's name), by stop path. */
+    readonly stops: Readonly<Record<string, readonly string[]>>;
+    /** Newest list version from which each host has retired, by server. */
+    readonly retired: Readonly<Record<ServerId, Readonly<Record<HostId, number>>>>;
+    readonly probes: Readonly<Record<ServerId, Probe>>;
+    readonly attested: Readonly<Record<RowKey, Versioned<AttestedRow>>>;
+    readonly wanted: readonly WantedChange[];
+    /** When servers of a service without assignment were first seen. */
+    readonly seenSince: Readonly<Record<ServiceId, Milliseconds>>;
+};
--- /dev/null
+++ b/packages/ownership/src/state/hostIdentity.ts
@@ -0,0 +1,10 @@
+import type { DataCentreId, HostId, HostIncarnation } from "@arbutusdoor/common";
+
+/** One run of an entry host. */
+export type HostIdentity = {
+    readonly host: HostId;
+    readonly incarnation: HostIncarnation;
+    readonly dataCentre: DataCentreId;
+    /** IP number and port of its peer links. */
+    readonly address: string;
+};
--- /dev/null
+++ b/packages/ownership/src/state/hostState.ts
@@ -0,0 +1,41 @@
+import type { DataCentreId, HostId, Milliseconds, RowKey, ServerId, ServiceId } from "@arbutusdoor/common";
+import type { Declaration } from "@arbutusdoor/configuration";
+import type { AssignmentRow } from "../rows/assignmentRow.js";
+import type { ServerRow } from "../rows/serverRow.js";
+import type { Versioned } from "../rows/versioned.js";
+import type { OwnershipSettings } from "../settings/ownershipSettings.js";
+import type { Bar } from "./bar.js";
+import type { DeciderRole } from "./deciderRole.js";
+import type { Grant } from "./grant.js";
+import type { HostIdentity } from "./hostIdentity.js";
+import type { Peer } from "./peer.js";
+import type { SeenDecider } from "./seenDecider.js";
+import type { SliceIndex } from "./sliceIndex.js";
+import type { TableWork } from "./tableWork.js";
+
+/** All that the ownership kernel of one entry host knows. Plain immutable data; nothing of it outlives the process. */
+export type HostState = {
+    readonly self: HostIdentity;
+    readonly settings: OwnershipSettings;
+    readonly configuration: { readonly version: number; readonly declaration: Declaration; } | undefined;
+    readonly peers: Readonly<Record<HostId, Peer>>;
+    /** Newest known rows of the table service. */
+    readonly assignments: Readonly<Record<RowKey, Versioned<AssignmentRow>>>;
+    readonly servers: Readonly<Record<ServerId, Versioned<ServerRow>>>;
+    readonly slices: Readonly<Record<ServiceId, SliceIndex>>;
+    /** Servers whose lease this host renews. */
+    readonly grants: Readonly<Record<ServerId, Grant>>;
+    readonly bars: Readonly<Record<ServerId, readonly Bar[]>>;
+    /** Requests that this host has under way as grantor, by server and slice path. */
+    readonly inFlight: Readonly<Record<ServerId, Readonly<Record<string, number>>>>;
+    readonly deciders: Readonly<Record<DataCentreId, SeenDecider>>;
+    readonly decider: DeciderRole;
+    readonly table: TableWork;
+    /** Count of decisions so far: orders events within this run and makes ids that are unique within it. */
+    readonly counter: number;
+    readonly isResigning: boolean;
+    /** Whether something changed that the decider has to plan for. */
+    readonly isPlanDue: boolean;
+    /** Time of the newest input. */
+    readonly updatedAt: Milliseconds;
+};
--- /dev/null
+++ b/packages/ownership/src/state/newHostState.ts
@@ -0,0 +1,58 @@
+import type { OwnershipSettings } from "../settings/ownershipSettings.js";
+import type { DeciderRole } from "./deciderRole.js";
+import type { HostIdentity } from "./hostIdentity.js";
+import type { HostState } from "./hostState.js";
+import type { TableWork } from "./tableWork.js";
+
+const NEW_DECIDER_ROLE: DeciderRole = {
+    isHeld: false,
+    row: undefined,
+    rowSeenAt: 0,
+    checkedAt: 0,
+    nextCheckAt: 0,
+    nextBeatAt: 0,
+    heardAt: 0,
+    nextPlanAt: 0,
+    reports: {},
+    rounds: {},
+    roundsAfter: {},
+    stops: {},
+    retired: {},
+    probes: {},
+    attested: {},
+    wanted: [],
+    seenSince: {},
+};
+
+const NEW_TABLE_WORK: TableWork = {
+    transactions: {},
+    uncertain: [],
+    reads: {},
+    scanned: {},
+    nextScanAt: 0,
+    failures: 0,
+    backoffUntil: 0,
+};
+
+/** State of a host that has just started and knows nothing yet. */
+export function newHostState(self: HostIdentity, settings: OwnershipSettings): HostState {
+    return {
+        self,
+        settings,
+        configuration: undefined,
+        peers: {},
+        assignments: {},
+        servers: {},
+        slices: {},
+        grants: {},
+        bars: {},
+        inFlight: {},
+        deciders: {},
+        decider: NEW_DECIDER_ROLE,
+        table: NEW_TABLE_WORK,
+        counter: 0,
+        isResigning: false,
+        isPlanDue: true,
+        updatedAt: 0,
+    };
+}
--- /dev/null
+++ b/packages/ownership/src/state/restoreHostState.ts
@@ -0,0 +1,18 @@
+import { InputError } from "@arbutusdoor/common";
+import type { HostState } from "./hostState.js";
+import { newHostState } from "./newHostState.js";
+
+/**
+ * Reads back a state that was written as JSON, to look into a session.
+ * A daemon never starts from one: its promises ended with its process.
+ * Throws InputError when the text is not such a state.
+ */
+export function restoreHostState(json: string): HostState {
+    const value = JSON.parse(json) as HostState;
+    const empty = newHostState(value.self, value.settings);
+    const missing = Object.keys(empty).filter(name => name !== "configuration" && !(name in value));
+    if (missing.length > 0) {
+        throw new InputError(`the snapshot has no ${missing.join(", ")}`);
+    }
+    return { ...empty, ...value };
+}
--- /dev/null
+++ b/packages/ownership/src/state/sliceIndex.ts
@@ -0,0 +1,11 @@
+import type { SliceId } from "@arbutusdoor/common";
+import type { Slice } from "../rows/slice.js";
+
+/** All known slices of a service, ready for look-ups. */
+export type SliceIndex = {
+    /** Ranges in order of their first position. */
+    readonly ranges: readonly Slice[];
+    /** Slices of a single key, by key. */
+    readonly keys: Readonly<Record<string, Slice>>;
+    readonly byName: Readonly<Record<SliceId, Slice>>;
+};
--- /dev/null
+++ b/packages/ownership/src/table/adoptAssignment.ts
@@ -0,0 +1,62 @@
+import type { Milliseconds, ServiceId, SliceId } from "@arbutusdoor/common";
+import type { Row } from "@arbutusdoor/platform";
+import type { Step } from "../kernel/step.js";
+import { getSlicePath } from "../lookups/getSlicePath.js";
+import { AssignmentRow } from "../rows/assignmentRow.js";
+import type { Slice } from "../rows/slice.js";
+import type { Grant } from "../state/grant.js";
+import type { HostState } from "../state/hostState.js";
+import type { SliceIndex } from "../state/sliceIndex.js";
+
+/** Takes a committed assignment row into the state, unless a newer one is known. */
+export function adoptAssignment(state: HostState, row: Row, now: Milliseconds): Step {
+    const known = state.assignments[row.key];
+    const parsed = AssignmentRow.safeParse(row.value);
+    if (!parsed.success || row.version <= (known?.version ?? 0)) {
+        return { state, effects: [] };
+    }
+    const assignments = { ...state.assignments, [row.key]: { version: row.version, value: parsed.data } };
+    const { service } = parsed.data;
+    const slices = { ...state.slices, [service]: newSliceIndex(assignments, service) };
+    const grants = wakeGrants(state, parsed.data, now);
+    return { state: { ...state, assignments, slices, grants, isPlanDue: true }, effects: [] };
+}
+
+function newSliceIndex(assignments: HostState["assignments"], service: ServiceId): SliceIndex {
+    const slices = Object.values(assignments)
+        .filter(({ value }) => value.service === service)
+        .flatMap(({ value }) => value.slices);
+    const ranges = slices.filter(slice => slice.key === undefined);
+    const single = slices.filter(slice => slice.key !== undefined);
+    return {
+        ranges: ranges.sort((left, right) => left.from - right.from),
+        keys: Object.fromEntries(single.map(slice => [slice.key, slice])),
+        byName: Object.fromEntries(slices.map(slice => [slice.slice, slice])) as Record<SliceId, Slice>,
+    };
+}
+
+/** Servers that the row concerns get an order at once. */
+function wakeGrants(state: HostState, row: AssignmentRow, now: Milliseconds): HostState["grants"] {
+    const concerned = new Set<string>();
+    for (const { owner, former } of row.slices) {
+        if (owner) {
+            concerned.add(owner.server);
+        }
+        former.forEach(holder => concerned.add(holder.server));
+    }
+    const wake = (grant: Grant) =>
+        concerned.has(grant.server) ? { ...grant, nextOrderAt: now, taken: pruneTaken(grant, row) } : grant;
+    return Object.fromEntries(Object.entries(state.grants).map(([name, grant]) => [name, wake(grant)]));
+}
+
+/** What the server holds without the slices of the row that it no longer is to hold at that generation. */
+function pruneTaken(grant: Grant, row: AssignmentRow): Grant["taken"] {
+    const taken = { ...grant.taken };
+    for (const { slice, owner, generation } of row.slices) {
+        const path = getSlicePath(row.service, slice);
+        if (owner?.server !== grant.server || taken[path] !== generation) {
+            delete taken[path];
+        }
+    }
+    return taken;
+}
--- /dev/null
+++ b/packages/ownership/src/table/adoptAttested.ts
@@ -0,0 +1,18 @@
+import type { Row } from "@arbutusdoor/platform";
+import type { Step } from "../kernel/step.js";
+import { AttestedRow } from "../rows/attestedRow.js";
+import type { HostState } from "../state/hostState.js";
+
+/** Takes an operator's attestation into the state. */
+export function adoptAttested(state: HostState, row: Row): Step {
+    const parsed = AttestedRow.safeParse(row.value);
+    const known = state.decider.attested[row.key];
+    if (!parsed.success || row.version <= (known?.version ?? 0)) {
+        return { state, effects: [] };
+    }
+    const attested = { ...state.decider.attested, [row.key]: { version: row.version, value: parsed.data } };
+    return {
+        state: { ...state, decider: { ...state.decider, attested }, isPlanDue: true },
+        effects: [{ kind: "log", event: "lossAttested", fields: { row: row.key } }],
+    };
+}
--- /dev/null
+++ b/packages/ownership/src/table/adoptDecider.ts
@@ -0,0 +1,40 @@
+import type { Milliseconds } from "@arbutusdoor/common";
+import type { Row } from "@arbutusdoor/platform";
+import type { Step } from "../kernel/step.js";
+import { DeciderRow } from "../rows/deciderRow.js";
+import type { HostState } from "../state/hostState.js";
+
+/** Takes the decider row of this host's data centre into the state: whether this host holds the role is what the row says. */
+export function adoptDecider(state: HostState, row: Row, now: Milliseconds): Step {
+    const parsed = DeciderRow.safeParse(row.value);
+    const known = state.decider.row;
+    if (!parsed.success || row.version <= (known?.version ?? 0)) {
+        return { state: { ...state, decider: { ...state.decider, checkedAt: now } }, effects: [] };
+    }
+    const { host, incarnation, isReleased, term } = parsed.data;
+    const isSelf = host === state.self.host && incarnation === state.self.incarnation;
+    const isHeld = isSelf && !isReleased;
+    const decider = {
+        ...state.decider,
+        isHeld,
+        row: { version: row.version, value: parsed.data },
+        rowSeenAt: now,
+        checkedAt: now,
+    };
+    const event = getEvent(state.decider.isHeld, isHeld);
+    return {
+        state: {
+            ...state,
+            decider: isHeld ? decider : { ...decider, rounds: {}, wanted: [] },
+            isPlanDue: true,
+        },
+        effects: event ? [{ kind: "log", event, fields: { term } }] : [],
+    };
+}
+
+function getEvent(wasHeld: boolean, isHeld: boolean) {
+    if (wasHeld === isHeld) {
+        return undefined;
+    }
+    return isHeld ? "deciderElected" as const : "deciderLost" as const;
+}
--- /dev/null
+++ b/packages/ownership/src/table/adoptRows.ts
@@ -0,0 +1,31 @@
+import type { Milliseconds } from "@arbutusdoor/common";
+import type { Row } from "@arbutusdoor/platform";
+import { sequence } from "../kernel/sequence.js";
+import type { Step } from "../kernel/step.js";
+import { ROW_KEYS } from "../rows/rowKeys.js";
+import type { HostState } from "../state/hostState.js";
+import { adoptAssignment } from "./adoptAssignment.js";
+import { adoptAttested } from "./adoptAttested.js";
+import { adoptDecider } from "./adoptDecider.js";
+import { adoptServer } from "./adoptServer.js";
+
+/** Takes committed rows into the state; of each row the highest version stays. */
+export function adoptRows(state: HostState, rows: readonly Row[], now: Milliseconds): Step {
+    return sequence(state, ...rows.map(row => (current: HostState) => adoptRow(current, row, now)));
+}
+
+function adoptRow(state: HostState, row: Row, now: Milliseconds): Step {
+    if (row.key.startsWith(ROW_KEYS.assignmentPrefix)) {
+        return adoptAssignment(state, row, now);
+    }
+    if (row.key.startsWith(ROW_KEYS.serverPrefix)) {
+        return adoptServer(state, row, now);
+    }
+    if (row.key === ROW_KEYS.decider(state.self.dataCentre)) {
+        return adoptDecider(state, row, now);
+    }
+    if (row.key.startsWith(ROW_KEYS.attestedPrefix)) {
+        return adoptAttested(state, row);
+    }
+    return { state, effects: [] };
+}
--- /dev/null
+++ b/packages/ownership/src/table/announceRows.ts
@@ -0,0 +1,23 @@
+import type { Row } from "@arbutusdoor/platform";
+import type { Step } from "../kernel/step.js";
+import { ROW_KEYS } from "../rows/rowKeys.js";
+import type { HostState } from "../state/hostState.js";
+
+/** Tells all peers about committed rows of assignments and servers. */
+export function announceRows(state: HostState, rows: readonly Row[]): Step {
+    const shared = rows.filter(({ key }) =>
+        key.startsWith(ROW_KEYS.assignmentPrefix) || key.startsWith(ROW_KEYS.serverPrefix)
+    );
+    const peers = Object.values(state.peers).filter(peer => peer.isUp);
+    if (shared.length === 0) {
+        return { state, effects: [] };
+    }
+    return {
+        state,
+        effects: peers.map(peer => ({
+            kind: "sendPeer",
+            to: peer.identity.host,
+            message: { kind: "rows", rows: shared },
+        })),
+    };
+}
--- /dev/null
+++ b/packages/ownership/src/table/endRead.ts
@@ -0,0 +1,45 @@
+import type { Milliseconds } from "@arbutusdoor/common";
+import type { TableRead } from "@arbutusdoor/platform";
+import { sequence } from "../kernel/sequence.js";
+import type { Step } from "../kernel/step.js";
+import { ROW_KEYS } from "../rows/rowKeys.js";
+import type { HostState } from "../state/hostState.js";
+import { adoptRows } from "./adoptRows.js";
+import { noteTableFailure } from "./noteTableFailure.js";
+import { noteTableSuccess } from "./noteTableSuccess.js";
+
+/** Takes the result of a read. A result that comes after the read was given up still brings its rows, but proves no freshness. */
+export function endRead(state: HostState, tag: string, outcome: TableRead, now: Milliseconds): Step {
+    const { [tag]: read, ...reads } = state.table.reads;
+    const closed = { ...state, table: { ...state.table, reads } };
+    if (outcome.kind === "unavailable") {
+        return noteTableFailure(closed, outcome.reason, now);
+    }
+    return sequence(
+        closed,
+        noteTableSuccess,
+        current => adoptRows(current, outcome.rows, now),
+        current => ({
+            state: read ? noteFreshness(current, read, outcome.rows.length, now) : current,
+            effects: [],
+        }),
+    );
+}
+
+type Read = HostState["table"]["reads"][string];
+
+function noteFreshness(state: HostState, read: Read, rowCount: number, now: Milliseconds): HostState {
+    const { table } = state;
+    if (read.prefix !== undefined) {
+        const count = Math.max(table.scanned[read.prefix] ?? 0, read.count);
+        return {
+            ...state,
+            isPlanDue: true,
+            table: { ...table, scanned: { ...table.scanned, [read.prefix]: count } },
+        };
+    }
+    const uncertain = table.uncertain.filter(key => !read.keys?.includes(key));
+    const isDecider = read.keys?.includes(ROW_KEYS.decider(state.self.dataCentre)) && rowCount > 0;
+    const decider = isDecider ? { ...state.decider, checkedAt: now } : state.decider;
+    return { ...state, decider, isPlanDue: true, table: { ...table, uncertain } };
+}
