--- /dev/null
+++ b/packages/standins/src/backendServer/serverEntry.ts
@@ -0,0 +1,36 @@
+/** An entry of a backend server's journal. Times are wall-clock times in ms; an `until` or `ended` that is absent is still open. */
+export type ServerEntry =
+    | {
+        readonly kind: "owned";
+        /** Name of the slice: `service/slice`. */
+        readonly slice: string;
+        readonly generation: number;
+        readonly from: number;
+        readonly until: number;
+    }
+    | {
+        readonly kind: "run";
+        readonly requestId: string;
+        readonly idempotencyKey: string | undefined;
+        readonly slice: string | undefined;
+        readonly generation: number | undefined;
+        readonly method: string;
+        readonly path: string;
+        readonly started: number;
+        readonly ended: number | undefined;
+        readonly result: "running" | "completed" | "cancelled";
+        readonly bodyBytes: number;
+        readonly bodySha256: string;
+    }
+    | {
+        readonly kind: "refused";
+        readonly time: number;
+        readonly requestId: string;
+        readonly reason: "shed" | "stale" | "leaving" | "abandoned";
+    }
+    | {
+        readonly kind: "orderRefused";
+        readonly time: number;
+        readonly from: string;
+        readonly reason: string;
+    };
--- /dev/null
+++ b/packages/standins/src/common/faults.ts
@@ -0,0 +1,29 @@
+import { z } from "zod";
+
+/** Failures that a stand-in brings about on demand; each posted object replaces the one before. */
+const Faults = z.strictObject({
+    /** `refused` closes the port; `unavailable` answers 503 to everything. */
+    down: z.enum(["no", "refused", "unavailable"]).default("no"),
+    /** Time in ms that each request waits before it is taken up. */
+    slowMs: z.int().min(0).max(600_000).default(0),
+    /** Requests whose effect takes place while their answer is lost with the connection. */
+    answerLostAfterCommit: z.int().min(0).default(0),
+    /** Accepts connections and answers nothing; on waking it takes up what was buffered. */
+    isFrozen: z.boolean().default(false),
+    /** Whether the server's own clock stands still while it is frozen. */
+    stopsClock: z.boolean().default(false),
+    /** Time in ms by which the host list lags behind what was written to it. */
+    staleMs: z.int().min(0).max(600_000).default(0),
+    /** Whether the load figures are those of an idle server. */
+    liesAboutLoad: z.boolean().default(false),
+    /** Time in ms from now during which the server works slowly. */
+    coldStartMs: z.int().min(0).max(600_000).default(0),
+    /** Share of requests that are refused as not run. */
+    sheddingRate: z.number().min(0).max(1).default(0),
+    /** Whether the server says that it is leaving. */
+    isLeaving: z.boolean().default(false),
+});
+
+type Faults = z.infer<typeof Faults>;
+
+export { Faults };
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,9 @@
-export {};
+export * from "./backendServer/backendSettings.js";
+export * from "./backendServer/backendStandIn.js";
+export * from "./backendServer/serverEntry.js";
+export * from "./common/faults.js";
+export * from "./common/place.js";
+export * from "./common/standIn.js";
+export * from "./hostList/hostListStandIn.js";
+export * from "./objectStore/objectStandIn.js";
+export * from "./tableService/tableStandIn.js";
