--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -52,6 +52,8 @@
 export * from "./matching/getPathSegments.js";
 export * from "./newConfigurationVersion.js";
 export * from "./offeredConfiguration.js";
+export * from "./samples/newAqabaDeclaration.js";
+export * from "./samples/newLimaDeclaration.js";
 export * from "./store/configurationHead.js";
 export * from "./store/configurationHistory.js";
 export * from "./store/configurationKeys.js";
--- /dev/null
+++ b/packages/configuration/src/samples/newAqabaDeclaration.ts
@@ -0,0 +1,106 @@
+import type { Declaration } from "../declaration/declaration.js";
+import type { Server } from "../declaration/server.js";
+import { dataCentre } from "../library/dataCentre.js";
+import { declaration } from "../library/declaration.js";
+import { objective } from "../library/objective.js";
+import { requestClass } from "../library/requestClass.js";
+import { route } from "../library/route.js";
+import { service } from "../library/service.js";
+import { newSampleServers } from "./newSampleServers.js";
+
+const UPLOAD_LIMIT_BYTES = 268_435_456;
+const SLOTS = 4;
+const CONNECTIONS = 110;
+
+/** Sample: the Aqaba Windgate Kite Reports Gateway, with the sizes of today. */
+export function newAqabaDeclaration(): Declaration {
+    const dataCentres = [dataCentre("aqaba-north"), dataCentre("aqaba-south"), dataCentre("aqaba-port")];
+    return declaration({
+        tenant: "aqaba",
+        dataCentres,
+        services: [newGustboard(), newShorepermit(), newLoghold()],
+        servers: [
+            ...newServers("gustboard", 20, 1, dataCentres),
+            ...newServers("shorepermit", 6, 2, dataCentres),
+            ...newServers("loghold", 6, 3, dataCentres),
+        ],
+    });
+}
+
+function newGustboard(): ReturnType<typeof service> {
+    const reading = requestClass("read", {
+        methods: ["GET", "HEAD"],
+        isIdempotent: true,
+        deadlineMs: 800,
+        priority: 20,
+        retries: 2,
+    });
+    const reporting = requestClass("report", {
+        methods: ["PUT"],
+        isIdempotent: true,
+        deadlineMs: 2_000,
+        priority: 50,
+    });
+    return service("gustboard", {
+        kind: "keyed",
+        classes: [reading, reporting],
+        slices: 64,
+        routes: [route("beach-windgate", "gustboard-01")],
+        objective: objective({
+            imbalance: 0.6,
+            churn: 0.2,
+            unavailability: 0.2,
+            patienceMs: 0,
+            restMs: 30_000,
+        }),
+    });
+}
+
+function newShorepermit(): ReturnType<typeof service> {
+    const reading = requestClass("read", {
+        methods: ["GET", "HEAD"],
+        isIdempotent: true,
+        deadlineMs: 1_000,
+        priority: 20,
+        retries: 2,
+    });
+    const filing = requestClass("once", {
+        methods: ["POST"],
+        isIdempotent: false,
+        deadlineMs: 5_000,
+        priority: 90,
+        retries: 1,
+        intentOutage: "refuse",
+    });
+    return service("shorepermit", { kind: "pooled", classes: [reading, filing] });
+}
+
+function newLoghold(): ReturnType<typeof service> {
+    const upload = requestClass("upload", {
+        methods: ["PUT"],
+        isIdempotent: true,
+        deadlineMs: 120_000,
+        priority: 60,
+        bodyLimitBytes: UPLOAD_LIMIT_BYTES,
+        progressTimeoutMs: 15_000,
+    });
+    const reading = requestClass("read", {
+        methods: ["GET", "HEAD"],
+        isIdempotent: true,
+        deadlineMs: 10_000,
+        priority: 30,
+    });
+    return service("loghold", { kind: "pooled", classes: [upload, reading] });
+}
+
+function newServers(name: string, count: number, network: number, dataCentres: string[]): Server[] {
+    return newSampleServers({
+        service: name,
+        count,
+        network: `10.1.${network}`,
+        port: 8_080,
+        dataCentres,
+        slots: SLOTS,
+        connections: CONNECTIONS,
+    });
+}
--- /dev/null
+++ b/packages/configuration/src/samples/newLimaDeclaration.ts
@@ -0,0 +1,105 @@
+import type { Declaration } from "../declaration/declaration.js";
+import type { Server } from "../declaration/server.js";
+import { dataCentre } from "../library/dataCentre.js";
+import { declaration } from "../library/declaration.js";
+import { objective } from "../library/objective.js";
+import { requestClass } from "../library/requestClass.js";
+import { service } from "../library/service.js";
+import { newSampleServers } from "./newSampleServers.js";
+
+const UPLOAD_LIMIT_BYTES = 536_870_912;
+const SLOTS = 3;
+const CONNECTIONS = 50;
+
+/** Sample: the Cuerdas Vivas Luthier Booking Gateway, with the sizes of today. */
+export function newLimaDeclaration(): Declaration {
+    const dataCentres = ["lima-a", "lima-b", "lima-c", "lima-d"].map(dataCentre);
+    return declaration({
+        tenant: "cuerdas-vivas",
+        dataCentres,
+        services: [newAgenda(), newReservas(), newTallerFotos()],
+        servers: [
+            ...newServers("agenda", 20, 1, dataCentres),
+            ...newServers("reservas", 10, 2, dataCentres),
+            ...newServers("taller-fotos", 8, 3, dataCentres),
+        ],
+    });
+}
+
+function newAgenda(): ReturnType<typeof service> {
+    const reading = requestClass("read", {
+        methods: ["GET", "HEAD"],
+        isIdempotent: true,
+        deadlineMs: 1_000,
+        priority: 20,
+        retries: 2,
+    });
+    const booking = requestClass("once", {
+        methods: ["POST"],
+        isIdempotent: false,
+        deadlineMs: 5_000,
+        priority: 90,
+    });
+    return service("agenda", {
+        kind: "keyed",
+        classes: [reading, booking],
+        slices: 64,
+        objective: objective({
+            imbalance: 0.2,
+            churn: 0.4,
+            unavailability: 0.4,
+            patienceMs: 500,
+            restMs: 300_000,
+            movesPerMinute: 4,
+        }),
+    });
+}
+
+function newReservas(): ReturnType<typeof service> {
+    const reading = requestClass("read", {
+        methods: ["GET", "HEAD"],
+        isIdempotent: true,
+        deadlineMs: 1_000,
+        priority: 20,
+        retries: 2,
+    });
+    const deposit = requestClass("once", {
+        methods: ["POST"],
+        isIdempotent: false,
+        deadlineMs: 8_000,
+        priority: 95,
+        retries: 1,
+        intentOutage: "refuse",
+    });
+    return service("reservas", { kind: "pooled", classes: [reading, deposit] });
+}
+
+function newTallerFotos(): ReturnType<typeof service> {
+    const upload = requestClass("upload", {
+        methods: ["PUT"],
+        isIdempotent: true,
+        deadlineMs: 120_000,
+        priority: 60,
+        bodyLimitBytes: UPLOAD_LIMIT_BYTES,
+        progressTimeoutMs: 20_000,
+    });
+    const reading = requestClass("read", {
+        methods: ["GET", "HEAD"],
+        isIdempotent: true,
+        deadlineMs: 5_000,
+        priority: 30,
+    });
+    return service("taller-fotos", { kind: "pooled", classes: [upload, reading] });
+}
+
+function newServers(name: string, count: number, network: number, dataCentres: string[]): Server[] {
+    return newSampleServers({
+        service: name,
+        count,
+        network: `10.2.${network}`,
+        port: 8_080,
+        dataCentres,
+        slots: SLOTS,
+        connections: CONNECTIONS,
+    });
+}
--- /dev/null
+++ b/packages/tool/src/commands/failOnAsk.ts
@@ -0,0 +1,16 @@
+import type { AskOutcome } from "../client/askOutcome.js";
+import type { ExitName } from "../exitCodes.js";
+import type { CommandContext } from "./commandContext.js";
+
+type Failure = Exclude<AskOutcome<unknown>, { kind: "answer"; }>;
+
+/** Reports a call that only reads and got no answer. */
+export function failOnAsk(context: CommandContext, outcome: Failure): ExitName {
+    if (outcome.kind === "refused") {
+        const { host, reason } = outcome;
+        return context.fail("refused", { kind: "refused", host, reason }, [`${host} refused: ${reason}`]);
+    }
+    const reasons = outcome.failures.map(({ host, reason }) => `${host}: ${reason}`);
+    const lines = reasons.map(reason => `  ${reason}`);
+    return context.fail("unreachable", { kind: "unreachable", reasons }, ["no host answered:", ...lines]);
+}
--- /dev/null
+++ b/packages/tool/src/commands/getLateHosts.ts
@@ -0,0 +1,11 @@
+import type { SystemStatus } from "@arbutusdoor/configuration";
+
+/** Hosts that did not confirm a version, the answering host included. */
+export function getLateHosts(status: SystemStatus, version: number): string[] {
+    const lateHosts = status.hosts.filter(host => host.version < version).map(({ host }) => host);
+    const isAnsweringLate = (status.configuration?.version ?? 0) < version;
+    if (isAnsweringLate && !lateHosts.includes(status.host)) {
+        lateHosts.push(status.host);
+    }
+    return lateHosts.sort();
+}
--- /dev/null
+++ b/packages/tool/src/commands/index.ts
@@ -0,0 +1,9 @@
+import "./attestLostCommand.js";
+import "./checkCommand.js";
+import "./diffCommand.js";
+import "./drainCommand.js";
+import "./explainCommand.js";
+import "./initCommand.js";
+import "./statusCommand.js";
+import "./submitCommand.js";
+import "./watchCommand.js";
--- /dev/null
+++ b/packages/tool/src/commands/watchCommand.ts
@@ -0,0 +1,137 @@
+import type { Clock, Milliseconds, Timer } from "@arbutusdoor/common";
+import { WatchEvent } from "@arbutusdoor/configuration";
+import { createInterface } from "node:readline";
+import type { Readable } from "node:stream";
+import type { CallFailure } from "../client/callFailure.js";
+import { getFailure } from "../client/getFailure.js";
+import { getReason } from "../client/getReason.js";
+import type { ExitName } from "../exitCodes.js";
+import { Command } from "./command.js";
+import type { CommandContext } from "./commandContext.js";
+import { commands } from "./commands.js";
+import { failOnAsk } from "./failOnAsk.js";
+
+const WATCH_CALL = { method: "GET", path: "/v1/watch" } as const;
+const SUCCESS_STATUS = 200;
+const MAX_EVENTS = 1_000_000_000;
+
+/** Prints events of one host as they happen. */
+export class WatchCommand extends Command {
+    override readonly name = "watch";
+    override readonly synopsis = "";
+    override readonly description = "Print the events of the first host that answers, until interrupted";
+    override readonly options = [{ flag: "--count <events>", description: "Stop after so many events" }];
+
+    override async run(context: CommandContext): Promise<ExitName> {
+        const count = context.getInteger("count", 1, MAX_EVENTS) ?? MAX_EVENTS;
+        const failures: CallFailure[] = [];
+        for (const host of context.getClient().hosts) {
+            const result = await watchHost(context, host, count);
+            if (typeof result === "string") {
+                return result;
+            }
+            failures.push(result);
+        }
+        return failOnAsk(context, { kind: "unreachable", failures });
+    }
+}
+
+/** Watches one host; a failure before the first answer is returned, so that the next host can be tried. */
+async function watchHost(
+    context: CommandContext,
+    host: string,
+    count: number,
+): Promise<ExitName | CallFailure> {
+    const client = context.getClient();
+    const abortion = new AbortController();
+    const watchdog = new Watchdog(context.clock, client.timeoutMs, () => abortion.abort());
+    try {
+        const answer = await client.send(host, WATCH_CALL, abortion.signal);
+        if (answer.statusCode !== SUCCESS_STATUS) {
+            const reason = getReason(answer.statusCode, await answer.body.json());
+            return failOnAsk(context, { kind: "refused", host, json: undefined, reason });
+        }
+        return await printEvents(context, host, answer.body, count, watchdog);
+    }
+    catch (error) {
+        return getFailure(host, error, client.timeoutMs);
+    }
+    finally {
+        watchdog.cancel();
+        abortion.abort();
+    }
+}
+
+async function printEvents(
+    context: CommandContext,
+    host: string,
+    body: Readable,
+    count: number,
+    watchdog: Watchdog,
+): Promise<ExitName> {
+    let printed = 0;
+    try {
+        for await (const line of createInterface({ input: body })) {
+            watchdog.reset();
+            printed += printEvent(context, line) ? 1 : 0;
+            if (printed === count) {
+                return "done";
+            }
+        }
+    }
+    catch {
+        // The stream broke off; the words below say so.
+    }
+    const reason = `${host} ended the stream after ${printed} events`;
+    return context.fail("unreachable", { kind: "ended", host, printed }, [reason]);
+}
+
+function printEvent(context: CommandContext, line: string): boolean {
+    if (line === "") {
+        return false;
+    }
+    const event = WatchEvent.safeParse(parseLine(line));
+    if (!event.success) {
+        context.fail("unreachable", { kind: "unreadable", line }, [`an event cannot be read: ${line}`]);
+        return true;
+    }
+    const { at, event: name, fields } = event.data;
+    const details = Object.entries(fields).map(([field, value]) => `${field}=${value}`);
+    context.report(event.data, [[new Date(at).toISOString(), name, ...details].join(" ")]);
+    return true;
+}
+
+function parseLine(line: string): unknown {
+    try {
+        return JSON.parse(line);
+    }
+    catch {
+        return undefined;
+    }
+}
+
+/** Acts when a stream shows no sign of life for a while. */
+class Watchdog {
+    private readonly clock: Clock;
+    private readonly limitMs: Milliseconds;
+    private readonly act: () => void;
+    private timer: Timer | undefined;
+
+    constructor(clock: Clock, limitMs: Milliseconds, act: () => void) {
+        this.clock = clock;
+        this.limitMs = limitMs;
+        this.act = act;
+        this.reset();
+    }
+
+    reset(): void {
+        this.timer?.cancel();
+        this.timer = this.clock.schedule(this.limitMs, this.act);
+    }
+
+    cancel(): void {
+        this.timer?.cancel();
+    }
+}
+
+commands.register(new WatchCommand());
