--- /dev/null
+++ b/packages/bench/src/systems/keyedSystem.ts
@@ -0,0 +1,137 @@
+import {
+    type Clock,
+    type HostId,
+    Metrics,
+    newRefusal,
+    type Refusal,
+    type ServerId,
+    type SliceId,
+} from "@arbutusdoor/common";
+import { type Job, ServerQueue, ServerQueueSettings, type Submission } from "@arbutusdoor/policy";
+import { Link } from "../simulation/link.js";
+import type { SimulatedRequest } from "../simulation/simulatedRequest.js";
+import type { SimulatedServer } from "../simulation/simulatedServer.js";
+import type { RequestOutcome } from "../statistics/requestOutcome.js";
+import { CallerWait } from "./callerWait.js";
+import { PlainQueue } from "./plainQueue.js";
+import type { QueueMode } from "./queueMode.js";
+import type { SliceMap } from "./sliceMap.js";
+
+const RELAY_HOP_MS = 1;
+const GRANTOR = "grantor" as HostId;
+
+/** How requests of a keyed service reach their server in a run. */
+type KeyedSettings = {
+    /** Through one queue at the server's grantor, or straight from each entry host through a queue of its own. */
+    readonly mode: "relay" | "direct";
+    /** Requests that one queue lets to the server at a time. */
+    readonly limit: number;
+    readonly queueMode: QueueMode;
+};
+
+type Path = {
+    readonly link: Link;
+    readonly queue: { submit<Value>(job: Job<Value>): Promise<Submission<Value>>; };
+};
+
+/** The entry hosts of a keyed service, with the real queue. */
+export class KeyedSystem {
+    /** Slices that are on their way and refused meanwhile. */
+    readonly moving = new Set<SliceId>();
+    onServed: ((request: SimulatedRequest, slice: SliceId, duration: number) => void) | undefined;
+    private readonly clock: Clock;
+    private readonly settings: KeyedSettings;
+    private readonly servers: ReadonlyMap<ServerId, SimulatedServer>;
+    private readonly slices: SliceMap;
+    private readonly paths = new Map<string, Path>();
+
+    constructor(
+        clock: Clock,
+        servers: readonly SimulatedServer[],
+        slices: SliceMap,
+        settings: KeyedSettings,
+    ) {
+        this.clock = clock;
+        this.servers = new Map(servers.map(server => [server.id, server]));
+        this.slices = slices;
+        this.settings = settings;
+    }
+
+    /** Handles one request that arrived at an entry host. */
+    async handle(request: SimulatedRequest, host: HostId): Promise<RequestOutcome> {
+        const slice = this.slices.getSlice(request.key);
+        if (this.moving.has(slice)) {
+            return this.newOutcome(request, newRefusal("ownerMoving", ""));
+        }
+        const wait = new CallerWait(this.clock, request.deadlineAt);
+        const isRelayed = this.settings.mode === "relay";
+        if (isRelayed) {
+            await this.clock.sleep(RELAY_HOP_MS);
+        }
+        const path = this.getPath(isRelayed ? GRANTOR : host, this.slices.getOwner(slice));
+        const submission = await this.submit(request, slice, path, wait.signal);
+        wait.end();
+        if (isRelayed) {
+            await this.clock.sleep(RELAY_HOP_MS);
+        }
+        return this.newOutcome(
+            request,
+            submission.kind === "refusal" ? submission.refusal : submission.value,
+        );
+    }
+
+    private submit(
+        request: SimulatedRequest,
+        slice: SliceId,
+        { link, queue }: Path,
+        signal: AbortSignal,
+    ): Promise<Submission<Refusal | undefined>> {
+        const { classId, priority, isIdempotent } = request.profile;
+        return queue.submit({
+            id: String(request.id),
+            classId,
+            priority,
+            isIdempotent,
+            deadlineAt: request.deadlineAt,
+            signal,
+            run: () => this.send(request, slice, link, signal),
+        });
+    }
+
+    private async send(
+        request: SimulatedRequest,
+        slice: SliceId,
+        link: Link,
+        signal: AbortSignal,
+    ): Promise<Refusal | undefined> {
+        const startedAt = this.clock.now();
+        const end = await link.send(request, signal);
+        this.onServed?.(request, slice, this.clock.now() - startedAt);
+        if (end.kind === "answered") {
+            return undefined;
+        }
+        return newRefusal(end.kind === "notRun" ? "serverRefused" : "deadlineAfterStart", "");
+    }
+
+    private newOutcome(request: SimulatedRequest, refusal: Refusal | undefined): RequestOutcome {
+        const kind = refusal?.outcome ?? "answered";
+        return { request, kind, reason: refusal?.reason ?? "", at: this.clock.now() };
+    }
+
+    private getPath(host: HostId, server: ServerId): Path {
+        const name = `${host}/${server}`;
+        let path = this.paths.get(name);
+        if (!path) {
+            path = { link: new Link(this.clock, this.servers.get(server)!), queue: this.newQueue() };
+            this.paths.set(name, path);
+        }
+        return path;
+    }
+
+    private newQueue(): Path["queue"] {
+        const { limit, queueMode } = this.settings;
+        return queueMode === "plain"
+            ? new PlainQueue(limit)
+            : new ServerQueue(this.clock, new Metrics(), limit, ServerQueueSettings.parse({}));
+    }
+}
