--- a/packages/daemon/src/entry/sendRefusal.ts
+++ b/packages/daemon/src/entry/sendRefusal.ts
@@ -11,17 +11,18 @@
         return;
     }
     const { status, retry } = REFUSAL_REASONS[refusal.reason];
+    const outcome = refusal.outcome === "notRun" ? "not-run" : refusal.outcome;
     const problem = {
         type: `urn:arbutusdoor:reason:${refusal.reason}`,
         title: refusal.reason,
         status,
         detail: refusal.detail,
-        outcome: refusal.outcome,
+        outcome,
         requestId,
     };
     response.writeHead(status, {
         "content-type": "application/problem+json",
-        [OUTCOME_HEADERS.OUTCOME]: refusal.outcome === "notRun" ? "not-run" : refusal.outcome,
+        [OUTCOME_HEADERS.OUTCOME]: outcome,
         [OUTCOME_HEADERS.REASON]: refusal.reason,
         [OUTCOME_HEADERS.REQUEST_ID]: requestId,
         ...(retry ? { "retry-after": String(RETRY_AFTER_SECONDS) } : {}),
--- a/packages/daemon/tests/settings.test.ts
+++ b/packages/daemon/tests/settings.test.ts
@@ -31,9 +31,25 @@
         operatorToken: "given-as-a-flag-16",
     };
     expect(() => readSettings(flags, { ARBUTUSDOOR_OPERATOR_TOKEN: "short-secret" }))
-        .toThrowErrorMatchingInlineSnapshot();
+        .toThrowErrorMatchingInlineSnapshot(`
+          [InputError: settings cannot be taken:
+            --colour: no such setting
+            --host (ARBUTUSDOOR_HOST): must be 1 to 63 lower-case letters, digits or hyphens
+            --caller-port (ARBUTUSDOOR_CALLER_PORT): Invalid input: expected number, received NaN
+            --seeds (ARBUTUSDOOR_SEEDS): must be IP numbers with ports, separated by commas
+            ARBUTUSDOOR_OPERATOR_TOKEN: must have 16 characters at least
+            --mesh-chunk-bytes (ARBUTUSDOOR_MESH_CHUNK_BYTES): Too small: expected number to be >=1024]
+        `);
 });
 
 test("what is required is said to be missing", () => {
-    expect(() => readSettings({}, {})).toThrowErrorMatchingInlineSnapshot();
+    expect(() => readSettings({}, {})).toThrowErrorMatchingInlineSnapshot(`
+      [InputError: settings cannot be taken:
+        --host (ARBUTUSDOOR_HOST): is required
+        --data-centre (ARBUTUSDOOR_DATA_CENTRE): is required
+        --table-service (ARBUTUSDOOR_TABLE_SERVICE): is required
+        --object-store (ARBUTUSDOOR_OBJECT_STORE): is required
+        --host-list (ARBUTUSDOOR_HOST_LIST): is required
+        ARBUTUSDOOR_OPERATOR_TOKEN: is required]
+    `);
 });
--- a/scripts/childProgram.ts
+++ b/scripts/childProgram.ts
@@ -11,6 +11,7 @@
     /** Last lines that the program printed. */
     readonly lines: string[] = [];
     private readonly child: ChildProcess;
+    private hasClosed = false;
     private readonly waiters = new Set<() => void>();
 
     constructor(
@@ -27,6 +28,10 @@
         this.collect(this.child.stdout!);
         this.collect(this.child.stderr!);
         this.child.once("exit", () => this.wake());
+        this.child.once("close", () => {
+            this.hasClosed = true;
+            this.wake();
+        });
     }
 
     /** Whether the process has ended. */
@@ -53,6 +58,13 @@
         }
     }
 
+    /** Resolves when the process has ended and all that it printed was read. */
+    async waitForEnd(): Promise<void> {
+        while (!this.hasClosed) {
+            await new Promise<void>(resolve => this.waiters.add(resolve));
+        }
+    }
+
     /** Sends a signal to the process. */
     signal(name: NodeJS.Signals): void {
         if (!this.hasEnded) {
--- a/scripts/localSystem.ts
+++ b/scripts/localSystem.ts
@@ -40,14 +40,14 @@
     /** Starts the table service, the object store and the host list. */
     async startPlatform(): Promise<void> {
         for (const name of ["tableService", "objectStore", "hostList"]) {
-            this.platform.set(name, await this.startStandIn(name, `${name}/${name}Main.js`, []));
+            this.platform.set(name, await this.startStandIn(name, `${name}Main.js`, []));
         }
     }
 
     /** Starts a backend server on a free or a given port. */
     async startServer(name: string, flags: readonly string[], port = 0): Promise<LocalServer> {
         const all = ["--server", name, ...flags];
-        const server = await this.startStandIn(name, "backendServer/backendServerMain.js", all, port);
+        const server = await this.startStandIn(name, "backendServerMain.js", all, port);
         this.servers.set(name, server);
         return server;
     }
