Balance: grantors report load by slice, the decider plans moves and splits

Cause: planning of moves stood apart from ownership. The gate records the slot time of each slice and key, grantors send it to the decider of their data centre, which asks the ownership kernel for planned moves. Ruled out: balancing across data centres (a slice's home alone may take it over).

--- /dev/null
+++ b/packages/daemon/src/balance/balancePlugin.ts
@@ -0,0 +1,85 @@
+import type { HostId, ServiceId, Timer } from "@arbutusdoor/common";
+import { CONFIGURATION } from "../configuration/configurationService.js";
+import type { Kernel } from "../kernel/kernel.js";
+import { Plugin } from "../kernel/plugin.js";
+import { plugins } from "../kernel/plugins.js";
+import { OWNERSHIP } from "../ownership/ownershipService.js";
+import { PEERS } from "../peers/peersService.js";
+import { Balancer } from "./balancer.js";
+import { LoadBook } from "./loadBook.js";
+import { LOAD_BOOK } from "./loadBookService.js";
+import { LoadMessage } from "./loadMessage.js";
+
+const TOPIC = "load";
+
+/** Collects load from grantors and has the decider balance it. */
+export class BalancePlugin extends Plugin {
+    override readonly name = "balance";
+    private kernel!: Kernel;
+    private book!: LoadBook;
+    private balancer!: Balancer;
+    private readonly timers = new Map<string, Timer>();
+
+    override install(kernel: Kernel): void {
+        const { clock, metrics, settings } = kernel;
+        const { balance, load, plan } = settings.groups;
+        this.kernel = kernel;
+        this.book = new LoadBook(clock, balance, load);
+        this.balancer = new Balancer({
+            clock,
+            metrics,
+            ownership: kernel.get(OWNERSHIP),
+            book: this.book,
+            settings: balance,
+            planSettings: plan,
+        });
+        kernel.provide(LOAD_BOOK, this.book);
+    }
+
+    override async start(): Promise<void> {
+        const { balance } = this.kernel.settings.groups;
+        this.kernel.get(PEERS).onTopic(TOPIC, (peer, content) => this.hear(peer.host, content));
+        this.kernel.get(CONFIGURATION).keeper.onAdopted(({ declaration }) =>
+            this.book.retain(new Set(declaration.services.map(service => service.name as ServiceId)))
+        );
+        this.repeat("report", balance.reportIntervalMs, () => this.report());
+        this.repeat("plan", balance.planIntervalMs, () => this.plan());
+    }
+
+    override async stop(): Promise<void> {
+        this.timers.forEach(timer => timer.cancel());
+    }
+
+    private report(): void {
+        const peers = this.kernel.get(PEERS);
+        const { deciders, self } = this.kernel.get(OWNERSHIP).state;
+        const decider = deciders[self.dataCentre]?.identity.host;
+        if (decider !== undefined && decider !== self.host) {
+            this.book.listOwn().forEach(message => peers.send(decider, TOPIC, message));
+        }
+    }
+
+    private hear(host: HostId, content: unknown): void {
+        const message = LoadMessage.safeParse(content);
+        if (message.success) {
+            this.book.hear(host, message.data.service, message.data.report);
+        }
+    }
+
+    private plan(): void {
+        const declaration = this.kernel.get(CONFIGURATION).current()?.declaration;
+        if (declaration) {
+            this.balancer.plan(declaration);
+        }
+    }
+
+    private repeat(name: string, interval: number, action: () => void): void {
+        const run = () => {
+            this.timers.set(name, this.kernel.clock.schedule(interval, run));
+            action();
+        };
+        this.timers.set(name, this.kernel.clock.schedule(interval, run));
+    }
+}
+
+plugins.register({ name: "balance", newPlugin: () => new BalancePlugin() });
--- /dev/null
+++ b/packages/daemon/src/balance/newMovePlanInput.ts
@@ -0,0 +1,71 @@
+import type { Milliseconds, ServerId, ServiceId } from "@arbutusdoor/common";
+import type { Declaration, Server, Service } from "@arbutusdoor/configuration";
+import { type HostState, listServerConditions, type Slice } from "@arbutusdoor/ownership";
+import type {
+    LoadReport,
+    MoveHistory,
+    MovePlanInput,
+    MovePlanSettings,
+    PlaceableServer,
+    PlacedSlice,
+} from "@arbutusdoor/policy";
+
+const HASH_SPAN = 2 ** 32;
+
+/** What a plan goes by besides the state of ownership. */
+type PlanBasis = {
+    readonly loads: LoadReport;
+    readonly history: MoveHistory;
+    /** When each server was first seen as the run that it is. */
+    readonly joinedAt: ReadonlyMap<ServerId, Milliseconds>;
+    readonly settings: MovePlanSettings;
+    readonly now: Milliseconds;
+};
+
+/** What a plan of moves within this host's data centre looks at; slices whose home is elsewhere are not in it. */
+export function newMovePlanInput(
+    state: HostState,
+    declaration: Declaration,
+    service: Service,
+    basis: PlanBasis,
+): MovePlanInput {
+    const slices = Object.values(state.slices[service.name as ServiceId]?.byName ?? {});
+    const assignment = slices
+        .filter(slice => slice.home === state.self.dataCentre)
+        .flatMap(slice => newPlacedSlice(slice, service));
+    const conditions = listServerConditions(state);
+    const servers = declaration.servers
+        .filter(server => server.service === service.name && server.dataCentre === state.self.dataCentre)
+        .map(server => newPlaceableServer(server, conditions.get(server.name as ServerId), basis));
+    const { history, loads, now, settings } = basis;
+    return { assignment, loads, servers, objective: service.objective, now, history, settings };
+}
+
+function newPlacedSlice(slice: Slice, service: Service): PlacedSlice[] {
+    if (!slice.owner) {
+        return [];
+    }
+    const isRoute = service.routes.some(route => route.key === slice.key);
+    return [{
+        slice: slice.slice,
+        server: slice.owner.server,
+        isPinned: isRoute || slice.former.length > 0,
+        isSingleKey: slice.key !== undefined,
+        keyShare: slice.key === undefined ? (slice.to - slice.from) / HASH_SPAN : 0,
+    }];
+}
+
+function newPlaceableServer(
+    { name, slots }: Server,
+    condition: PlaceableServer["state"] | undefined,
+    { joinedAt }: PlanBasis,
+): PlaceableServer {
+    const server = name as ServerId;
+    const joined = joinedAt.get(server);
+    return {
+        server,
+        slots,
+        state: condition ?? "silent",
+        ...(joined === undefined ? {} : { joinedAt: joined }),
+    };
+}
--- a/packages/daemon/src/kernel/newPlugins.ts
+++ b/packages/daemon/src/kernel/newPlugins.ts
@@ -4,6 +4,7 @@
 import "../configuration/configurationPlugin.js";
 import "../hosts/hostsPlugin.js";
 import "../ownership/ownershipPlugin.js";
+import "../balance/balancePlugin.js";
 import "../serving/servingPlugin.js";
 import "../monitor/monitorPlugin.js";
 import "../operator/operatorPlugin.js";
--- a/packages/daemon/src/ownership/ownershipPlugin.ts
+++ b/packages/daemon/src/ownership/ownershipPlugin.ts
@@ -1,5 +1,5 @@
 import type { ConfigurationVersion } from "@arbutusdoor/configuration";
-import { newHostState } from "@arbutusdoor/ownership";
+import { isResigned, newHostState } from "@arbutusdoor/ownership";
 import { CONFIGURATION } from "../configuration/configurationService.js";
 import type { Kernel } from "../kernel/kernel.js";
 import { Plugin } from "../kernel/plugin.js";
@@ -51,7 +51,7 @@
         const { clock, settings } = this.kernel;
         this.driver.dispatch({ kind: "resign" });
         const until = clock.now() + settings.readyDelayMs + settings.ownerWaitMs;
-        while (clock.now() < until && Object.keys(this.driver.state.grants).length > 0) {
+        while (clock.now() < until && !isResigned(this.driver.state)) {
             await clock.sleep(RESIGN_CHECK_MS);
         }
     }
--- a/packages/daemon/src/peers/controlTopic.ts
+++ b/packages/daemon/src/peers/controlTopic.ts
@@ -1,2 +1,2 @@
 /** Subjects of the control messages between entry hosts. */
-export type ControlTopic = "ownership" | "configuration";
+export type ControlTopic = "ownership" | "configuration" | "load";
--- a/packages/daemon/src/routing/pooledRouter.ts
+++ b/packages/daemon/src/routing/pooledRouter.ts
@@ -112,6 +112,7 @@
             server: serverId,
             address: server.address,
             slice: undefined,
+            key: undefined,
             method: request.method,
             path: request.path,
             headers: request.headers,
--- a/packages/daemon/src/serving/localRelay.ts
+++ b/packages/daemon/src/serving/localRelay.ts
@@ -60,6 +60,7 @@
             server: server.name as ServerId,
             address: server.address,
             slice,
+            key: request.key,
             method,
             path,
             headers,
--- a/packages/daemon/src/serving/serverGate.ts
+++ b/packages/daemon/src/serving/serverGate.ts
@@ -1,6 +1,6 @@
-import type { Clock, Metrics, ServerId } from "@arbutusdoor/common";
-import type { ClassId } from "@arbutusdoor/common";
+import type { ClassId, Clock, Metrics, ServerId } from "@arbutusdoor/common";
 import { ServerQueue, type ServerQueueSettings } from "@arbutusdoor/policy";
+import type { LoadBook } from "../balance/loadBook.js";
 import type { Answer } from "./answer.js";
 import { Deferred } from "./deferred.js";
 import type { ServerSender } from "./serverSender.js";
@@ -20,6 +20,7 @@
     private readonly serving: ServingPort;
     private readonly sender: ServerSender;
     private readonly queueSettings: ServerQueueSettings;
+    private readonly book: LoadBook;
     private readonly gates = new Map<ServerId, Gate>();
 
     constructor(
@@ -28,12 +29,14 @@
         serving: ServingPort,
         sender: ServerSender,
         queueSettings: ServerQueueSettings,
+        book: LoadBook,
     ) {
         this.clock = clock;
         this.metrics = metrics;
         this.serving = serving;
         this.sender = sender;
         this.queueSettings = queueSettings;
+        this.book = book;
     }
 
     /**
@@ -85,10 +88,15 @@
             return;
         }
         const end = request.slice && this.serving.beginRequest(request.server, request.slice);
+        const beganAt = this.clock.now();
         const { answer, ended } = await this.sender.send(request);
         head.resolve(answer);
         await ended;
         end?.();
+        if (request.slice && request.key !== undefined) {
+            const { service, slice } = request.slice;
+            this.book.record(service, slice, request.key, this.clock.now() - beganAt);
+        }
     }
 
     private getRefusal(request: ServingRequest): Answer | undefined {
--- a/packages/daemon/src/serving/servingPlugin.ts
+++ b/packages/daemon/src/serving/servingPlugin.ts
@@ -1,4 +1,5 @@
 import type { ServerId } from "@arbutusdoor/common";
+import { LOAD_BOOK } from "../balance/loadBookService.js";
 import { CONFIGURATION } from "../configuration/configurationService.js";
 import { LISTED_HOSTS } from "../hosts/hostsService.js";
 import type { Kernel } from "../kernel/kernel.js";
@@ -43,7 +44,7 @@
             settings.ownerWaitMs,
         );
         this.kernel = kernel;
-        this.gate = new ServerGate(clock, metrics, ownership, sender, groups.queue);
+        this.gate = new ServerGate(clock, metrics, ownership, sender, groups.queue, kernel.get(LOAD_BOOK));
         this.relay = new LocalRelay(clock, peers, this.gate, getDeclaration);
         const keyed = new KeyedRouter(clock, ownership, this.relay, wait, retryRules);
         const pooled = new PooledRouter(clock, metrics, random, sender, retryRules, {
--- a/packages/daemon/src/serving/servingRequest.ts
+++ b/packages/daemon/src/serving/servingRequest.ts
@@ -13,6 +13,8 @@
     /** IP number and port of the server. */
     readonly address: string;
     readonly slice: SliceGeneration | undefined;
+    /** Present for a keyed service. */
+    readonly key: string | undefined;
     readonly method: string;
     readonly path: string;
     readonly headers: Readonly<Record<string, string>>;
--- a/packages/daemon/src/settings/settingGroups.ts
+++ b/packages/daemon/src/settings/settingGroups.ts
@@ -2,7 +2,14 @@
 import { MeshSettings } from "@arbutusdoor/mesh";
 import { OwnershipSettings } from "@arbutusdoor/ownership";
 import { BackendTrafficSettings, ServerOrdersSettings } from "@arbutusdoor/platform";
-import { PoolPickerSettings, RetryBudgetSettings, ServerQueueSettings } from "@arbutusdoor/policy";
+import {
+    MovePlanSettings,
+    PoolPickerSettings,
+    RetryBudgetSettings,
+    ServerQueueSettings,
+    SliceLoadSettings,
+} from "@arbutusdoor/policy";
+import { BalanceSettings } from "../balance/balanceSettings.js";
 import { OperatorSettings } from "../operator/operatorSettings.js";
 
 /** Settings of the daemon's parts; a setting's flag begins with the name of its group. */
@@ -10,6 +17,9 @@
     ownership: OwnershipSettings,
     mesh: MeshSettings,
     configuration: ConfigurationSettings.omit({ isPoller: true, pollIntervalMs: true }),
+    balance: BalanceSettings,
+    load: SliceLoadSettings,
+    plan: MovePlanSettings,
     queue: ServerQueueSettings,
     pool: PoolPickerSettings,
     retry: RetryBudgetSettings,
--- a/packages/ownership/src/index.ts
+++ b/packages/ownership/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./lookups/getRoute.js";
 export * from "./lookups/getSliceOf.js";
 export * from "./lookups/isResigned.js";
+export * from "./lookups/listServerConditions.js";
 export * from "./lookups/mayServe.js";
 export * from "./lookups/route.js";
 export * from "./messages/ownershipMessage.js";
--- /dev/null
+++ b/packages/ownership/src/lookups/listServerConditions.ts
@@ -0,0 +1,23 @@
+import type { ServerId } from "@arbutusdoor/common";
+import { isEligible } from "../decider/isEligible.js";
+import { isLeaving } from "../decider/isLeaving.js";
+import { newPlanning } from "../decider/newPlanning.js";
+import type { HostState } from "../state/hostState.js";
+
+/** Whether a server takes slices (`active`), is to be emptied (`leaving`), or does not answer as the run it was (`silent`). */
+type ServerCondition = "active" | "leaving" | "silent";
+
+/** Conditions of all servers that have a row. Of use only on the host that decides for the servers' data centre. */
+export function listServerConditions(state: HostState): ReadonlyMap<ServerId, ServerCondition> {
+    const conditions = new Map<ServerId, ServerCondition>();
+    if (!state.configuration) {
+        return conditions;
+    }
+    const planning = newPlanning(state, state.configuration.declaration);
+    for (const { value } of Object.values(state.servers)) {
+        const { server } = value;
+        const settled = isEligible(planning, server) ? "active" : "silent";
+        conditions.set(server, isLeaving(planning, server) ? "leaving" : settled);
+    }
+    return conditions;
+}
