--- /dev/null
+++ b/packages/ownership/tests/session/entryHost.ts
@@ -0,0 +1,127 @@
+import { dispatch, type Effect, type HostIdentity, type HostState, type Input, newHostState } from "@arbutusdoor/ownership";
+import type { OwnershipSettings } from "@arbutusdoor/ownership";
+import type { ManualClock } from "@arbutusdoor/common";
+
+const TICK_MS = 20;
+
+/** What a test double may change: a step of the kernel, as a faulty host would take it. */
+export type StepFault = (
+    before: HostState,
+    input: Input,
+    after: { state: HostState; effects: readonly Effect[]; },
+) => { state: HostState; effects: readonly Effect[]; };
+
+/** One entry host: drives the real kernel on its own clock, and can be paused, killed and restarted. */
+export class EntryHost {
+    condition: "running" | "paused" | "dead" = "running";
+    state: HostState;
+    run = 1;
+    fault: StepFault | undefined;
+    /** While true, orders wait in the host's own buffers. */
+    holdsOrders = false;
+    readonly events: { readonly time: number; readonly text: string; }[] = [];
+    private queue: (() => void)[] = [];
+    private heldOrders: Effect[] = [];
+
+    constructor(
+        readonly name: string,
+        readonly dataCentre: string,
+        private readonly clock: ManualClock,
+        private readonly rate: number,
+        private readonly settings: OwnershipSettings,
+        private readonly perform: (host: EntryHost, effect: Effect) => void,
+    ) {
+        this.state = newHostState(this.getIdentity(), settings);
+        this.tick(1);
+    }
+
+    getIdentity(): HostIdentity {
+        return {
+            host: this.name,
+            incarnation: `${this.name}#${this.run}`,
+            dataCentre: this.dataCentre,
+            address: `10.0.0.1:1`,
+        } as HostIdentity;
+    }
+
+    now(): number {
+        return this.clock.now() * this.rate + this.name.length * 1000;
+    }
+
+    /** Runs an action of this run of the process: at once, after a pause, or never. */
+    execute(run: number, action: () => void): void {
+        if (run !== this.run || this.condition === "dead") {
+            return;
+        }
+        if (this.condition === "paused") {
+            this.queue.push(action);
+            return;
+        }
+        action();
+    }
+
+    take(input: Input): void {
+        const step = dispatch(this.state, input, this.now());
+        const { state, effects } = this.fault?.(this.state, input, step) ?? step;
+        this.state = state;
+        effects.forEach(effect => this.obey(effect));
+    }
+
+    pause(): void {
+        this.condition = "paused";
+    }
+
+    resume(): void {
+        if (this.condition !== "paused") {
+            return;
+        }
+        this.condition = "running";
+        this.flushOrders();
+        const run = this.run;
+        this.queue.splice(0).forEach(action => this.execute(run, action));
+    }
+
+    /** Sends the orders that waited in the buffers. */
+    flushOrders(): void {
+        this.holdsOrders = false;
+        this.heldOrders.splice(0).forEach(effect => this.perform(this, effect));
+    }
+
+    kill(): void {
+        this.condition = "dead";
+        this.queue = [];
+        this.heldOrders = [];
+    }
+
+    restart(): void {
+        this.run++;
+        this.condition = "running";
+        this.state = newHostState(this.getIdentity(), this.settings);
+        this.tick(this.run);
+    }
+
+    private obey(effect: Effect): void {
+        if (effect.kind === "log") {
+            const text = `${effect.event} ${JSON.stringify(effect.fields)}`;
+            this.events.push({ time: this.clock.now(), text });
+        }
+        else if (effect.kind === "sendOrder" && this.holdsOrders) {
+            this.heldOrders.push(effect);
+        }
+        else {
+            this.perform(this, effect);
+        }
+    }
+
+    private tick(run: number): void {
+        this.clock.schedule(TICK_MS, () => {
+            if (run !== this.run || this.condition === "dead") {
+                return;
+            }
+            if (this.condition === "running") {
+                this.take({ kind: "tick" });
+            }
+            this.tick(run);
+        });
+    }
+}
--- /dev/null
+++ b/packages/ownership/tests/session/observe.ts
@@ -0,0 +1,128 @@
+import type { CallerEntry } from "./callers.js";
+import type { ServerEntry } from "./fakeServer.js";
+import type { CommittedRow } from "./fakeTable.js";
+
+/** What the observer looks at: journals of the servers, logs of the callers, and commits of the table. */
+export type Evidence = {
+    readonly journal: readonly ServerEntry[];
+    readonly callers: readonly CallerEntry[];
+    readonly commits: readonly CommittedRow[];
+};
+
+/** A promise that was broken. */
+export type Violation = { readonly time: number; readonly text: string; };
+
+/** Judges a session from the outside; shares no code with the product. */
+export function observe(evidence: Evidence): readonly Violation[] {
+    return [
+        ...findTwoOwners(evidence.journal),
+        ...findCrossedRuns(evidence.journal),
+        ...findRepeats(evidence.journal),
+        ...findUntrueRefusals(evidence),
+        ...findLostAssignments(evidence.commits),
+    ].sort((left, right) => left.time - right.time);
+}
+
+/** No slice is believed owned by two servers at an instant. Servers that check nothing believe what anyone says, so only their runs count. */
+function findTwoOwners(journal: readonly ServerEntry[]): readonly Violation[] {
+    const owners = new Map<string, Set<string>>();
+    const found: Violation[] = [];
+    for (const { time, run, event, checksOrders } of journal) {
+        if (checksOrders && (event.kind === "takes" || event.kind === "drops")) {
+            const holding = owners.get(event.slice) ?? new Set();
+            owners.set(event.slice, holding);
+            holding[event.kind === "takes" ? "add" : "delete"](run);
+            if (holding.size > 1) {
+                found.push({ time, text: `${event.slice} is owned by ${[...holding].join(" and ")}` });
+            }
+        }
+    }
+    return found;
+}
+
+/** Work of a key never runs on two servers at a time, and never starts under an older generation than work before it. */
+function findCrossedRuns(journal: readonly ServerEntry[]): readonly Violation[] {
+    const running = new Map<string, Map<string, string>>();
+    const newest = new Map<string, number>();
+    const found: Violation[] = [];
+    for (const { time, run, event } of journal) {
+        if (event.kind === "starts") {
+            const others = running.get(event.key) ?? new Map<string, string>();
+            running.set(event.key, others);
+            others.set(event.request, run);
+            const runs = new Set(others.values());
+            if (runs.size > 1) {
+                found.push({ time, text: `${event.key} runs on ${[...runs].join(" and ")}` });
+            }
+            if (event.generation < (newest.get(event.key) ?? 0)) {
+                found.push({ time, text: `${event.key} runs on ${run} under an old generation ${event.generation}` });
+            }
+            newest.set(event.key, Math.max(event.generation, newest.get(event.key) ?? 0));
+        }
+        if (event.kind === "ends") {
+            running.get(event.key)?.delete(event.request);
+        }
+    }
+    return found;
+}
+
+function findRepeats(journal: readonly ServerEntry[]): readonly Violation[] {
+    const starts = new Set<string>();
+    const found: Violation[] = [];
+    for (const { time, event } of journal) {
+        if (event.kind === "starts") {
+            if (starts.has(event.request)) {
+                found.push({ time, text: `${event.request} ran twice` });
+            }
+            starts.add(event.request);
+        }
+    }
+    return found;
+}
+
+function findUntrueRefusals({ journal, callers }: Evidence): readonly Violation[] {
+    const starts = new Set(journal.flatMap(({ event }) => event.kind === "starts" ? [event.request] : []));
+    return callers
+        .filter(entry =>
+            (entry.outcome === "notRun" && starts.has(entry.id))
+            || (entry.outcome === "answered" && !starts.has(entry.id))
+        )
+        .map(entry => ({ time: entry.sentAt, text: `${entry.id} was told ${entry.outcome} (${entry.reason})` }));
+}
+
+type CommittedSlice = {
+    slice: string;
+    from: number;
+    to: number;
+    key?: string;
+    generation: number;
+    owner?: { server: string; incarnation: string; epoch: number; };
+};
+
+/** No committed slice vanishes, goes back, or changes its owner under the same generation; the ranges always cover all keys once. */
+function findLostAssignments(commits: readonly CommittedRow[]): readonly Violation[] {
+    const known = new Map<string, CommittedSlice>();
+    const found: Violation[] = [];
+    for (const { time, row } of commits.filter(commit => commit.row.key.startsWith("assignment/"))) {
+        const { slices } = row.value as { slices: CommittedSlice[]; };
+        const present = new Set(slices.map(slice => `${row.key} ${slice.slice}`));
+        const vanished = [...known.keys()].filter(name => name.startsWith(`${row.key} `) && !present.has(name));
+        vanished.forEach(name => found.push({ time, text: `${name} vanished` }));
+        for (const slice of slices) {
+            const name = `${row.key} ${slice.slice}`;
+            const before = known.get(name);
+            const isOther = JSON.stringify(before?.owner) !== JSON.stringify(slice.owner);
+            const isOld = before !== undefined && slice.generation < before.generation + (isOther ? 1 : 0);
+            if (isOld) {
+                found.push({ time, text: `${name} went from generation ${before.generation} to ${slice.generation}` });
+            }
+            known.set(name, slice);
+        }
+    }
+    const ranges = [...known.values()].filter(slice => slice.key === undefined)
+        .sort((left, right) => left.from - right.from);
+    const isCovered = ranges.length === 0
+        || (ranges[0]!.from === 0 && ranges.at(-1)!.to === 2 ** 32
+            && ranges.every((range, index) => index === 0 || range.from === ranges[index - 1]!.to));
+    return isCovered ? found : [...found, { time: Infinity, text: "the ranges do not cover all keys once" }];
+}
--- /dev/null
+++ b/packages/ownership/tests/session/printSession.ts
@@ -0,0 +1,69 @@
+import { observe } from "./observe.js";
+import type { Session } from "./session.js";
+
+/** A readable account of a session: what was done to it, who owned what when, what callers saw, and the observer's verdict. */
+export function printSession(session: Session, title: string): string {
+    const lines = [...getNotes(session), ...getOwners(session)]
+        .sort((left, right) => left.time - right.time)
+        .map(({ time, text }) => `${getTime(time)}  ${text}`);
+    const violations = observe(getEvidence(session)).map(({ time, text }) => `${getTime(time)}  ${text}`);
+    return [
+        title,
+        "",
+        ...lines,
+        "",
+        "What callers saw, by second of sending:",
+        ...getCallers(session),
+        "",
+        `Broken promises: ${violations.length === 0 ? "none" : ""}`,
+        ...violations,
+        "",
+    ].join("\n");
+}
+
+/** Everything that the observer may see of a session. */
+export function getEvidence(session: Session) {
+    return { journal: session.journal, callers: session.callers.log, commits: session.table.journal };
+}
+
+function getNotes(session: Session) {
+    return session.notes.map(({ time, text }) => ({ time, text: `-- ${text}` }));
+}
+
+/** Journal lines of one server that fall within a few milliseconds are one line. */
+function getOwners(session: Session) {
+    const groups: { time: number; head: string; slices: string[]; }[] = [];
+    for (const { time, run, event } of session.journal) {
+        if (event.kind === "takes" || event.kind === "drops") {
+            const head = `${run} ${event.kind}`;
+            const last = groups.findLast(group => group.head === head && time - group.time < 10);
+            const text = `${event.slice.replace("board/range-", "")}@${event.generation}`;
+            if (last) {
+                last.slices.push(text);
+            }
+            else {
+                groups.push({ time, head, slices: [text] });
+            }
+        }
+    }
+    return groups.map(({ time, head, slices }) => ({ time, text: `${head} ${slices.join(" ")}` }));
+}
+
+function getCallers(session: Session): readonly string[] {
+    const seconds = new Map<number, Map<string, number>>();
+    for (const { sentAt, outcome, reason } of session.callers.log) {
+        const second = Math.floor(sentAt / 1000);
+        const counts = seconds.get(second) ?? new Map<string, number>();
+        seconds.set(second, counts);
+        const name = reason ? `${outcome} (${reason})` : outcome;
+        counts.set(name, (counts.get(name) ?? 0) + 1);
+    }
+    return [...seconds].map(([second, counts]) => {
+        const texts = [...counts].sort().map(([name, count]) => `${count} ${name}`);
+        return `  second ${second}: ${texts.join(", ")}`;
+    });
+}
+
+function getTime(time: number): string {
+    return `${(time / 1000).toFixed(3).padStart(8)} s`;
+}
--- /dev/null
+++ b/packages/ownership/tests/session/session.ts
@@ -0,0 +1,253 @@
+import { ManualClock, RandomSource } from "@arbutusdoor/common";
+import type { Declaration } from "@arbutusdoor/configuration";
+import { type Effect, OwnershipSettings } from "@arbutusdoor/ownership";
+import type { OrderOutcome } from "@arbutusdoor/platform";
+import { Callers } from "./callers.js";
+import { EntryHost } from "./entryHost.js";
+import { FakeServer, type ServerEntry } from "./fakeServer.js";
+import { FakeTable } from "./fakeTable.js";
+import { Network } from "./network.js";
+
+const LINK_CHECK_MS = 50;
+const LINK_LOSS_MS = 500;
+
+/** What a session starts with: for each data centre the entry hosts and the servers of the one service "board". */
+export type Cast = {
+    readonly seed: number;
+    readonly centres: Readonly<Record<string, { readonly hosts: readonly string[]; readonly servers: readonly string[]; }>>;
+    readonly slices?: number;
+    readonly checksOrders?: boolean;
+    readonly objective?: Partial<Declaration["services"][number]["objective"]>;
+    readonly settings?: Partial<OwnershipSettings>;
+    readonly keys?: number;
+    readonly work?: number;
+};
+
+/** A small set of hosts and servers around fakes of the outside systems, on one manual clock with seeded random numbers. */
+export class Session {
+    readonly clock = new ManualClock(0);
+    readonly random: RandomSource;
+    readonly network: Network;
+    readonly table: FakeTable;
+    readonly journal: ServerEntry[] = [];
+    readonly servers = new Map<string, FakeServer>();
+    readonly hosts = new Map<string, EntryHost>();
+    readonly callers: Callers;
+    readonly notes: { readonly time: number; readonly text: string; }[] = [];
+    declaration: Declaration;
+    version = 1;
+    private readonly links = new Map<string, { isUp: boolean; changedAt: number; runs: string; }>();
+
+    constructor(readonly cast: Cast) {
+        this.random = new RandomSource(cast.seed);
+        this.network = new Network(this.clock, this.random);
+        this.table = new FakeTable(this.clock, this.random);
+        this.declaration = newDeclaration(cast);
+        const settings = OwnershipSettings.parse(cast.settings ?? {});
+        for (const [centre, { hosts, servers }] of Object.entries(cast.centres)) {
+            servers.forEach(name => this.addServer(name));
+            for (const name of hosts) {
+                const rate = 1 + (this.random.nextFraction() - 0.5) / 5000;
+                const host = new EntryHost(name, centre, this.clock, rate, settings, (from, effect) =>
+                    this.perform(from, effect));
+                this.hosts.set(name, host);
+                this.configure(host);
+            }
+        }
+        this.callers = new Callers(this, cast.keys ?? 24, cast.work ?? 5);
+        this.checkLinks();
+    }
+
+    run(duration: number): void {
+        this.clock.advance(duration);
+    }
+
+    /** Runs until a condition holds, a millisecond at a time. Throws when it does not within the limit. */
+    runUntil(condition: () => boolean, limit = 10_000): void {
+        const end = this.clock.now() + limit;
+        while (!condition()) {
+            if (this.clock.now() >= end) {
+                throw new Error(`not reached within ${limit} ms`);
+            }
+            this.run(1);
+        }
+    }
+
+    note(text: string): void {
+        this.notes.push({ time: this.clock.now(), text });
+    }
+
+    host(name: string): EntryHost {
+        return this.hosts.get(name)!;
+    }
+
+    server(name: string): FakeServer {
+        return this.servers.get(name)!;
+    }
+
+    /** All nodes of a data centre. */
+    nodesOf(centre: string): readonly string[] {
+        const { hosts, servers } = this.cast.centres[centre]!;
+        return [...hosts, ...servers];
+    }
+
+    decider(centre: string): EntryHost | undefined {
+        return [...this.hosts.values()].find(host =>
+            host.dataCentre === centre && host.condition === "running" && host.state.decider.isHeld
+        );
+    }
+
+    restartHost(name: string): void {
+        this.host(name).restart();
+        this.configure(this.host(name));
+    }
+
+    declare(change: (declaration: Declaration) => Declaration): void {
+        this.declaration = change(this.declaration);
+        this.version++;
+        [...this.hosts.values()].filter(host => host.condition !== "dead").forEach(host => this.configure(host));
+    }
+
+    /** Whether each key of the callers was answered since a time. */
+    isServedSince(time: number): boolean {
+        return this.callers.keys.every(key => this.callers.isAnsweredSince(key, time));
+    }
+
+    private addServer(name: string): void {
+        const rate = 1 + (this.random.nextFraction() - 0.5) / 5000;
+        const checksOrders = this.cast.checksOrders ?? true;
+        this.servers.set(name, new FakeServer(name, checksOrders, this.clock, rate, this.journal));
+    }
+
+    private configure(host: EntryHost): void {
+        const { version, declaration } = this;
+        host.execute(host.run, () => host.take({ kind: "configurationChanged", version, declaration }));
+    }
+
+    private perform(host: EntryHost, effect: Effect): void {
+        const { run } = host;
+        switch (effect.kind) {
+            case "sendPeer": {
+                const from = host.getIdentity();
+                const message = structuredClone(effect.message);
+                const to = this.host(effect.to);
+                this.network.send(host.name, to.name, () =>
+                    to.execute(to.run, () => to.take({ kind: "peerMessage", from, message })));
+                break;
+            }
+            case "sendOrder":
+                this.sendOrder(host, effect);
+                break;
+            case "transact":
+                if (!this.network.isCut(host.name, "table")) {
+                    const { operationId } = effect.transaction;
+                    this.table.transact(structuredClone(effect.transaction), outcome =>
+                        host.execute(run, () => host.take({ kind: "tableDone", operationId, outcome })));
+                }
+                break;
+            case "readRows":
+                if (!this.network.isCut(host.name, "table")) {
+                    this.table.read(effect.keys, effect.prefix, outcome =>
+                        host.execute(run, () => host.take({ kind: "tableRead", tag: effect.tag, outcome })));
+                }
+                break;
+            case "log":
+                break;
+        }
+    }
+
+    private sendOrder(host: EntryHost, { order, timeout }: Extract<Effect, { kind: "sendOrder"; }>): void {
+        const { run } = host;
+        const sentAt = host.now();
+        const server = this.server(order.server);
+        let isOver = false;
+        const end = (outcome: OrderOutcome) => {
+            if (!isOver) {
+                isOver = true;
+                host.execute(run, () => host.take({ kind: "orderReply", order, sentAt, outcome }));
+            }
+        };
+        this.clock.schedule(timeout, () => end({ kind: "silent", reason: "timeout" }));
+        this.network.send(host.name, server.name, () => {
+            if (server.state === "dead") {
+                this.network.send(server.name, host.name, () => end({ kind: "refused", reason: "refused" }));
+                return;
+            }
+            server.execute(() => {
+                const reply = server.takeOrder(order);
+                this.network.send(server.name, host.name, () => end({ kind: "reply", reply }));
+            });
+        });
+    }
+
+    /** Tells hosts which of their peer links are up. A killed process is noticed at once, silence after a while. */
+    private checkLinks(): void {
+        for (const left of this.hosts.values()) {
+            for (const right of this.hosts.values()) {
+                if (left.name < right.name) {
+                    this.checkLink(left, right);
+                }
+            }
+        }
+        this.clock.schedule(LINK_CHECK_MS, () => this.checkLinks());
+    }
+
+    private checkLink(left: EntryHost, right: EntryHost): void {
+        const runs = `${left.run}/${right.run}`;
+        const link = this.links.get(`${left.name}/${right.name}`) ?? { isUp: false, changedAt: 0, runs };
+        const conditions = [left.condition, right.condition];
+        const isWorking = conditions.every(condition => condition === "running")
+            && !this.network.isCut(left.name, right.name);
+        const now = this.clock.now();
+        const isDead = conditions.includes("dead") || link.runs !== runs;
+        const since = isWorking === link.isUp && !isDead ? now : link.changedAt;
+        const isLost = link.isUp && (isDead || (!isWorking && now - since >= LINK_LOSS_MS));
+        const isFound = !link.isUp && isWorking;
+        this.links.set(`${left.name}/${right.name}`, { isUp: link.isUp, changedAt: since, runs });
+        if (isLost || isFound) {
+            this.links.set(`${left.name}/${right.name}`, { isUp: isFound, changedAt: now, runs });
+            const kind = isFound ? "peerUp" : "peerDown";
+            const [identity, other] = [right.getIdentity(), left.getIdentity()];
+            left.execute(left.run, () => left.take({ kind, identity }));
+            right.execute(right.run, () => right.take({ kind, identity: other }));
+        }
+    }
+}
+
+function newDeclaration(cast: Cast): Declaration {
+    const servers = Object.entries(cast.centres).flatMap(([dataCentre, { servers: names }]) =>
+        names.map(name => ({
+            name,
+            dataCentre,
+            service: "board",
+            address: `${name}:1`,
+            slots: 4,
+            connections: 50,
+            checksOrders: cast.checksOrders ?? true,
+            isDraining: false,
+        }))
+    );
+    return {
+        format: 1,
+        tenant: "kites",
+        dataCentres: Object.keys(cast.centres),
+        services: [{
+            name: "board",
+            kind: "keyed",
+            classes: [],
+            slices: cast.slices ?? 8,
+            routes: [],
+            objective: {
+                imbalance: 0.34,
+                churn: 0.33,
+                unavailability: 0.33,
+                patienceMs: 0,
+                takeover: "lease",
+                restMs: 60_000,
+                movesPerMinute: 12,
+                ...cast.objective,
+            },
+        }],
+        servers,
+    };
+}
