--- /dev/null
+++ b/packages/ownership/tests/losses.test.ts
@@ -0,0 +1,109 @@
+import { CASTS } from "./session/casts.js";
+import { expectSession } from "./session/expectSession.js";
+import type { Session } from "./session/session.js";
+
+const { oneCentre } = CASTS;
+
+function lose(session: Session, text: string, action: () => void, wait = 3000): void {
+    session.note(text);
+    const since = session.clock.now();
+    action();
+    session.run(wait);
+    session.noteRecovery(since);
+}
+
+/** An entry host that is not the decider and renews the lease of a server. */
+function getGrantor(session: Session, server: string): string {
+    const grantors = [...session.hosts.values()].filter(host => Object.hasOwn(host.state.grants, server));
+    return grantors.find(host => !host.state.decider.isHeld)!.name;
+}
+
+expectSession("firstAssignment", "First assignment", oneCentre, session => session.run(1000));
+
+expectSession("serverKilled", "Loss of a server whose process ended", oneCentre, session => {
+    lose(session, "b1 is killed", () => session.server("b1").kill());
+});
+
+expectSession("serverSilent", "Loss of a server that falls silent", oneCentre, session => {
+    lose(session, "b1 falls silent", () => session.server("b1").freeze(false));
+});
+
+expectSession("serverRestarted", "Restart of a server", oneCentre, session => {
+    lose(session, "b1 restarts", () => session.server("b1").restart());
+});
+
+expectSession("serverWakes", "Frozen server that wakes after its keys moved", oneCentre, session => {
+    lose(session, "b1 freezes", () => session.server("b1").freeze(false));
+    session.note("b1 wakes");
+    session.server("b1").thaw();
+    session.run(2000);
+});
+
+expectSession("serverWakesInTime", "Frozen server that wakes before its lease has ended", oneCentre, session => {
+    lose(session, "b1 freezes", () => session.server("b1").freeze(false), 380);
+    session.note("b1 wakes");
+    session.server("b1").thaw();
+    session.run(2000);
+});
+
+expectSession("grantorWakes", "Paused grantor that wakes with queued renewals", oneCentre, session => {
+    const grantor = session.host(getGrantor(session, "b1"));
+    grantor.holdsOrders = true;
+    session.run(250);
+    session.note(`${grantor.name} is paused with renewals in its buffers`);
+    grantor.pause();
+    session.run(2000);
+    lose(session, "b1 freezes", () => session.server("b1").freeze(false), 2000);
+    session.note(`b1 and then ${grantor.name} wake`);
+    session.server("b1").thaw();
+    session.run(1);
+    grantor.resume();
+    session.run(3000);
+});
+
+expectSession("grantorThenServer", "Loss of a grantor and then of a server", oneCentre, session => {
+    const grantor = getGrantor(session, "b1");
+    lose(session, `${grantor} is killed`, () => session.host(grantor).kill(), 1500);
+    lose(session, "b1 is killed", () => session.server("b1").kill());
+});
+
+expectSession("grantorAndServer", "Loss of a grantor and a server together, and the attestation that ends it", oneCentre, session => {
+    const grantor = getGrantor(session, "b1");
+    lose(session, `${grantor} and b1 are killed`, () => {
+        session.host(grantor).kill();
+        session.server("b1").kill();
+    });
+    lose(session, `an operator attests the loss of b1`, () => {
+        const value = { kind: "server", server: "b1", incarnation: "b1#1", operationId: "operator" };
+        session.table.put("attested/server/b1" as never, value);
+    }, 8000);
+});
+
+expectSession("deciderAndServer", "Loss of the decider and then of a server", oneCentre, session => {
+    const decider = session.decider("north")!;
+    lose(session, `the decider ${decider.name} is killed`, () => decider.kill(), 3000);
+    lose(session, "b1 is killed", () => session.server("b1").kill());
+});
+
+expectSession("serverLeaves", "Server that leaves", oneCentre, session => {
+    lose(session, "b1 is about to stop", () => {
+        session.server("b1").isLeaving = true;
+    });
+});
+
+expectSession("serverDrained", "Server that an operator drains", { ...oneCentre, work: 60 }, session => {
+    lose(session, "b1 is declared draining", () =>
+        session.declare(declaration => ({
+            ...declaration,
+            servers: declaration.servers.map(server => ({ ...server, isDraining: server.name === "b1" })),
+        })));
+});
+
+expectSession("hostResigns", "Entry host that resigns", oneCentre, session => {
+    const decider = session.decider("north")!;
+    lose(session, `the decider ${decider.name} resigns`, () => decider.take({ kind: "resign" }), 2500);
+    const remaining = Object.keys(decider.state.grants).length;
+    session.note(`${decider.name} is grantor of ${remaining} servers and stops`);
+    decider.kill();
+    session.run(1000);
+});
--- a/packages/ownership/tests/session/callers.ts
+++ b/packages/ownership/tests/session/callers.ts
@@ -3,7 +3,7 @@
 import type { EntryHost } from "./entryHost.js";
 import type { Session } from "./session.js";
 
-const INTERVAL_MS = 10;
+const INTERVAL_MS = 5;
 const DEADLINE_MS = 1000;
 const SERVICE = "board" as ServiceId;
 
--- a/packages/ownership/tests/session/session.ts
+++ b/packages/ownership/tests/session/session.ts
@@ -113,6 +113,16 @@
         return this.callers.keys.every(key => this.callers.isAnsweredSince(key, time));
     }
 
+    /** Notes how long after a time the last slice was taken anew and the last caller was refused. */
+    noteRecovery(since: number): void {
+        const taken = this.journal.filter(({ time, event }) => time > since && event.kind === "takes").at(-1);
+        const refused = this.callers.log.filter(entry => entry.sentAt > since && entry.outcome !== "answered"
+            && entry.outcome !== "waiting").at(-1);
+        const [take, refusal] = [taken?.time, refused?.sentAt].map(time =>
+            time === undefined ? "never" : `${Math.round(time - since)} ms`);
+        this.note(`last slice taken after ${take}; last request not served sent after ${refusal}`);
+    }
+
     private addServer(name: string): void {
         const rate = 1 + (this.random.nextFraction() - 0.5) / 5000;
         const checksOrders = this.cast.checksOrders ?? true;
