--- a/packages/ownership/tests/losses.test.ts
+++ b/packages/ownership/tests/losses.test.ts
@@ -1,17 +1,10 @@
 import { CASTS } from "./session/casts.js";
 import { expectSession } from "./session/expectSession.js";
+import { lose } from "./session/lose.js";
 import type { Session } from "./session/session.js";
 
 const { oneCentre } = CASTS;
 
-function lose(session: Session, text: string, action: () => void, wait = 3000): void {
-    session.note(text);
-    const since = session.clock.now();
-    action();
-    session.run(wait);
-    session.noteRecovery(since);
-}
-
 /** An entry host that is not the decider and renews the lease of a server. */
 function getGrantor(session: Session, server: string): string {
     const grantors = [...session.hosts.values()].filter(host => Object.hasOwn(host.state.grants, server));
--- /dev/null
+++ b/packages/ownership/tests/session/lose.ts
@@ -0,0 +1,10 @@
+import type { Session } from "./session.js";
+
+/** Does something to a session, runs it on, and notes how long it took until all was served again. */
+export function lose(session: Session, text: string, action: () => void, wait = 3000): void {
+    session.note(text);
+    const since = session.clock.now();
+    action();
+    session.run(wait);
+    session.noteRecovery(since);
+}
