--- a/packages/ownership/src/decider/keepLease.ts
+++ b/packages/ownership/src/decider/keepLease.ts
@@ -7,19 +7,22 @@
 import { canWrite } from "../table/canWrite.js";
 import { startRead } from "../table/startRead.js";
 import { startTransaction } from "../table/startTransaction.js";
+import { isIsolated } from "./isIsolated.js";
 
 const LEASES_BEFORE_FORCED_CLAIM = 3;
+const RENEWALS_BEFORE_CLAIM = 1.5;
 
 /** Renews the decider row of the holder; another host watches it when no decider is heard, and claims it when it is not renewed. */
 export function keepLease(state: HostState, now: Milliseconds): Step {
     const key = ROW_KEYS.decider(state.self.dataCentre);
-    if (now < state.decider.nextCheckAt || !canWrite(state, [key])) {
+    const isAging = state.decider.isHeld && isIsolated(state, now);
+    if (now < state.decider.nextCheckAt || !canWrite(state, [key]) || isAging) {
         return { state, effects: [] };
     }
     if (state.decider.isHeld) {
         return writeRow(delayCheck(state, now, 1), state.isResigning, now);
     }
-    const isHeard = now - state.decider.heardAt < state.settings.deciderLeaseMs / 2;
+    const isHeard = now - state.decider.heardAt < state.settings.deciderLeaseMs / 2 && !isHolderGone(state);
     if (isHeard || state.isResigning) {
         return { state, effects: [] };
     }
@@ -35,15 +38,23 @@
 /** Whether the row may be claimed: it was read, and is absent, released, not renewed, or its holder is unheard for long. */
 function isClaimable(state: HostState, now: Milliseconds): boolean {
     const { row, rowSeenAt, heardAt, checkedAt } = state.decider;
-    const { deciderLeaseMs } = state.settings;
+    const { deciderLeaseMs, deciderRenewMs } = state.settings;
     if (checkedAt === 0 || now - checkedAt > deciderLeaseMs) {
         return false;
     }
-    const isExpired = now - rowSeenAt >= deciderLeaseMs && checkedAt - rowSeenAt >= deciderLeaseMs / 2;
+    const wait = isHolderGone(state) ? deciderRenewMs * RENEWALS_BEFORE_CLAIM : deciderLeaseMs;
+    const isExpired = now - rowSeenAt >= wait && checkedAt - rowSeenAt >= wait / 2;
     const isUnheard = now - heardAt >= LEASES_BEFORE_FORCED_CLAIM * deciderLeaseMs;
     return !row || row.value.isReleased || isExpired || isUnheard;
 }
 
+/** Whether the link to the holder of the row is down. */
+function isHolderGone(state: HostState): boolean {
+    const holder = state.deciders[state.self.dataCentre]?.identity;
+    const peer = holder && state.peers[holder.host];
+    return peer !== undefined && (!peer.isUp || peer.identity.incarnation !== holder?.incarnation);
+}
+
 function writeRow(state: HostState, isReleased: boolean, now: Milliseconds): Step {
     const { row, isHeld } = state.decider;
     const { host, incarnation, dataCentre } = state.self;
--- a/packages/ownership/src/decider/planServer.ts
+++ b/packages/ownership/src/decider/planServer.ts
@@ -6,6 +6,7 @@
 import { chooseGrantors } from "./chooseGrantors.js";
 import { getReports } from "./getReports.js";
 import { isHostAttested } from "./isHostAttested.js";
+import { isIsolated } from "./isIsolated.js";
 
 /** The next value of a server's row as far as its grantor list goes, or `undefined` when there is nothing to decide. */
 export function planServer(state: HostState, row: ServerRow, now: Milliseconds): ServerRow | undefined {
@@ -17,6 +18,9 @@
             ? endChange(row, row.change)
             : supersede(state, row, now);
     }
+    if (isIsolated(state, now)) {
+        return undefined;
+    }
     const grantors = chooseGrantors(state, row.server, row.list.grantors, now);
     const isSame = grantors.length === row.list.grantors.length
         && grantors.every(grantor => hasGrantor(row.list, grantor));
@@ -54,7 +58,7 @@
     const change = row.change!;
     const grantors = chooseGrantors(state, row.server, change.grantors, now);
     const isAnyLeft = grantors.some(grantor => hasGrantor(change, grantor));
-    if (isAnyLeft || grantors.length === 0) {
+    if (isAnyLeft || grantors.length === 0 || isIsolated(state, now)) {
         return undefined;
     }
     const joined = [
--- a/packages/ownership/src/table/adoptDecider.ts
+++ b/packages/ownership/src/table/adoptDecider.ts
@@ -22,10 +22,12 @@
         checkedAt: now,
     };
     const event = getEvent(state.decider.isHeld, isHeld);
+    const isElected = event === "deciderElected";
     return {
         state: {
             ...state,
             decider: isHeld ? decider : { ...decider, rounds: {}, wanted: [] },
+            table: isElected ? { ...state.table, nextScanAt: now } : state.table,
             isPlanDue: true,
         },
         effects: event ? [{ kind: "log", event, fields: { term } }] : [],
--- a/packages/ownership/src/table/endRead.ts
+++ b/packages/ownership/src/table/endRead.ts
@@ -7,6 +7,7 @@
 import { adoptRows } from "./adoptRows.js";
 import { noteTableFailure } from "./noteTableFailure.js";
 import { noteTableSuccess } from "./noteTableSuccess.js";
+import { shareRows } from "./shareRows.js";
 
 /** Takes the result of a read. A result that comes after the read was given up still brings its rows, but proves no freshness. */
 export function endRead(state: HostState, tag: string, outcome: TableRead, now: Milliseconds): Step {
@@ -18,7 +19,10 @@
     return sequence(
         closed,
         noteTableSuccess,
-        current => adoptRows(current, outcome.rows, now),
+        current =>
+            state.decider.isHeld || read?.keys
+                ? shareRows(current, outcome.rows, now)
+                : adoptRows(current, outcome.rows, now),
         current => ({
             state: read ? noteFreshness(current, read, outcome.rows.length, now) : current,
             effects: [],
--- a/packages/ownership/src/table/endTransaction.ts
+++ b/packages/ownership/src/table/endTransaction.ts
@@ -9,6 +9,7 @@
 import { announceRows } from "./announceRows.js";
 import { noteTableFailure } from "./noteTableFailure.js";
 import { noteTableSuccess } from "./noteTableSuccess.js";
+import { shareRows } from "./shareRows.js";
 
 /**
  * Takes the outcome of a transaction. After `unknown` its rows are read back before they are written again:
@@ -31,7 +32,7 @@
                 current => announceRows(current, outcome.rows),
             );
         case "conflict":
-            return sequence(closed, noteTableSuccess, current => adoptRows(current, outcome.rows, now));
+            return sequence(closed, noteTableSuccess, current => shareRows(current, outcome.rows, now));
         case "notRun":
             return noteTableFailure(releaseRounds(closed, operationId), outcome.reason, now);
         case "unknown":
--- /dev/null
+++ b/packages/ownership/src/table/shareRows.ts
@@ -0,0 +1,25 @@
+import type { Milliseconds } from "@arbutusdoor/common";
+import type { Row } from "@arbutusdoor/platform";
+import { sequence } from "../kernel/sequence.js";
+import type { Step } from "../kernel/step.js";
+import { ROW_KEYS } from "../rows/rowKeys.js";
+import type { HostState } from "../state/hostState.js";
+import { adoptRows } from "./adoptRows.js";
+import { announceRows } from "./announceRows.js";
+
+/** Takes committed rows into the state and tells peers of those that were new here: whoever wrote them may have died before it could. */
+export function shareRows(state: HostState, rows: readonly Row[], now: Milliseconds): Step {
+    const fresh = rows.filter(row => row.version > getKnownVersion(state, row));
+    return sequence(
+        state,
+        current => adoptRows(current, rows, now),
+        current => announceRows(current, fresh),
+    );
+}
+
+function getKnownVersion(state: HostState, row: Row): number {
+    const server = Object.values(state.servers).find(({ value }) =>
+        ROW_KEYS.server(value.server) === row.key
+    );
+    return server?.version ?? state.assignments[row.key]?.version ?? 0;
+}
--- a/packages/ownership/tests/centres.test.ts
+++ b/packages/ownership/tests/centres.test.ts
@@ -15,15 +15,28 @@
     }));
 }
 
-expectSession("centreCut", "Data centre cut from the platform, then from the other, then healed", twoCentres, session => {
-    const south = session.nodesOf("south");
-    lose(session, "south is cut from the table service", () => session.network.cut("platform", south, ["table"]));
-    lose(session, "sb1 is killed", () => session.server("sb1").kill(), 2000);
-    lose(session, "south is cut from north", () => session.network.cut("centres", south, session.nodesOf("north")));
-    lose(session, "nb1 is killed", () => session.server("nb1").kill(), 2000);
-    lose(session, "south reaches north again", () => session.network.heal("centres"));
-    lose(session, "south reaches the table service again", () => session.network.heal("platform"));
-});
+expectSession(
+    "centreCut",
+    "Data centre cut from the platform, then from the other, then healed",
+    twoCentres,
+    session => {
+        const south = session.nodesOf("south");
+        lose(
+            session,
+            "south is cut from the table service",
+            () => session.network.cut("platform", south, ["table"]),
+        );
+        lose(session, "sb1 is killed", () => session.server("sb1").kill(), 2000);
+        lose(
+            session,
+            "south is cut from north",
+            () => session.network.cut("centres", south, session.nodesOf("north")),
+        );
+        lose(session, "nb1 is killed", () => session.server("nb1").kill(), 2000);
+        lose(session, "south reaches north again", () => session.network.heal("centres"));
+        lose(session, "south reaches the table service again", () => session.network.heal("platform"));
+    },
+);
 
 expectSession("centreLost", "Data centre lost, attested by an operator", twoCentres, session => {
     lose(session, "all of south is lost", () => {
@@ -38,11 +51,15 @@
 expectSession("twoDeciders", "Two deciders at once", oneCentre, session => {
     const decider = session.decider("north")!;
     const others = [...session.hosts.keys()].filter(name => name !== decider.name);
-    lose(session, `the decider ${decider.name} is cut from its peers but not from the table service`, () =>
-        session.network.cut("peers", [decider.name], others), 600);
+    lose(
+        session,
+        `the decider ${decider.name} is cut from its peers but not from the table service`,
+        () => session.network.cut("peers", [decider.name], others),
+        600,
+    );
     session.note("another host believes that it is the decider too");
     const rival = session.host(others[0]!);
-    rival.fault = (before, input, { state, effects }) => ({
+    rival.fault = ({ after: { state, effects } }) => ({
         state: { ...state, decider: { ...state.decider, isHeld: true } },
         effects,
     });
@@ -64,7 +81,8 @@
             .filter(commit => commit.row.key.startsWith("assignment/"))
             .map(commit => commit.row.value as { slices: { former: unknown[]; }[]; });
     const start = session.journal.length;
-    const saw = (kind: "takes" | "drops") => session.journal.slice(start).some(({ event }) => event.kind === kind);
+    const saw = (kind: "takes" | "drops") =>
+        session.journal.slice(start).some(({ event }) => event.kind === kind);
     const reached = {
         planned: () => Object.keys(decider.state.table.transactions).length > 0,
         moving: () => rows().some(row => row.slices.some(slice => slice.former.length > 0)),
@@ -74,13 +92,20 @@
     };
     drain(session, "b1");
     session.runUntil(reached[step]);
-    lose(session, `the decider ${decider.name} is killed when the move is ${step}`, () => decider.kill(), 5000);
+    lose(
+        session,
+        `the decider ${decider.name} is killed when the move is ${step}`,
+        () => decider.kill(),
+        5000,
+    );
     return session;
 }
 
 test("Decider killed at each step of a move", async () => {
     const sessions = STEPS.map(killDeciderAt);
-    const text = sessions.map((session, index) => printSession(session, `Killed when ${STEPS[index]}`)).join("\n");
+    const text = sessions.map((session, index) => printSession(session, `Killed when ${STEPS[index]}`)).join(
+        "\n",
+    );
     await expect(text).toMatchFileSnapshot("./golden/deciderKilledMidMove.txt");
     expect(sessions.flatMap(session => observe(getEvidence(session)))).toEqual([]);
 });
--- a/packages/ownership/tests/losses.test.ts
+++ b/packages/ownership/tests/losses.test.ts
@@ -32,12 +32,17 @@
     session.run(2000);
 });
 
-expectSession("serverWakesInTime", "Frozen server that wakes before its lease has ended", oneCentre, session => {
-    lose(session, "b1 freezes", () => session.server("b1").freeze(false), 380);
-    session.note("b1 wakes");
-    session.server("b1").thaw();
-    session.run(2000);
-});
+expectSession(
+    "serverWakesInTime",
+    "Frozen server that wakes before its lease has ended",
+    oneCentre,
+    session => {
+        lose(session, "b1 freezes", () => session.server("b1").freeze(false), 380);
+        session.note("b1 wakes");
+        session.server("b1").thaw();
+        session.run(2000);
+    },
+);
 
 expectSession("grantorWakes", "Paused grantor that wakes with queued renewals", oneCentre, session => {
     const grantor = session.host(getGrantor(session, "b1"));
@@ -60,17 +65,22 @@
     lose(session, "b1 is killed", () => session.server("b1").kill());
 });
 
-expectSession("grantorAndServer", "Loss of a grantor and a server together, and the attestation that ends it", oneCentre, session => {
-    const grantor = getGrantor(session, "b1");
-    lose(session, `${grantor} and b1 are killed`, () => {
-        session.host(grantor).kill();
-        session.server("b1").kill();
-    });
-    lose(session, `an operator attests the loss of b1`, () => {
-        const value = { kind: "server", server: "b1", incarnation: "b1#1", operationId: "operator" };
-        session.table.put("attested/server/b1" as never, value);
-    }, 8000);
-});
+expectSession(
+    "grantorAndServer",
+    "Loss of a grantor and a server together, and the attestation that ends it",
+    oneCentre,
+    session => {
+        const grantor = getGrantor(session, "b1");
+        lose(session, `${grantor} and b1 are killed`, () => {
+            session.host(grantor).kill();
+            session.server("b1").kill();
+        });
+        lose(session, `an operator attests the loss of b1`, () => {
+            const value = { kind: "server", server: "b1", incarnation: "b1#1", operationId: "operator" };
+            session.table.put("attested/server/b1" as never, value);
+        }, 8000);
+    },
+);
 
 expectSession("deciderAndServer", "Loss of the decider and then of a server", oneCentre, session => {
     const decider = session.decider("north")!;
--- a/packages/ownership/tests/session/callers.ts
+++ b/packages/ownership/tests/session/callers.ts
@@ -88,7 +88,12 @@
         this.send(host, grantor, () => isPresent() ? this.serve(grantor, entry, route, refuse) : undefined);
     }
 
-    private serve(grantor: EntryHost, entry: CallerEntry, route: RouteFound, refuse: (why: string) => void): void {
+    private serve(
+        grantor: EntryHost,
+        entry: CallerEntry,
+        route: RouteFound,
+        refuse: (why: string) => void,
+    ): void {
         const { server, slice, generation } = route;
         const refusal = mayServe(grantor.state, server, SERVICE, slice as SliceId, generation, grantor.now());
         if (refusal) {
@@ -110,7 +115,13 @@
         };
         grantor.take({ kind: "requestStarted", server, service: SERVICE, slice });
         clock.schedule(DEADLINE_MS, () => end(() => undefined));
-        const request = { id: entry.id, key: entry.key, slice: `${SERVICE}/${slice}`, generation, work: this.work };
+        const request = {
+            id: entry.id,
+            key: entry.key,
+            slice: `${SERVICE}/${slice}`,
+            generation,
+            work: this.work,
+        };
         let hasArrived = false;
         network.send(grantor.name, target.name, () => {
             if (hasArrived) {
@@ -122,9 +133,14 @@
                 return;
             }
             target.execute(() =>
-                target.takeRequest(request, kind =>
-                    network.send(target.name, grantor.name, () =>
-                        end(() => kind === "stale" ? refuse("staleOwner") : this.end(entry, "answered", ""))))
+                target.takeRequest(
+                    request,
+                    kind =>
+                        network.send(target.name, grantor.name, () =>
+                            end(() =>
+                                kind === "stale" ? refuse("staleOwner") : this.end(entry, "answered", "")
+                            )),
+                )
             );
         });
     }
--- a/packages/ownership/tests/session/entryHost.ts
+++ b/packages/ownership/tests/session/entryHost.ts
@@ -1,15 +1,21 @@
-import { dispatch, type Effect, type HostIdentity, type HostState, type Input, newHostState } from "@arbutusdoor/ownership";
-import type { OwnershipSettings } from "@arbutusdoor/ownership";
 import type { ManualClock } from "@arbutusdoor/common";
+import {
+    dispatch,
+    type Effect,
+    type HostIdentity,
+    type HostState,
+    type Input,
+    newHostState,
+    type Step,
+} from "@arbutusdoor/ownership";
+import type { OwnershipSettings } from "@arbutusdoor/ownership";
 
 const TICK_MS = 20;
 
 /** What a test double may change: a step of the kernel, as a faulty host would take it. */
 export type StepFault = (
-    before: HostState,
-    input: Input,
-    after: { state: HostState; effects: readonly Effect[]; },
-) => { state: HostState; effects: readonly Effect[]; };
+    step: { readonly before: HostState; readonly input: Input; readonly after: Step; readonly now: number; },
+) => Step;
 
 /** One entry host: drives the real kernel on its own clock, and can be paused, killed and restarted. */
 export class EntryHost {
@@ -62,7 +68,8 @@
 
     take(input: Input): void {
         const step = dispatch(this.state, input, this.now());
-        const { state, effects } = this.fault?.(this.state, input, step) ?? step;
+        const taken = { before: this.state, input, after: step, now: this.now() };
+        const { state, effects } = this.fault?.(taken) ?? step;
         this.state = state;
         effects.forEach(effect => this.obey(effect));
     }
--- a/packages/ownership/tests/session/fakeServer.ts
+++ b/packages/ownership/tests/session/fakeServer.ts
@@ -9,7 +9,12 @@
     readonly checksOrders: boolean;
     readonly event:
         | { readonly kind: "takes" | "drops"; readonly slice: string; readonly generation: number; }
-        | { readonly kind: "starts"; readonly request: string; readonly key: string; readonly generation: number; }
+        | {
+            readonly kind: "starts";
+            readonly request: string;
+            readonly key: string;
+            readonly generation: number;
+        }
         | { readonly kind: "ends"; readonly request: string; readonly key: string; };
 };
 
@@ -73,7 +78,9 @@
         if (this.state !== "frozen") {
             return;
         }
-        this.clockOffset -= this.stoppedAt === undefined ? 0 : (this.clock.now() - this.stoppedAt) * this.rate;
+        this.clockOffset -= this.stoppedAt === undefined
+            ? 0
+            : (this.clock.now() - this.stoppedAt) * this.rate;
         this.stoppedAt = undefined;
         this.state = "running";
         this.watchLease();
--- a/packages/ownership/tests/session/fakeTable.ts
+++ b/packages/ownership/tests/session/fakeTable.ts
@@ -38,7 +38,11 @@
         });
     }
 
-    read(keys: readonly RowKey[] | undefined, prefix: string | undefined, answer: (read: TableRead) => void): void {
+    read(
+        keys: readonly RowKey[] | undefined,
+        prefix: string | undefined,
+        answer: (read: TableRead) => void,
+    ): void {
         this.clock.schedule(this.getDelay(), () => {
             const read = this.isDown
                 ? { kind: "unavailable", reason: "down" } as const
--- a/packages/ownership/tests/session/observe.ts
+++ b/packages/ownership/tests/session/observe.ts
@@ -55,7 +55,10 @@
                 found.push({ time, text: `${event.key} runs on ${[...runs].join(" and ")}` });
             }
             if (event.generation < (newest.get(event.key) ?? 0)) {
-                found.push({ time, text: `${event.key} runs on ${run} under an old generation ${event.generation}` });
+                found.push({
+                    time,
+                    text: `${event.key} runs on ${run} under an old generation ${event.generation}`,
+                });
             }
             newest.set(event.key, Math.max(event.generation, newest.get(event.key) ?? 0));
         }
@@ -87,7 +90,10 @@
             (entry.outcome === "notRun" && starts.has(entry.id))
             || (entry.outcome === "answered" && !starts.has(entry.id))
         )
-        .map(entry => ({ time: entry.sentAt, text: `${entry.id} was told ${entry.outcome} (${entry.reason})` }));
+        .map(entry => ({
+            time: entry.sentAt,
+            text: `${entry.id} was told ${entry.outcome} (${entry.reason})`,
+        }));
 }
 
 type CommittedSlice = {
@@ -106,7 +112,9 @@
     for (const { time, row } of commits.filter(commit => commit.row.key.startsWith("assignment/"))) {
         const { slices } = row.value as { slices: CommittedSlice[]; };
         const present = new Set(slices.map(slice => `${row.key} ${slice.slice}`));
-        const vanished = [...known.keys()].filter(name => name.startsWith(`${row.key} `) && !present.has(name));
+        const vanished = [...known.keys()].filter(name =>
+            name.startsWith(`${row.key} `) && !present.has(name)
+        );
         vanished.forEach(name => found.push({ time, text: `${name} vanished` }));
         for (const slice of slices) {
             const name = `${row.key} ${slice.slice}`;
@@ -114,7 +122,10 @@
             const isOther = JSON.stringify(before?.owner) !== JSON.stringify(slice.owner);
             const isOld = before !== undefined && slice.generation < before.generation + (isOther ? 1 : 0);
             if (isOld) {
-                found.push({ time, text: `${name} went from generation ${before.generation} to ${slice.generation}` });
+                found.push({
+                    time,
+                    text: `${name} went from generation ${before.generation} to ${slice.generation}`,
+                });
             }
             known.set(name, slice);
         }
--- a/packages/ownership/tests/session/printSession.ts
+++ b/packages/ownership/tests/session/printSession.ts
@@ -15,6 +15,7 @@
         "What callers saw, by second of sending:",
         ...getCallers(session),
         "",
+        `Rows written since the session began: ${getWrites(session)}`,
         `Broken promises: ${violations.length === 0 ? "none" : ""}`,
         ...violations,
         "",
@@ -64,6 +65,20 @@
     });
 }
 
+/** Commits by kind of row; the decider's renewals are left out, they only follow the length of the session. */
+function getWrites(session: Session): string {
+    const begin = session.notes[0]?.time ?? 0;
+    const rows = session.table.journal.filter(({ time, row }) =>
+        time >= begin && !row.key.startsWith("decider/")
+    );
+    const counts = new Map<string, number>();
+    for (const { row } of rows) {
+        const kind = row.key.split("/")[0]!;
+        counts.set(kind, (counts.get(kind) ?? 0) + 1);
+    }
+    return [...counts].sort().map(([kind, count]) => `${count} ${kind}`).join(", ") || "none";
+}
+
 function getTime(time: number): string {
     return `${(time / 1000).toFixed(3).padStart(8)} s`;
 }
--- a/packages/ownership/tests/session/session.ts
+++ b/packages/ownership/tests/session/session.ts
@@ -14,7 +14,9 @@
 /** What a session starts with: for each data centre the entry hosts and the servers of the one service "board". */
 export type Cast = {
     readonly seed: number;
-    readonly centres: Readonly<Record<string, { readonly hosts: readonly string[]; readonly servers: readonly string[]; }>>;
+    readonly centres: Readonly<
+        Record<string, { readonly hosts: readonly string[]; readonly servers: readonly string[]; }>
+    >;
     readonly slices?: number;
     readonly checksOrders?: boolean;
     readonly objective?: Partial<Declaration["services"][number]["objective"]>;
@@ -48,8 +50,14 @@
             servers.forEach(name => this.addServer(name));
             for (const name of hosts) {
                 const rate = 1 + (this.random.nextFraction() - 0.5) / 5000;
-                const host = new EntryHost(name, centre, this.clock, rate, settings, (from, effect) =>
-                    this.perform(from, effect));
+                const host = new EntryHost(
+                    name,
+                    centre,
+                    this.clock,
+                    rate,
+                    settings,
+                    (from, effect) => this.perform(from, effect),
+                );
                 this.hosts.set(name, host);
                 this.configure(host);
             }
@@ -105,7 +113,9 @@
     declare(change: (declaration: Declaration) => Declaration): void {
         this.declaration = change(this.declaration);
         this.version++;
-        [...this.hosts.values()].filter(host => host.condition !== "dead").forEach(host => this.configure(host));
+        [...this.hosts.values()].filter(host => host.condition !== "dead").forEach(host =>
+            this.configure(host)
+        );
     }
 
     /** Whether each key of the callers was answered since a time. */
@@ -116,10 +126,13 @@
     /** Notes how long after a time the last slice was taken anew and the last caller was refused. */
     noteRecovery(since: number): void {
         const taken = this.journal.filter(({ time, event }) => time > since && event.kind === "takes").at(-1);
-        const refused = this.callers.log.filter(entry => entry.sentAt > since && entry.outcome !== "answered"
-            && entry.outcome !== "waiting").at(-1);
+        const refused = this.callers.log.filter(entry =>
+            entry.sentAt > since && entry.outcome !== "answered"
+            && entry.outcome !== "waiting"
+        ).at(-1);
         const [take, refusal] = [taken?.time, refused?.sentAt].map(time =>
-            time === undefined ? "never" : `${Math.round(time - since)} ms`);
+            time === undefined ? "never" : `${Math.round(time - since)} ms`
+        );
         this.note(`last slice taken after ${take}; last request not served sent after ${refusal}`);
     }
 
@@ -141,8 +154,11 @@
                 const from = host.getIdentity();
                 const message = structuredClone(effect.message);
                 const to = this.host(effect.to);
-                this.network.send(host.name, to.name, () =>
-                    to.execute(to.run, () => to.take({ kind: "peerMessage", from, message })));
+                this.network.send(
+                    host.name,
+                    to.name,
+                    () => to.execute(to.run, () => to.take({ kind: "peerMessage", from, message })),
+                );
                 break;
             }
             case "sendOrder":
@@ -151,14 +167,24 @@
             case "transact":
                 if (!this.network.isCut(host.name, "table")) {
                     const { operationId } = effect.transaction;
-                    this.table.transact(structuredClone(effect.transaction), outcome =>
-                        host.execute(run, () => host.take({ kind: "tableDone", operationId, outcome })));
+                    this.table.transact(
+                        structuredClone(effect.transaction),
+                        outcome =>
+                            host.execute(run, () => host.take({ kind: "tableDone", operationId, outcome })),
+                    );
                 }
                 break;
             case "readRows":
                 if (!this.network.isCut(host.name, "table")) {
-                    this.table.read(effect.keys, effect.prefix, outcome =>
-                        host.execute(run, () => host.take({ kind: "tableRead", tag: effect.tag, outcome })));
+                    this.table.read(
+                        effect.keys,
+                        effect.prefix,
+                        outcome =>
+                            host.execute(
+                                run,
+                                () => host.take({ kind: "tableRead", tag: effect.tag, outcome }),
+                            ),
+                    );
                 }
                 break;
             case "log":
--- a/packages/ownership/tests/store.test.ts
+++ b/packages/ownership/tests/store.test.ts
@@ -38,35 +38,54 @@
     );
 }
 
-expectSession("answerLostTakeover", "Answer of the table lost after the commit of a takeover", oneCentre, session => {
-    let lost = 0;
-    const isTakeover = ({ writes }: TableTransaction) => writes.some(write => write.key.startsWith("server/"));
-    session.table.losesAnswer = transaction => isTakeover(transaction) && lost++ === 0;
-    lose(session, "b1 is killed; one answer is lost", () => session.server("b1").kill());
-    session.note(`answers lost: ${lost}`);
-});
+expectSession(
+    "answerLostTakeover",
+    "Answer of the table lost after the commit of a takeover",
+    oneCentre,
+    session => {
+        let lost = 0;
+        const isTakeover = ({ writes }: TableTransaction) =>
+            writes.some(write => write.key.startsWith("server/"));
+        session.table.losesAnswer = transaction => isTakeover(transaction) && lost++ === 0;
+        lose(session, "b1 is killed; one answer is lost", () => session.server("b1").kill());
+        session.note(`answers lost: ${lost}`);
+    },
+);
 
-expectSession("takeoverCommitsLate", "Takeover that commits after the server has answered again", oneCentre, session => {
-    let held = 0;
-    const isTakeover = ({ writes }: TableTransaction) => writes.some(write => write.key.startsWith("server/"));
-    session.table.holdsBack = transaction => isTakeover(transaction) && held++ === 0 ? 600 : 0;
-    lose(session, "b1 freezes; its takeover is held back", () => session.server("b1").freeze(false), 605);
-    session.note("b1 wakes");
-    session.server("b1").thaw();
-    session.run(3000);
-});
+expectSession(
+    "takeoverCommitsLate",
+    "Takeover that commits after the server has answered again",
+    oneCentre,
+    session => {
+        let held = 0;
+        const isTakeover = ({ writes }: TableTransaction) =>
+            writes.some(write => write.key.startsWith("server/"));
+        session.table.holdsBack = transaction => isTakeover(transaction) && held++ === 0 ? 600 : 0;
+        lose(session, "b1 freezes; its takeover is held back", () => session.server("b1").freeze(false), 605);
+        session.note("b1 wakes");
+        session.server("b1").thaw();
+        session.run(3000);
+    },
+);
 
-expectSession("storeOut", "Table service out for minutes, with a host killed and one started in the middle", oneCentre, session => {
-    session.note("the table service is out");
-    session.table.isDown = true;
-    session.run(OUTAGE_MS / 3);
-    lose(session, "e1 is killed", () => session.host("e1").kill(), OUTAGE_MS / 3);
-    lose(session, "e1 is started again", () => session.restartHost("e1"), OUTAGE_MS / 3);
-    session.note(`e1 routes by ${Object.keys(session.host("e1").state.assignments).length} assignment rows`);
-    lose(session, "the table service is back", () => {
-        session.table.isDown = false;
-    });
-});
+expectSession(
+    "storeOut",
+    "Table service out for minutes, with a host killed and one started in the middle",
+    oneCentre,
+    session => {
+        session.note("the table service is out");
+        session.table.isDown = true;
+        session.run(OUTAGE_MS / 3);
+        lose(session, "e1 is killed", () => session.host("e1").kill(), OUTAGE_MS / 3);
+        lose(session, "e1 is started again", () => session.restartHost("e1"), OUTAGE_MS / 3);
+        session.note(
+            `e1 routes by ${Object.keys(session.host("e1").state.assignments).length} assignment rows`,
+        );
+        lose(session, "the table service is back", () => {
+            session.table.isDown = false;
+        });
+    },
+);
 
 expectSession("storeOutServerLost", "Server lost while the table service is out", oneCentre, session => {
     session.note("the table service is out");
@@ -78,13 +97,18 @@
     });
 });
 
-expectSession("storeOutServerFreezes", "Server that freezes and wakes while the table service is out", oneCentre, session => {
-    session.note("the table service is out");
-    session.table.isDown = true;
-    session.run(1000);
-    lose(session, "b1 freezes", () => session.server("b1").freeze(false), 2000);
-    lose(session, "b1 wakes", () => session.server("b1").thaw(), 3000);
-    lose(session, "the table service is back", () => {
-        session.table.isDown = false;
-    });
-});
+expectSession(
+    "storeOutServerFreezes",
+    "Server that freezes and wakes while the table service is out",
+    oneCentre,
+    session => {
+        session.note("the table service is out");
+        session.table.isDown = true;
+        session.run(1000);
+        lose(session, "b1 freezes", () => session.server("b1").freeze(false), 2000);
+        lose(session, "b1 wakes", () => session.server("b1").thaw(), 3000);
+        lose(session, "the table service is back", () => {
+            session.table.isDown = false;
+        });
+    },
+);
--- /dev/null
+++ b/packages/ownership/tests/walk.ts
@@ -0,0 +1,204 @@
+import { RandomSource } from "@arbutusdoor/common";
+import { startSession } from "./session/expectSession.js";
+import { observe, type Violation } from "./session/observe.js";
+import { getEvidence } from "./session/printSession.js";
+import type { Cast, Session } from "./session/session.js";
+
+const STEPS = 12;
+const LONGEST_STEP_MS = 1500;
+const LONGEST_HEAL_MS = 20_000;
+const LATE_COMMIT_MS = 2000;
+
+/** Verdict on one walk; the same seed gives the same. */
+export type WalkVerdict = {
+    readonly seed: number;
+    readonly faults: readonly string[];
+    readonly violations: readonly Violation[];
+    /** Whether every key was answered again after all faults were healed. */
+    readonly isServedAgain: boolean;
+    readonly answered: number;
+    readonly rowsWritten: number;
+};
+
+type Fault = (session: Session, random: RandomSource) => string;
+
+function pickHost(session: Session, random: RandomSource) {
+    return random.pick([...session.hosts.values()]);
+}
+
+function pickServer(session: Session, random: RandomSource) {
+    return random.pick([...session.servers.values()]);
+}
+
+const FAULTS: readonly Fault[] = [
+    (session, random) => {
+        const host = pickHost(session, random);
+        host.kill();
+        return `kill ${host.name}`;
+    },
+    (session, random) => {
+        const host = pickHost(session, random);
+        host.holdsOrders = random.nextFraction() < 0.5;
+        if (host.condition === "running") {
+            host.pause();
+        }
+        return `pause ${host.name}`;
+    },
+    (session, random) => {
+        const host = pickHost(session, random);
+        host.resume();
+        if (host.condition === "dead") {
+            session.restartHost(host.name);
+        }
+        return `resume or restart ${host.name}`;
+    },
+    (session, random) => {
+        const server = pickServer(session, random);
+        server.kill();
+        return `kill ${server.name}`;
+    },
+    (session, random) => {
+        const server = pickServer(session, random);
+        if (server.state === "running") {
+            server.freeze(false);
+        }
+        return `freeze ${server.name}`;
+    },
+    (session, random) => {
+        const server = pickServer(session, random);
+        server.state === "dead" ? server.restart() : server.thaw();
+        return `thaw or restart ${server.name}`;
+    },
+    (session, random) => {
+        const server = pickServer(session, random);
+        server.restart();
+        return `restart ${server.name}`;
+    },
+    session => {
+        session.table.isDown = !session.table.isDown;
+        return `table down: ${session.table.isDown}`;
+    },
+    (session, random) => {
+        session.table.losesAnswer = () => random.nextFraction() < 0.2;
+        session.table.holdsBack = () =>
+            random.nextFraction() < 0.1 ? random.nextFraction() * LATE_COMMIT_MS : 0;
+        session.table.slowness = random.nextFraction() * 300;
+        return "table slow, loses answers, commits late";
+    },
+    (session, random) => {
+        const host = pickHost(session, random);
+        const others = [...session.hosts.keys(), ...session.servers.keys(), "table"]
+            .filter(name => name !== host.name && random.nextFraction() < 0.4);
+        session.network.cut(`cut-${host.name}`, [host.name], others);
+        return `cut ${host.name} from ${others.join(", ")}`;
+    },
+    (session, random) => {
+        const name = random.pick(Object.keys(session.cast.centres));
+        const nodes = session.nodesOf(name);
+        const others = [...session.hosts.keys(), "table"].filter(other => !nodes.includes(other));
+        session.network.cut("centre", nodes, others);
+        return `cut ${name}`;
+    },
+    session => {
+        [...session.hosts.keys()].forEach(name => session.network.heal(`cut-${name}`));
+        session.network.heal("centre");
+        return "heal the cuts";
+    },
+    (session, random) => {
+        const disturbance = { loss: 0.05, duplicate: 0.05, late: 0.05, longestDelay: 3000 };
+        session.network.disturbance = random.nextFraction() < 0.7
+            ? disturbance
+            : { ...disturbance, late: 0.3 };
+        return "messages lost, repeated, late";
+    },
+    (session, random) => {
+        const name = pickServer(session, random).name;
+        session.declare(declaration => ({
+            ...declaration,
+            servers: declaration.servers.map(server => ({ ...server, isDraining: server.name === name })),
+        }));
+        return `drain ${name} alone`;
+    },
+    (session, random) => {
+        const host = session.decider(random.pick(Object.keys(session.cast.centres)));
+        const name = pickServer(session, random).name;
+        const slice = random.pick(Object.values(host?.state.slices["board" as never]?.byName ?? {}));
+        if (host && slice) {
+            const input = { service: "board", slice: slice.slice } as never as {
+                service: never;
+                slice: never;
+            };
+            host.take({ kind: "moveWanted", ...input, to: name as never });
+            const key = random.pick(session.callers.keys);
+            host.take({ kind: "splitWanted", ...input, key });
+        }
+        return `move ${slice?.slice} to ${name}, and split`;
+    },
+];
+
+/** Plays a session with random faults, up to two new ones a step, heals everything, and judges. */
+export function walk(
+    seed: number,
+    cast: Cast,
+    prepare: (session: Session) => void = () => undefined,
+): WalkVerdict {
+    const session = startSession({ ...cast, seed });
+    const random = new RandomSource(seed);
+    const faults: string[] = [];
+    prepare(session);
+    for (let step = 0; step < STEPS; step++) {
+        const count = 1 + random.nextInteger(2);
+        for (let fault = 0; fault < count; fault++) {
+            faults.push(`${Math.round(session.clock.now())} ${random.pick(FAULTS)(session, random)}`);
+        }
+        session.run(random.nextFraction() * LONGEST_STEP_MS);
+    }
+    const isServedAgain = heal(session);
+    session.run(1500);
+    return {
+        seed,
+        faults,
+        violations: observe(getEvidence(session)),
+        isServedAgain,
+        answered: session.callers.log.filter(entry => entry.outcome === "answered").length,
+        rowsWritten: session.table.journal.filter(({ row }) => !row.key.startsWith("decider/")).length,
+    };
+}
+
+/** Ends all faults; a server that stays blocked because a grantor was lost with it is attested, as an operator would. */
+function heal(session: Session): boolean {
+    session.network.calm();
+    [...session.hosts.keys()].forEach(name => session.network.heal(`cut-${name}`));
+    session.network.heal("centre");
+    Object.assign(session.table, {
+        isDown: false,
+        slowness: 0,
+        losesAnswer: () => false,
+        holdsBack: () => 0,
+    });
+    session.hosts.forEach(host => host.condition === "dead" ? session.restartHost(host.name) : host.resume());
+    session.hosts.forEach(host => host.flushOrders());
+    session.servers.forEach(server => server.state === "dead" ? server.restart() : server.thaw());
+    session.run(LONGEST_HEAL_MS / 2);
+    attestLost(session);
+    const since = session.clock.now();
+    session.run(LONGEST_HEAL_MS / 2);
+    return session.isServedSince(since);
+}
+
+function attestLost(session: Session): void {
+    for (const server of session.servers.values()) {
+        const row = session.table.getRow(`server/${server.name}` as never).value as
+            | { incarnation: string; }
+            | undefined;
+        if (row && row.incarnation !== server.incarnation) {
+            const { incarnation } = row;
+            session.table.put(`attested/server/${server.name}` as never, {
+                kind: "server",
+                server: server.name,
+                incarnation,
+                operationId: "operator",
+            });
+        }
+    }
+}
