--- a/packages/platform/src/http/httpClient.ts
+++ b/packages/platform/src/http/httpClient.ts
@@ -1,13 +1,15 @@
 import type { Clock, Metrics } from "@arbutusdoor/common";
 import PQueue from "p-queue";
-import { Pool } from "undici";
+import type { Pool } from "undici";
 import type { HttpAnswer } from "./httpAnswer.js";
 import { HttpExchange } from "./httpExchange.js";
 import type { HttpLimits } from "./httpLimits.js";
+import { newHttpPool } from "./newHttpPool.js";
 import { readWhole } from "./readWhole.js";
 
 const INTERVAL_MS = 1_000;
 const MICROSECONDS_PER_MS = 1_000;
+const LATE = "no whole answer within the time limit";
 const OVERDUE: HttpAnswer = { kind: "notRun", reason: "the call waited longer than its time limit" };
 
 /** What a client is made of. */
@@ -39,12 +41,10 @@
         this.parts = parts;
         const { concurrency, requestsPerSecond } = parts.limits;
         this.queue = new PQueue({ concurrency, intervalCap: requestsPerSecond, interval: INTERVAL_MS });
-        this.pool = new Pool(parts.baseUrl, {
+        this.pool = newHttpPool(parts.baseUrl, {
             connections: concurrency,
-            pipelining: 1,
-            connectTimeout: parts.limits.timeoutMs,
-            headersTimeout: 0,
-            bodyTimeout: 0,
+            connectTimeoutMs: parts.limits.timeoutMs,
+            idleTimeoutMs: parts.limits.idleTimeoutMs,
         });
     }
 
@@ -71,7 +71,7 @@
             return { kind: "notRun", reason: "too many calls wait for this system" };
         }
         const overdue = new AbortController();
-        const timer = clock.schedule(limits.timeoutMs, () => overdue.abort());
+        const timer = clock.schedule(limits.timeoutMs, () => overdue.abort(new Error(LATE)));
         const answer = await this.takeTurn(call, overdue.signal);
         timer.cancel();
         return answer;
--- a/packages/platform/src/http/httpExchange.ts
+++ b/packages/platform/src/http/httpExchange.ts
@@ -16,7 +16,7 @@
     private readonly request: HttpRequest;
     private readonly clock: Clock;
     private readonly resolve: (outcome: HttpOutcome) => void;
-    private readonly cancel = () => this.end("the request was cancelled", true);
+    private readonly cancel = () => this.end(getCancelReason(this.request.signal), true);
     private timer: Timer | undefined;
     private controller: Dispatcher.DispatchController | undefined;
     private body: AnswerBody | undefined;
@@ -126,6 +126,12 @@
     }
 }
 
+function getCancelReason(signal: AbortSignal | undefined): string {
+    const reason: unknown = signal?.reason;
+    const isStated = reason instanceof Error && reason.name === "Error";
+    return isStated ? reason.message : "the request was cancelled";
+}
+
 function getReason(error: unknown): string {
     if (!(error instanceof Error)) {
         return "the connection failed";
--- a/packages/platform/src/http/httpLimits.ts
+++ b/packages/platform/src/http/httpLimits.ts
@@ -3,6 +3,7 @@
 const DEFAULT_TIMEOUT_MS = 1_000;
 const DEFAULT_REQUESTS_PER_SECOND = 200;
 const DEFAULT_CONCURRENCY = 16;
+const DEFAULT_IDLE_TIMEOUT_MS = 4_000;
 const DEFAULT_WAITING_LIMIT = 1_024;
 const DEFAULT_ANSWER_LIMIT_BYTES = 67_108_864;
 
@@ -14,6 +15,8 @@
     requestsPerSecond: z.int().min(1).max(1_000_000).default(DEFAULT_REQUESTS_PER_SECOND),
     /** Requests under way at a time; as many connections are kept. */
     concurrency: z.int().min(1).max(10_000).default(DEFAULT_CONCURRENCY),
+    /** Time in ms that an unused connection is kept; must be shorter than the other side keeps it. */
+    idleTimeoutMs: z.int().min(1).max(600_000).default(DEFAULT_IDLE_TIMEOUT_MS),
     /** Requests that wait for their turn; those beyond it end as not run. */
     waitingLimit: z.int().min(0).max(1_000_000).default(DEFAULT_WAITING_LIMIT),
     /** Longest answer that is read into memory. */
--- a/packages/platform/src/http/httpPools.ts
+++ b/packages/platform/src/http/httpPools.ts
@@ -1,4 +1,5 @@
-import { Pool } from "undici";
+import type { Pool } from "undici";
+import { newHttpPool } from "./newHttpPool.js";
 
 /** Settings of the pools that one adapter keeps. */
 type PoolSettings = {
@@ -62,16 +63,8 @@
     }
 
     private open(address: string): Pool {
-        const { connections, connectTimeoutMs, idleTimeoutMs } = this.settings;
-        const pool = new Pool(`http://${address}`, {
-            connections: this.limits.get(address) ?? connections,
-            pipelining: 1,
-            connectTimeout: connectTimeoutMs,
-            keepAliveTimeout: idleTimeoutMs,
-            keepAliveMaxTimeout: idleTimeoutMs,
-            headersTimeout: 0,
-            bodyTimeout: 0,
-        });
+        const connections = this.limits.get(address) ?? this.settings.connections;
+        const pool = newHttpPool(`http://${address}`, { ...this.settings, connections });
         this.pools.set(address, pool);
         this.retireUnused();
         return pool;
--- a/packages/platform/src/orders/httpServerOrders.ts
+++ b/packages/platform/src/orders/httpServerOrders.ts
@@ -22,6 +22,7 @@
 const PATH = "/arbutusdoor/order";
 const OK_STATUS = 200;
 const REPLY_LIMIT_BYTES = 16_777_216;
+const LATE = "no whole reply within the time limit";
 const NOBODY_LISTENS = "ECONNREFUSED";
 
 const sliceSchema = z.object({
@@ -64,7 +65,7 @@
 
     override async send(address: string, order: Order, timeout: Milliseconds): Promise<OrderOutcome> {
         const overdue = new AbortController();
-        const timer = this.clock.schedule(timeout, () => overdue.abort());
+        const timer = this.clock.schedule(timeout, () => overdue.abort(new Error(LATE)));
         const request = {
             method: "POST",
             path: PATH,
--- /dev/null
+++ b/packages/platform/tests/httpBackendTraffic.test.ts
@@ -0,0 +1,307 @@
+import { ManualClock, type ServiceId, type SliceId } from "@arbutusdoor/common";
+import { type BackendAnswer, BackendTrafficSettings, HttpBackendTraffic } from "@arbutusdoor/platform";
+import { Readable } from "node:stream";
+import { text } from "node:stream/consumers";
+import { expect, onTestFinished, test } from "vitest";
+import { newBackendRequest } from "./support/newBackendRequest.js";
+import { ScriptedServer } from "./support/scriptedServer.js";
+import { until } from "./support/until.js";
+
+const HEAD = "HTTP/1.1 200 OK\r\n";
+const WHOLE = `${HEAD}content-length: 2\r\n\r\nok`;
+const MEGABYTE = 1_048_576;
+
+function newTraffic(connections = 4): { traffic: HttpBackendTraffic; clock: ManualClock; } {
+    const clock = new ManualClock();
+    const settings = BackendTrafficSettings.parse({ host: "h1", connections });
+    const traffic = new HttpBackendTraffic({ clock, settings });
+    onTestFinished(() => void traffic.close());
+    return { traffic, clock };
+}
+
+async function read(answer: BackendAnswer): Promise<unknown> {
+    if (answer.kind !== "answered") {
+        return answer;
+    }
+    const body = await text(answer.body).catch((error: Error) => `broken: ${error.message}`);
+    return { status: answer.status, headers: answer.headers, body };
+}
+
+test("a request carries its own fields and none that concern one connection or that the caller made up", async () => {
+    const server = await ScriptedServer.start(socket =>
+        socket.write(
+            `HTTP/1.1 103 Early Hints\r\n\r\n${HEAD}Connection: x-private\r\nX-Private: 1\r\nX-Kept: 2\r\n`
+                + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        )
+    );
+    const { traffic } = newTraffic();
+    const answer = await traffic.send(newBackendRequest(server.address, {
+        headers: {
+            "x-kept": "1",
+            "connection": "x-private, keep-alive",
+            "x-private": "1",
+            "te": "trailers",
+            "expect": "100-continue",
+            "arbutusdoor-slice": "made-up",
+        },
+        slice: { service: "gustboard" as ServiceId, slice: "0-1f" as SliceId, generation: 7 },
+        deadline: 99.9,
+    }));
+    const sent = server.received[0]!.replace(/^host:.*\r\n/m, "").split("\r\n");
+    expect({ sent, answer: await read(answer) }).toMatchSnapshot();
+});
+
+test("a keyless request carries no slice, whatever the caller sent", async () => {
+    const server = await ScriptedServer.start(socket => socket.write(WHOLE));
+    const headers = { "arbutusdoor-slice": "made-up", "arbutusdoor-generation": "9" };
+    await read(await newTraffic().traffic.send(newBackendRequest(server.address, { headers })));
+    expect(server.received[0]).not.toMatch(/slice|generation/);
+});
+
+test.each([
+    ["shorter than its content-length", `${HEAD}content-length: 9\r\n\r\nok`],
+    [
+        "shorter, on a connection that says it closes",
+        `${HEAD}connection: close\r\ncontent-length: 9\r\n\r\nok`,
+    ],
+    ["chunked without its end", `${HEAD}transfer-encoding: chunked\r\n\r\n2\r\nok\r\n`],
+    [
+        "chunked without its end, on a connection that says it closes",
+        `${HEAD}connection: close\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n`,
+    ],
+])("an answer body that is %s errors", async (...[, bytes]) => {
+    for (const end of ["end", "resetAndDestroy"] as const) {
+        const server = await ScriptedServer.start(socket => socket.write(bytes, () => socket[end]()));
+        const answer = await newTraffic().traffic.send(newBackendRequest(server.address));
+        // A reset may overtake the head of the answer.
+        const outcome = answer.kind === "answered" ? await read(answer) : answer;
+        const isWhole = answer.kind === "answered"
+            && !(outcome as { body: string; }).body.startsWith("broken");
+        expect({ end, isWhole, kind: answer.kind === "notRun" }).toEqual({
+            end,
+            isWhole: false,
+            kind: false,
+        });
+    }
+});
+
+test("an answer that ends with its connection can't be told from a broken one, and is unknown", async () => {
+    const server = await ScriptedServer.start(socket => socket.end(`${HEAD}connection: close\r\n\r\nok`));
+    expect(await newTraffic().traffic.send(newBackendRequest(server.address))).toMatchInlineSnapshot(`
+      {
+        "cause": "connectionLost",
+        "detail": "the answer does not state where it ends",
+        "kind": "unknown",
+      }
+    `);
+});
+
+test("a connection reset while a slow reader holds it back breaks the body and nothing else", async () => {
+    const big = Buffer.alloc(4 * MEGABYTE);
+    const server = await ScriptedServer.start((socket, count) => {
+        if (count === 1) {
+            socket.write(`${HEAD}connection: close\r\ncontent-length: ${2 * big.length}\r\n\r\n`);
+            socket.write(big);
+        }
+    });
+    const { traffic } = newTraffic();
+    const body = new Readable({ read: () => undefined });
+    body.push("abc");
+    const answer = await traffic.send(newBackendRequest(server.address, { method: "POST", body }));
+    if (answer.kind !== "answered") {
+        throw new Error("no head");
+    }
+    await until(() => answer.body.readableLength >= answer.body.readableHighWaterMark);
+    server.sockets[0]!.resetAndDestroy();
+    await until(() => !body.destroyed && !body.push("more") || body.destroyed);
+    await until(() => traffic.countConnections().get(server.address) === 0);
+    expect(await read(answer)).toMatchObject({ body: expect.stringMatching(/^broken/) });
+});
+
+test("a reader that stops holds the server back", async () => {
+    const big = Buffer.alloc(64 * MEGABYTE);
+    const server = await ScriptedServer.start(socket => {
+        socket.write(`${HEAD}content-length: ${big.length}\r\n\r\n`);
+        socket.write(big);
+    });
+    const answer = await newTraffic().traffic.send(newBackendRequest(server.address));
+    if (answer.kind !== "answered") {
+        throw new Error("no head");
+    }
+    await until(() => answer.body.readableLength >= answer.body.readableHighWaterMark);
+    for (let turn = 0; turn < 200; turn++) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    expect(answer.body.readableLength).toBeLessThan(MEGABYTE);
+    expect(server.sockets[0]!.writableLength).toBeGreaterThan(32 * MEGABYTE);
+    expect((await text(answer.body)).length).toBe(big.length);
+});
+
+test("nobody listens: not run, and the body is untouched for another try", async () => {
+    const server = await ScriptedServer.start(socket => socket.write(WHOLE));
+    const body = Readable.from(["abc"]);
+    const { traffic } = newTraffic();
+    const dead = await traffic.send(newBackendRequest("127.0.0.1:1", { method: "POST", body }));
+    const alive = await traffic.send(newBackendRequest(server.address, { method: "POST", body }));
+    await until(() => server.received.join("").includes("abc"));
+    expect([dead, await read(alive)]).toMatchInlineSnapshot(`
+      [
+        {
+          "cause": "unreachable",
+          "detail": "ECONNREFUSED: connect ECONNREFUSED 127.0.0.1:1",
+          "kind": "notRun",
+        },
+        {
+          "body": "ok",
+          "headers": {
+            "content-length": "2",
+          },
+          "status": 200,
+        },
+      ]
+    `);
+});
+
+test("a request that waits for a connection ends as not run at its deadline or when cancelled, and is never sent", async () => {
+    const server = await ScriptedServer.start(() => undefined);
+    const { traffic, clock } = newTraffic(1);
+    const first = traffic.send(newBackendRequest(server.address, { path: "/first", deadline: 500 }));
+    await until(() => server.received.length === 1);
+    const caller = new AbortController();
+    const waiting = traffic.send(newBackendRequest(server.address, { path: "/waiting", deadline: 100 }));
+    const left = traffic.send(newBackendRequest(server.address, { path: "/left", signal: caller.signal }));
+    caller.abort();
+    clock.advance(100);
+    const notRun = [await waiting, await left];
+    server.sockets[0]!.write(WHOLE);
+    const answered = await read(await first);
+    const last = traffic.send(newBackendRequest(server.address, { path: "/last" }));
+    await until(() => server.received.join("").includes("/last"));
+    server.sockets.at(-1)!.write(WHOLE);
+    expect({ notRun, answered, last: await read(await last) }).toMatchInlineSnapshot(`
+      {
+        "answered": {
+          "body": "ok",
+          "headers": {
+            "content-length": "2",
+          },
+          "status": 200,
+        },
+        "last": {
+          "body": "ok",
+          "headers": {
+            "content-length": "2",
+          },
+          "status": 200,
+        },
+        "notRun": [
+          {
+            "cause": "unreachable",
+            "detail": "no answer within the time limit",
+            "kind": "notRun",
+          },
+          {
+            "cause": "cancelled",
+            "detail": "the request was cancelled",
+            "kind": "notRun",
+          },
+        ],
+      }
+    `);
+    expect(server.received.join("")).not.toMatch(/waiting|left/);
+});
+
+test("a request that was sent is unknown at its deadline, when cancelled and when the connection breaks", async () => {
+    const server = await ScriptedServer.start(socket =>
+        void (server.received.join("").includes("/broken") && socket.destroy())
+    );
+    const { traffic, clock } = newTraffic();
+    const caller = new AbortController();
+    const overdue = traffic.send(newBackendRequest(server.address, { path: "/overdue", deadline: 100 }));
+    const left = traffic.send(newBackendRequest(server.address, { path: "/left", signal: caller.signal }));
+    await until(() => server.received.length === 2);
+    caller.abort();
+    clock.advance(100);
+    const broken = traffic.send(newBackendRequest(server.address, { path: "/broken", method: "POST" }));
+    expect([await overdue, await left, await broken]).toMatchInlineSnapshot(`
+      [
+        {
+          "cause": "connectionLost",
+          "detail": "no answer within the time limit",
+          "kind": "unknown",
+        },
+        {
+          "cause": "cancelled",
+          "detail": "the request was cancelled",
+          "kind": "unknown",
+        },
+        {
+          "cause": "connectionLost",
+          "detail": "UND_ERR_SOCKET: other side closed",
+          "kind": "unknown",
+        },
+      ]
+    `);
+    expect(server.received.length).toBe(3);
+});
+
+test("a server's own refusal is not run; a plain 503 is its answer", async () => {
+    const server = await ScriptedServer.start((socket, count) => {
+        const field = ["shed", "stale", "leaving", "other", undefined][count - 1];
+        const refusal = field ? `arbutusdoor-not-run: ${field}\r\n` : "";
+        socket.write(`HTTP/1.1 503 No\r\n${refusal}content-length: 2\r\n\r\nno`);
+    });
+    const { traffic } = newTraffic();
+    const kinds: unknown[] = [];
+    for (let count = 0; count < 5; count++) {
+        const answer = await traffic.send(newBackendRequest(server.address));
+        kinds.push(answer.kind === "notRun" ? answer.cause : answer.kind);
+        await read(answer);
+    }
+    expect(kinds).toEqual(["shed", "stale", "leaving", "answered", "answered"]);
+});
+
+test("a caller's body that breaks off leaves the request unfinished at the server", async () => {
+    const server = await ScriptedServer.start(() => undefined);
+    const body = new Readable({ read: () => undefined });
+    const sending = newTraffic().traffic.send(newBackendRequest(server.address, {
+        method: "POST",
+        headers: { "content-length": "10" },
+        body,
+    }));
+    body.push("abc");
+    await until(() => server.received.join("").endsWith("abc"));
+    body.destroy(new Error("caller gone"));
+    expect(await sending).toMatchObject({ kind: "unknown", cause: "connectionLost" });
+    await until(() => server.sockets[0]!.closed);
+});
+
+test("connections are limited; a new limit holds for new connections", async () => {
+    let isHolding = true;
+    const server = await ScriptedServer.start(socket => void (isHolding || socket.write(WHOLE)));
+    const { traffic } = newTraffic(2);
+    const send = (path: string) => traffic.send(newBackendRequest(server.address, { path }));
+    const before = ["/a", "/b", "/c"].map(send);
+    await until(() => server.received.length === 2);
+    const counted = traffic.countConnections().get(server.address);
+    traffic.limitConnections(server.address, 1);
+    const after = ["/d", "/e"].map(send);
+    await until(() => server.received.length === 3);
+    const isLimited = !server.received.join("").includes("/e");
+    isHolding = false;
+    server.sockets.forEach(socket => socket.write(WHOLE));
+    const kinds = (await Promise.all([...before, ...after])).map(answer => answer.kind);
+    expect({ counted, isLimited, kinds }).toMatchInlineSnapshot(`
+      {
+        "counted": 2,
+        "isLimited": true,
+        "kinds": [
+          "answered",
+          "answered",
+          "answered",
+          "answered",
+          "answered",
+        ],
+      }
+    `);
+});
--- /dev/null
+++ b/packages/platform/tests/support/newBackendRequest.ts
@@ -0,0 +1,19 @@
+import type { RequestId, ServerId } from "@arbutusdoor/common";
+import type { BackendRequest } from "@arbutusdoor/platform";
+
+/** A plain GET to an address, with what a test wants otherwise. */
+export function newBackendRequest(address: string, changes: Partial<BackendRequest> = {}): BackendRequest {
+    return {
+        id: "h1-1" as RequestId,
+        server: "s1" as ServerId,
+        address,
+        method: "GET",
+        path: "/beach/1",
+        headers: {},
+        body: undefined,
+        deadline: 1_000,
+        slice: undefined,
+        signal: new AbortController().signal,
+        ...changes,
+    };
+}
--- a/packages/standins/src/common/gate.ts
+++ b/packages/standins/src/common/gate.ts
@@ -3,6 +3,11 @@
     private waiting: (() => void)[] = [];
     private isClosed = false;
 
+    /** How many are held back. */
+    get heldCount(): number {
+        return this.waiting.length;
+    }
+
     /** Holds back what comes from now on. */
     close(): void {
         this.isClosed = true;
--- a/packages/standins/src/common/standIn.ts
+++ b/packages/standins/src/common/standIn.ts
@@ -49,6 +49,11 @@
         return this.controlListener.address;
     }
 
+    /** Requests that a frozen stand-in holds back. */
+    get heldCount(): number {
+        return this.gate.heldCount;
+    }
+
     /** Listens on both ports. */
     async start(): Promise<void> {
         await this.listener.open();
