Sessions, properties and checks of the configuration as tests

The reason of a refused submission was the last read's, which said nothing about the object store that had caused it; the reason of the last write attempt is kept now.

--- a/packages/configuration/src/attestation/attestLoss.ts
+++ b/packages/configuration/src/attestation/attestLoss.ts
@@ -27,12 +27,13 @@
         if (attempt > 0) {
             await ports.clock.sleep(getBackoffMs(attempt, ports.settings, ports.random));
         }
-        const step = await attest(attestation, ports, attempt < ports.settings.attempts);
+        const mayWrite = attempt < ports.settings.attempts;
+        const step = await attest(attestation, ports, mayWrite);
         if (step.kind !== "again") {
             return step;
         }
         mayHaveRun ||= step.mayHaveRun;
-        reason = step.reason;
+        reason = mayWrite ? step.reason : reason;
     }
     return { kind: mayHaveRun ? "unknown" : "notRun", reason };
 }
@@ -49,7 +50,7 @@
         return { kind: "recorded", attestation: recorded.data };
     }
     if (!mayWrite) {
-        return { kind: "again", reason: "the table service took no write", mayHaveRun: false };
+        return { kind: "again", reason: "no attempts are left", mayHaveRun: false };
     }
     const { operationId } = attestation;
     const writes = [{ key, expectedVersion: row?.version ?? 0, value: attestation }];
--- a/packages/configuration/src/check/getClassProblems.ts
+++ b/packages/configuration/src/check/getClassProblems.ts
@@ -39,7 +39,7 @@
         return [];
     }
     const names = [...new Set(covers.map(cover => `"${cover?.name}"`))].join(" and ");
-    return [{ path, message: `class "${requestClass.name}" can never match: ${names} takes all of it` }];
+    return [{ path, message: `class "${requestClass.name}" can never match: all of it goes to ${names}` }];
 }
 
 function getClassServerProblems(
--- a/packages/configuration/src/keeper/submissionRun.ts
+++ b/packages/configuration/src/keeper/submissionRun.ts
@@ -43,11 +43,12 @@
             if (attempt > 0) {
                 await this.ports.clock.sleep(getBackoffMs(attempt, this.ports.settings, this.ports.random));
             }
-            const step = await this.attempt(attempt < attempts);
+            const mayWrite = attempt < attempts;
+            const step = await this.attempt(mayWrite);
             if (step.kind !== "again") {
                 return step;
             }
-            reason = step.reason;
+            reason = mayWrite ? step.reason : reason;
         }
         return { kind: this.mayHaveRun ? "unknown" : "notRun", reason };
     }
@@ -65,7 +66,7 @@
             this.ports.settings.historyLength,
         );
         if (plan.kind === "write") {
-            return mayWrite ? this.write(plan) : { kind: "again", reason: "the table service took no write" };
+            return mayWrite ? this.write(plan) : { kind: "again", reason: "no attempts are left" };
         }
         return this.answer(plan, read.stored.head?.digest);
     }
--- /dev/null
+++ b/packages/configuration/tests/attestations.test.ts
@@ -0,0 +1,30 @@
+import type { OperationId } from "@arbutusdoor/common";
+import { attestLoss, ConfigurationSettings, type Loss, readAttestations } from "@arbutusdoor/configuration";
+import { expect, test } from "vitest";
+import { Session } from "./session.js";
+
+const SERVER_LOSS: Loss = { kind: "server", server: "board-1", incarnation: "a/b" };
+const DATA_CENTRE_LOSS: Loss = { kind: "dataCentre", dataCentre: "north" };
+
+test("a loss is recorded once, also after a lost answer and by a second operator", async () => {
+    const session = new Session();
+    session.clock.advance(5_000);
+    const settings = ConfigurationSettings.parse({});
+    const attest = async (loss: Loss, by: string, operation: string) => {
+        const attesting = attestLoss(loss, by, operation as OperationId, { ...session, settings });
+        session.note(`${by}: ${JSON.stringify(await session.settle(attesting))}`);
+    };
+    session.table.writeFaults = ["lostAfter"];
+    await attest(SERVER_LOSS, "marshal", "first");
+    await attest(SERVER_LOSS, "warden", "second");
+    session.table.writeFaults = ["lostBefore", "lostBefore", "lostBefore", "lostBefore", "lostBefore"];
+    await attest(DATA_CENTRE_LOSS, "marshal", "third");
+    session.table.isDown = true;
+    await attest(DATA_CENTRE_LOSS, "marshal", "fourth");
+    session.table.isDown = false;
+    await attest(DATA_CENTRE_LOSS, "marshal", "fifth");
+    session.note(JSON.stringify(await readAttestations(session.table)));
+    session.note((await session.table.scan("")).kind);
+    session.note([...session.table.copy().keys()].join(" "));
+    await expect(session.print()).toMatchFileSnapshot("golden/attestations.txt");
+});
--- /dev/null
+++ b/packages/configuration/tests/fakes/memoryObjects.ts
@@ -0,0 +1,23 @@
+import { type ObjectRead, ObjectStore, type ObjectWrite } from "@arbutusdoor/platform";
+
+/** An object store in memory that can be switched off. */
+export class MemoryObjects extends ObjectStore {
+    isDown = false;
+    readonly objects = new Map<string, Uint8Array>();
+
+    override async put(name: string, bytes: Uint8Array): Promise<ObjectWrite> {
+        if (this.isDown) {
+            return { kind: "notRun", reason: "down" };
+        }
+        this.objects.set(name, bytes);
+        return { kind: "stored" };
+    }
+
+    override async get(name: string): Promise<ObjectRead> {
+        if (this.isDown) {
+            return { kind: "unavailable", reason: "down" };
+        }
+        const bytes = this.objects.get(name);
+        return bytes ? { kind: "found", bytes } : { kind: "absent" };
+    }
+}
--- /dev/null
+++ b/packages/configuration/tests/sessions.test.ts
@@ -0,0 +1,172 @@
+import type { OperationId } from "@arbutusdoor/common";
+import {
+    CONFIGURATION_KEYS,
+    type ConfigurationKeeper,
+    getBodyName,
+    newConfigurationVersion,
+} from "@arbutusdoor/configuration";
+import { expect, test } from "vitest";
+import { newTestDeclaration } from "./newTestDeclaration.js";
+import { Session } from "./session.js";
+
+const FIRST = newTestDeclaration(1_000);
+const SECOND = newTestDeclaration(2_000);
+const THIRD = newTestDeclaration(3_000);
+
+test("two operators race: one is accepted, the other is refused with the differences", async () => {
+    const session = new Session();
+    const north = session.newKeeper("north");
+    const south = session.newKeeper("south", { isPoller: true });
+    await session.submit(north, 0, FIRST, "first");
+    await session.settle(south.poll());
+    await Promise.all([
+        session.submit(north, 1, SECOND, "from-north"),
+        session.submit(south, 1, THIRD, "from-south"),
+    ]);
+    await session.settle(south.poll());
+    await matchGolden(session, "twoOperators");
+});
+
+test("a lost answer is read back before anything is said, whether the write took effect or not", async () => {
+    const session = new Session();
+    const keeper = session.newKeeper("north");
+    session.table.writeFaults = ["lostAfter"];
+    await session.submit(keeper, 0, FIRST, "took-effect");
+    session.table.writeFaults = ["lostBefore", "down", "lostBefore"];
+    await session.submit(keeper, 1, SECOND, "took-no-effect");
+    session.table.writeFaults = ["late"];
+    await session.submit(keeper, 2, THIRD, "took-effect-late");
+    session.note(`writes: ${session.table.journal.map(({ operationId }) => operationId).join(", ")}`);
+    await matchGolden(session, "lostAnswers");
+});
+
+test("when no read follows a lost answer the outcome is unknown, and a repeat of the operation finds it", async () => {
+    const session = new Session();
+    const keeper = session.newKeeper("north");
+    const other = session.newKeeper("south");
+    await session.submit(keeper, 0, FIRST, "first");
+    session.table.writeFaults = ["lostAfter"];
+    const submission = session.submit(keeper, 1, SECOND, "second");
+    session.clock.schedule(1, () => {
+        session.table.isDown = true;
+        session.note("table down");
+    });
+    await submission;
+    session.table.isDown = false;
+    session.note("table up");
+    await session.submit(other, 1, SECOND, "second");
+    await session.submit(keeper, 1, SECOND, "second");
+    await session.submit(keeper, 2, THIRD, "second");
+    session.note(`writes: ${session.table.journal.map(({ operationId }) => operationId).join(", ")}`);
+    await matchGolden(session, "unknownThenRepeated");
+});
+
+test("an outcome stays unknown when the history no longer reaches back to the lost write", async () => {
+    const session = new Session();
+    const north = session.newKeeper("north", { backoffMinMs: 1_000 });
+    const south = session.newKeeper("south", { historyLength: 1 });
+    session.table.writeFaults = ["lostAfter"];
+    const lost = north.submit(0, FIRST, "lost" as OperationId);
+    await session.advance(1);
+    await session.submit(south, 1, SECOND, "second");
+    await session.submit(south, 2, THIRD, "third");
+    session.note(`lost on base 0: ${JSON.stringify(await session.settle(lost))}`);
+    await matchGolden(session, "historyTooShort");
+});
+
+test("a submission during an outage of either store is refused as not run and leaves nothing", async () => {
+    const session = new Session();
+    const keeper = session.newKeeper("north", { attempts: 2 });
+    session.objects.isDown = true;
+    await session.submit(keeper, 0, FIRST, "no-objects");
+    session.objects.isDown = false;
+    session.table.isDown = true;
+    await session.submit(keeper, 0, FIRST, "no-table");
+    session.note(`writes: ${session.table.journal.length}, in force: ${keeper.current()?.version}`);
+    await matchGolden(session, "storeOutage");
+});
+
+test("a host that starts in an outage takes the newest from its peers: stale first, then newer, never back", async () => {
+    const session = new Session();
+    const host = session.newKeeper("late-host", { isPoller: true });
+    session.table.isDown = true;
+    host.start();
+    await session.advance(100);
+    offer(session, host, "stale peer", newConfigurationVersion(4, FIRST));
+    offer(session, host, "newer peer", newConfigurationVersion(6, THIRD));
+    offer(session, host, "older peer", newConfigurationVersion(5, SECOND));
+    offer(session, host, "same peer", newConfigurationVersion(6, THIRD));
+    offer(session, host, "diverged peer", newConfigurationVersion(6, FIRST));
+    offer(session, host, "broken peer", { ...newConfigurationVersion(7, FIRST), body: "{}" });
+    const garbled = newConfigurationVersion(7, { ...FIRST, tenant: "NOT A NAME" });
+    offer(session, host, "garbled peer", garbled);
+    await session.advance(2_500);
+    host.stop();
+    session.note(`in force: ${host.current()?.version}`);
+    await matchGolden(session, "startInOutage");
+});
+
+test("a restored old head row never takes the version in force back, and the next submission goes above it", async () => {
+    const session = new Session();
+    const keeper = session.newKeeper("north", { isPoller: true });
+    await session.submit(keeper, 0, FIRST, "first");
+    const copy = session.table.copy();
+    await session.submit(keeper, 1, SECOND, "second");
+    await session.submit(keeper, 2, THIRD, "third");
+    session.table.restore(copy);
+    session.note("table restored to version 1");
+    keeper.start();
+    await session.advance(3_000);
+    keeper.stop();
+    session.note(`in force: ${keeper.current()?.version}`);
+    await session.submit(keeper, 1, SECOND, "on-restored");
+    await session.submit(keeper, 3, SECOND, "on-in-force");
+    await session.settle(keeper.poll());
+    await matchGolden(session, "restoredTable");
+});
+
+test("a stored text that cannot be read leaves the version in force; a whole one from a peer is taken", async () => {
+    const session = new Session();
+    const writer = session.newKeeper("writer");
+    const reader = session.newKeeper("reader", { isPoller: true });
+    await session.submit(writer, 0, FIRST, "first");
+    await session.settle(reader.poll());
+    await session.submit(writer, 1, SECOND, "second");
+    const name = getBodyName(newConfigurationVersion(2, SECOND).digest);
+    session.objects.objects.set(name, new TextEncoder().encode("{\"format\": 1"));
+    await session.settle(reader.poll());
+    await session.settle(reader.poll());
+    session.objects.objects.delete(name);
+    await session.settle(reader.poll());
+    session.note(`in force: ${reader.current()?.version}`);
+    offer(session, reader, "writer", writer.current()!);
+    const row = { key: CONFIGURATION_KEYS.head, expectedVersion: 2, value: { version: "x" } };
+    await session.table.transact({ operationId: "broken" as never, writes: [row] });
+    await session.settle(reader.poll());
+    await session.submit(reader, 2, THIRD, "on-broken-head");
+    await matchGolden(session, "malformedStore");
+});
+
+test("submissions beyond the limit of a host are refused as not run", async () => {
+    const session = new Session();
+    const keeper = session.newKeeper("north", { maxPendingSubmissions: 1 });
+    await Promise.all([
+        session.submit(keeper, 0, FIRST, "first"),
+        session.submit(keeper, 0, SECOND, "second"),
+    ]);
+    await matchGolden(session, "tooMany");
+});
+
+function offer(
+    session: Session,
+    keeper: ConfigurationKeeper,
+    peer: string,
+    offered: Parameters<ConfigurationKeeper["offer"]>[0],
+): void {
+    const result = keeper.offer(offered);
+    session.note(`${peer} offers version ${offered.version}: ${result}`);
+}
+
+async function matchGolden(session: Session, name: string): Promise<void> {
+    await expect(session.print()).toMatchFileSnapshot(`golden/${name}.txt`);
+}
--- /dev/null
+++ b/packages/configuration/tests/submissions.test.ts
@@ -0,0 +1,98 @@
+import type { OperationId } from "@arbutusdoor/common";
+import { CONFIGURATION_KEYS, type ConfigurationKeeper, type SubmitOutcome } from "@arbutusdoor/configuration";
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { newTestDeclaration } from "./newTestDeclaration.js";
+import { Session } from "./session.js";
+
+const RUNS = 150;
+const HOSTS = 3;
+
+const fault = fc.constantFrom(undefined, undefined, "down", "lostBefore", "lostAfter", "late");
+
+const scenario = fc.record({
+    seed: fc.nat(),
+    faults: fc.array(fault, { maxLength: 25 }),
+    outages: fc.array(fc.record({ at: fc.nat(3_000), length: fc.nat(1_500) }), { maxLength: 2 }),
+    operations: fc.array(
+        fc.record({
+            at: fc.nat(3_000),
+            host: fc.nat(HOSTS - 1),
+            repeatHost: fc.option(fc.nat(HOSTS - 1), { nil: undefined }),
+            lag: fc.nat(2),
+        }),
+        { minLength: 1, maxLength: 8 },
+    ),
+});
+
+type Answer = { readonly operation: string; readonly base: number; readonly outcome: SubmitOutcome; };
+
+test("whatever fails and whoever races, every answer to a submission is true", async () => {
+    await fc.assert(
+        fc.asyncProperty(scenario, async ({ seed, faults, outages, operations }) => {
+            const session = new Session(seed);
+            session.table.writeFaults = [...faults];
+            const keepers = Array.from({ length: HOSTS }, (_, host) => session.newKeeper(`host-${host}`));
+            const adopted = keepers.map(watchAdoptions);
+            for (const { at, length } of outages) {
+                session.clock.schedule(at, () => session.table.isDown = true);
+                session.clock.schedule(at + length, () => session.table.isDown = false);
+            }
+            const answers: Promise<Answer>[] = [];
+            for (const [index, { at, host, repeatHost, lag }] of operations.entries()) {
+                session.clock.schedule(at, () => {
+                    const base = Math.max(0, Math.max(...keepers.map(getVersion)) - lag);
+                    for (const where of new Set([host, repeatHost ?? host])) {
+                        answers.push(submit(keepers[where]!, base, index));
+                    }
+                });
+            }
+            await session.advance(3_000);
+            const ended = await session.settle(Promise.all(answers));
+            session.table.applyLate();
+            checkAnswers(session, ended);
+            for (const versions of adopted) {
+                expect(versions).toEqual([...new Set(versions)].sort((left, right) => left - right));
+            }
+        }),
+        { numRuns: RUNS, seed: 20_261 },
+    );
+});
+
+async function submit(keeper: ConfigurationKeeper, base: number, index: number): Promise<Answer> {
+    const operation = `operation-${index}`;
+    const outcome = await keeper.submit(base, newTestDeclaration(1 + index), operation as OperationId);
+    return { operation, base, outcome };
+}
+
+function checkAnswers(session: Session, answers: readonly Answer[]): void {
+    const heads = session.table.journal.map(({ operationId, writes }) => {
+        const head = writes.find(({ key }) => key === CONFIGURATION_KEYS.head)?.value as { version: number; };
+        return { operation: operationId as string, version: head.version };
+    });
+    expect(heads.map(({ version }) => version)).toEqual(heads.map((_, index) => index + 1));
+    expect(new Set(heads.map(({ operation }) => operation)).size).toBe(heads.length);
+    for (const { operation, base, outcome } of answers) {
+        const written = heads.find(head => head.operation === operation);
+        const calls = answers.filter(answer => answer.operation === operation);
+        if (outcome.kind === "accepted") {
+            expect(written?.version).toBe(outcome.version);
+        }
+        if (outcome.kind === "conflict" && outcome.currentVersion > base) {
+            expect(written).toBeUndefined();
+        }
+        if (outcome.kind === "notRun" && calls.length === 1) {
+            expect(written).toBeUndefined();
+        }
+    }
+}
+
+function watchAdoptions(keeper: ConfigurationKeeper): number[] {
+    const versions: number[] = [];
+    keeper.onAdopted(({ version }) => versions.push(version));
+    return versions;
+}
+
+function getVersion(keeper: ConfigurationKeeper): number {
+    return keeper.current()?.version ?? 0;
+}
