--- a/packages/tool/src/client/operationRun.ts
+++ b/packages/tool/src/client/operationRun.ts
@@ -24,26 +24,26 @@
     private readonly clock: Clock;
     private readonly call: Call;
     private readonly shape: z.ZodType<Settled>;
-    private readonly finalKinds: readonly string[];
+    private readonly isFinal: (outcome: Settled) => boolean;
     private readonly reasons: string[] = [];
     private mayHaveRun = false;
 
     /**
      * @param shape shape of the typed outcome in the host's answer
-     * @param finalKinds kinds of outcome that hold even if an earlier call was lost
+     * @param isFinal whether an outcome holds even if an earlier call was lost
      */
     constructor(
         client: OperatorClient,
         clock: Clock,
         call: Call,
         shape: z.ZodType<Settled>,
-        finalKinds: readonly string[],
+        isFinal: (outcome: Settled) => boolean,
     ) {
         this.client = client;
         this.clock = clock;
         this.call = call;
         this.shape = shape;
-        this.finalKinds = finalKinds;
+        this.isFinal = isFinal;
     }
 
     /** Ends after two rounds of the hosts or 8 calls at the latest. */
@@ -80,7 +80,7 @@
         if (outcome.kind === "notRun" || outcome.kind === "unknown") {
             return this.goOn(host, outcome.reason ?? outcome.kind, outcome.kind === "unknown");
         }
-        if (this.mayHaveRun && !this.finalKinds.includes(outcome.kind)) {
+        if (this.mayHaveRun && !this.isFinal(outcome)) {
             return this.goOn(host, getReason(status, json), false);
         }
         return { kind: "settled", host, outcome };
--- a/packages/tool/src/commands/attestLostCommand.ts
+++ b/packages/tool/src/commands/attestLostCommand.ts
@@ -7,8 +7,6 @@
 import { commands } from "./commands.js";
 import { failOnOperation } from "./failOnOperation.js";
 
-const FINAL_KINDS = ["recorded"] as const;
-
 /** Records the operator's word that a server's run or a data centre is lost and will not act again. */
 export class AttestLostCommand extends Command {
     override readonly name = "attest-lost";
@@ -30,7 +28,7 @@
         }
         const body = { loss, by, operationId: context.newOperationId() };
         const call = { method: "POST", path: "/v1/attest-lost", body } as const;
-        const run = new OperationRun(context.getClient(), context.clock, call, AttestOutcome, FINAL_KINDS);
+        const run = new OperationRun(context.getClient(), context.clock, call, AttestOutcome, isRecorded);
         const result = await run.run();
         if (result.kind !== "settled") {
             return failOnOperation(context, result);
@@ -64,4 +62,8 @@
     }
 }
 
+function isRecorded({ kind }: AttestOutcome): boolean {
+    return kind === "recorded";
+}
+
 commands.register(new AttestLostCommand());
--- a/packages/tool/src/commands/submitDeclaration.ts
+++ b/packages/tool/src/commands/submitDeclaration.ts
@@ -5,9 +5,6 @@
 import { failOnOperation } from "./failOnOperation.js";
 import { failOnProblems } from "./failOnProblems.js";
 
-/** Kinds that stay true after a lost answer: the accepting version is recorded, or the base version is gone for good. */
-const FINAL_KINDS = ["accepted", "conflict"] as const;
-
 /** Submits a declaration and reports the outcome. */
 export async function submitDeclaration(
     context: CommandContext,
@@ -17,7 +14,13 @@
 ): Promise<ExitName> {
     const body = { base, operationId: context.newOperationId(), declaration };
     const call = { method: "POST", path: "/v1/configuration", body } as const;
-    const run = new OperationRun(context.getClient(), context.clock, call, SubmitOutcome, FINAL_KINDS);
+    const run = new OperationRun(
+        context.getClient(),
+        context.clock,
+        call,
+        SubmitOutcome,
+        outcome => isFinal(outcome, base),
+    );
     const result = await run.run();
     if (result.kind !== "settled") {
         return failOnOperation(context, result);
@@ -25,6 +28,11 @@
     return report(context, result.outcome, base, subject);
 }
 
+/** Holds after a lost answer: the accepting version is recorded, or the base version is gone for good. */
+function isFinal(outcome: SubmitOutcome, base: number): boolean {
+    return outcome.kind === "accepted" || (outcome.kind === "conflict" && outcome.currentVersion > base);
+}
+
 function report(context: CommandContext, outcome: SubmitOutcome, base: number, subject: string): ExitName {
     switch (outcome.kind) {
         case "accepted":
