--- a/packages/configuration/tests/session.ts
+++ b/packages/configuration/tests/session.ts
@@ -1,34 +1,11 @@
-import {
-    type LogEvent,
-    type LogFields,
-    Logger,
-    ManualClock,
-    Metrics,
-    type OperationId,
-    RandomSource,
-} from "@arbutusdoor/common";
+import { ManualClock, Metrics, type OperationId, RandomSource } from "@arbutusdoor/common";
 import { ConfigurationKeeper, ConfigurationSettings } from "@arbutusdoor/configuration";
 import { MemoryObjects } from "./fakes/memoryObjects.js";
 import { MemoryTable } from "./fakes/memoryTable.js";
+import { LogRecorder } from "./logRecorder.js";
 
 const SHORT_DIGEST = 8;
 
-class LogRecorder extends Logger {
-    private readonly note: (line: string) => void;
-
-    constructor(clock: ManualClock, note: (line: string) => void) {
-        super(clock, "test");
-        this.note = note;
-    }
-
-    override log(event: LogEvent, fields: LogFields = {}): void {
-        const details = Object.entries(fields)
-            .filter(([, value]) => value !== undefined)
-            .map(([name, value]) => `${name}=${value}`);
-        this.note([event, ...details].join(" "));
-    }
-}
-
 /** One table, one object store and several hosts on a clock of their own, with a record of all that happened. */
 export class Session {
     readonly clock = new ManualClock();
--- /dev/null
+++ b/packages/daemon/tests/operator/operatorServer.test.ts
@@ -0,0 +1,183 @@
+import { Logger, ManualClock, Metrics } from "@arbutusdoor/common";
+import { newConfigurationVersion, printDeclaration } from "@arbutusdoor/configuration";
+import { get, type IncomingMessage } from "node:http";
+import { request } from "undici";
+import { afterEach, expect, test } from "vitest";
+import { LogRecorder } from "../../../configuration/tests/logRecorder.js";
+import { newTestDeclaration } from "../../../configuration/tests/newTestDeclaration.js";
+import { OperatorServer } from "../../src/operator/operatorServer.js";
+import { OperatorSettings } from "../../src/operator/operatorSettings.js";
+import { FakeOperatorContext } from "./fakeOperatorContext.js";
+
+const TOKEN = "a-token-of-the-operators";
+const EVENT_BYTES = 65_536;
+const MAX_EVENTS = 2_000;
+
+const closers: (() => Promise<void>)[] = [];
+
+afterEach(async () => {
+    await Promise.all(closers.splice(0).map(close => close()));
+});
+
+type Harness = {
+    readonly context: FakeOperatorContext;
+    readonly metrics: Metrics;
+    readonly clock: ManualClock;
+    readonly log: string[];
+    readonly url: string;
+};
+
+async function start(settings: Partial<OperatorSettings> = {}): Promise<Harness> {
+    const context = new FakeOperatorContext();
+    const clock = new ManualClock();
+    const metrics = new Metrics();
+    const log: string[] = [];
+    const logger: Logger = new LogRecorder(clock, line => log.push(line));
+    const server = new OperatorServer({
+        context,
+        token: TOKEN,
+        settings: OperatorSettings.parse({ port: 0, ...settings }),
+        clock,
+        logger,
+        metrics,
+    });
+    const port = await server.listen();
+    closers.push(() => server.close());
+    return { context, metrics, clock, log, url: `http://127.0.0.1:${port}` };
+}
+
+async function call(
+    url: string,
+    body?: string | object,
+    authorization = `Bearer ${TOKEN}`,
+): Promise<string> {
+    const answer = await request(url, {
+        method: body === undefined ? "GET" : "POST",
+        headers: { authorization },
+        body: typeof body === "object" ? JSON.stringify(body) : body,
+    });
+    const type = String(answer.headers["content-type"]).replace("application/", "");
+    return `${answer.statusCode} ${type} ${await answer.body.text()}`;
+}
+
+test("every call without the right token is refused, logged and not run", async () => {
+    const { context, log, url } = await start();
+    const lines: string[] = [];
+    for (const authorization of ["", "Bearer", "Bearer wrong", `Basic ${TOKEN}`, `Bearer ${TOKEN}x`, TOKEN]) {
+        for (const path of ["/v1/status", "/v1/watch", "/v1/nothing"]) {
+            lines.push(await call(url + path, undefined, authorization));
+        }
+        const body = { base: 0, operationId: "o", declaration: newTestDeclaration() };
+        lines.push(await call(`${url}/v1/configuration`, body, authorization));
+    }
+    const refusal = { title: "not authorized", status: 401, detail: "the call needs the operators' token" };
+    expect(new Set(lines)).toEqual(new Set([`401 problem+json ${JSON.stringify(refusal)}`]));
+    expect(new Set(log)).toEqual(new Set(["operatorRefused address=127.0.0.1"]));
+    expect(log).toHaveLength(lines.length);
+    expect(context.store.current).toBeUndefined();
+    expect(context.watcherCount).toBe(0);
+});
+
+test("a token that is too short is not taken", () => {
+    const options = { context: new FakeOperatorContext(), clock: new ManualClock(), metrics: new Metrics() };
+    const logger = new Logger(options.clock, "test");
+    const settings = OperatorSettings.parse({});
+    expect(() => new OperatorServer({ ...options, settings, logger, token: "short" })).toThrow(
+        "16 characters",
+    );
+});
+
+test("every call is answered with its typed outcome, and every refusal is a problem", async () => {
+    const { context, log, url } = await start({ bodyLimitBytes: 8_192 });
+    const lines: string[] = [];
+    const note = async (path: string, body?: string | object) => {
+        const method = body === undefined ? "GET" : "POST";
+        lines.push(`${method} ${path}`, `  ${await call(url + path, body)}`);
+    };
+    const submission = { base: 0, operationId: "first", declaration: newTestDeclaration() };
+    await note("/v1/configuration");
+    await note("/v1/drain", { server: "board-1", base: 0, operationId: "early" });
+    await note("/v1/diff", { declaration: { ...newTestDeclaration(), services: [], servers: [] } });
+    await note("/v1/configuration", submission);
+    await note("/v1/configuration", submission);
+    await note("/v1/configuration", { ...submission, operationId: "second" });
+    await note("/v1/configuration", { ...submission, declaration: {}, operationId: "third" });
+    await note("/v1/configuration", { base: -1, operationId: "" });
+    await note("/v1/configuration", "{");
+    await note("/v1/configuration", " ".repeat(8_193));
+    await note("/v1/diff", { declaration: newTestDeclaration(5) });
+    await note("/v1/diff", { declaration: {} });
+    await note("/v1/drain", { server: "board-9", base: 1, operationId: "d" });
+    await note("/v1/drain", { server: "board-1", base: 1, operationId: "d" });
+    await note("/v1/drain", { server: "board-2", base: 0, operationId: "d" });
+    await note("/v1/drain", { server: "board-2", base: 1, operationId: "d" });
+    await note("/v1/drain", { server: "board-2", base: 1, operationId: "d" });
+    await note("/v1/explain?service=board");
+    await note("/v1/explain?service=board&key=beach");
+    context.explanation = { kind: "unavailable", reason: "no peer answers" };
+    await note("/v1/explain?service=board&key=beach");
+    context.explanation = { kind: "pooled", service: "board", servers: ["board-1"], reasons: [] };
+    await note("/v1/explain?service=board&key=beach");
+    const loss = { kind: "server", server: "board-1", incarnation: "i-1" };
+    await note("/v1/attest-lost", { loss, by: "marshal", operationId: "a" });
+    await note("/v1/attest-lost", { loss: { kind: "server", server: "board-1" }, by: "m", operationId: "a" });
+    context.attestOutcome = { kind: "unknown", reason: "no answer" };
+    await note("/v1/attest-lost", { loss, by: "marshal", operationId: "a" });
+    context.onSubmit = async () => ({ kind: "notRun", reason: "the table service is out" });
+    await note("/v1/configuration", submission);
+    context.onSubmit = () => Promise.reject(new Error("a fault"));
+    await note("/v1/configuration", submission);
+    await note("/v1/nothing");
+    await note("/v1/status");
+    lines.push(...log);
+    await expect(`${lines.join("\n")}\n`).toMatchFileSnapshot("golden/calls.txt");
+});
+
+test("the stored declaration comes back as it was printed", async () => {
+    const { context, url } = await start();
+    const version = newConfigurationVersion(3, newTestDeclaration());
+    context.store.current = version;
+    const answer = await call(`${url}/v1/configuration`);
+    const { declaration } = JSON.parse(answer.slice(answer.indexOf("{")));
+    expect(printDeclaration(declaration)).toBe(version.body);
+});
+
+test("watchers get events and heartbeats; a slow one is told and dropped, and the others go on", async () => {
+    const { clock, context, metrics, url } = await start({ watchBufferBytes: 1_024, maxWatchers: 2 });
+    const quick = await watch(url);
+    const quickText = readAll(quick);
+    const slow = await watch(url);
+    slow.pause();
+    expect(await call(`${url}/v1/watch`)).toContain("503 problem+json");
+    clock.advance(5_000);
+    let sent = 0;
+    const fields = { filler: "x".repeat(EVENT_BYTES) };
+    while (context.watcherCount === 2 && sent < MAX_EVENTS) {
+        context.emit({ at: sent++, event: "moveBegun", fields });
+        await new Promise(resolve => setTimeout(resolve, 1));
+    }
+    const slowLines = (await readAll(slow)).trim().split("\n");
+    expect(JSON.parse(slowLines.at(-1)!).event).toBe("watcherTooSlow");
+    expect(metrics.getCount("arbutusdoor_operator_watchers_dropped_total")).toBe(1);
+    expect(context.watcherCount).toBe(1);
+    await closers.pop()!();
+    const quickLines = (await quickText).split("\n").filter(line => line !== "");
+    expect(quickLines).toHaveLength(sent + 1);
+    expect(JSON.parse(quickLines.at(-1)!).event).toBe("hostStopping");
+    expect(context.watcherCount).toBe(0);
+});
+
+function watch(url: string): Promise<IncomingMessage> {
+    return new Promise((resolve, reject) => {
+        const headers = { authorization: `Bearer ${TOKEN}` };
+        get(`${url}/v1/watch`, { headers, agent: false }, resolve).once("error", reject);
+    });
+}
+
+async function readAll(stream: IncomingMessage): Promise<string> {
+    let text = "";
+    for await (const chunk of stream) {
+        text += chunk;
+    }
+    return text;
+}
