--- a/packages/configuration/src/api/configurationView.ts
+++ b/packages/configuration/src/api/configurationView.ts
@@ -4,7 +4,7 @@
 const ConfigurationView = z.object({
     version: z.int().min(0),
     digest: z.string().optional(),
-    declaration: z.unknown(),
+    declaration: z.unknown().optional(),
 });
 
 type ConfigurationView = z.infer<typeof ConfigurationView>;
--- a/packages/tool/src/commands/watchCommand.ts
+++ b/packages/tool/src/commands/watchCommand.ts
@@ -1,10 +1,10 @@
 import type { Clock, Milliseconds, Timer } from "@arbutusdoor/common";
 import { WatchEvent } from "@arbutusdoor/configuration";
-import { createInterface } from "node:readline";
 import type { Readable } from "node:stream";
 import type { CallFailure } from "../client/callFailure.js";
 import { getFailure } from "../client/getFailure.js";
 import { getReason } from "../client/getReason.js";
+import { readLines } from "../client/readLines.js";
 import type { ExitName } from "../exitCodes.js";
 import { Command } from "./command.js";
 import type { CommandContext } from "./commandContext.js";
@@ -13,6 +13,8 @@
 
 const WATCH_CALL = { method: "GET", path: "/v1/watch" } as const;
 const SUCCESS_STATUS = 200;
+/** Hosts send an empty line every few seconds when nothing happens. */
+const MAX_SILENCE_MS = 15_000;
 const MAX_EVENTS = 1_000_000_000;
 
 /** Prints events of one host as they happen. */
@@ -51,6 +53,9 @@
             const reason = getReason(answer.statusCode, await answer.body.json());
             return failOnAsk(context, { kind: "refused", host, json: undefined, reason });
         }
+        watchdog.setLimit(Math.max(client.timeoutMs, MAX_SILENCE_MS));
+        // The body ends with an error when it is aborted after the last wanted event; nobody reads it then.
+        answer.body.on("error", () => undefined);
         return await printEvents(context, host, answer.body, count, watchdog);
     }
     catch (error) {
@@ -71,7 +76,7 @@
 ): Promise<ExitName> {
     let printed = 0;
     try {
-        for await (const line of createInterface({ input: body })) {
+        for await (const line of readLines(body)) {
             watchdog.reset();
             printed += printEvent(context, line) ? 1 : 0;
             if (printed === count) {
@@ -113,7 +118,7 @@
 /** Acts when a stream shows no sign of life for a while. */
 class Watchdog {
     private readonly clock: Clock;
-    private readonly limitMs: Milliseconds;
+    private limitMs: Milliseconds;
     private readonly act: () => void;
     private timer: Timer | undefined;
 
@@ -124,6 +129,11 @@
         this.reset();
     }
 
+    setLimit(limitMs: Milliseconds): void {
+        this.limitMs = limitMs;
+        this.reset();
+    }
+
     reset(): void {
         this.timer?.cancel();
         this.timer = this.clock.schedule(this.limitMs, this.act);
