--- /dev/null
+++ b/packages/bench/src/experiments/pooledLimits.ts
@@ -0,0 +1,54 @@
+import { PROFILES } from "../workload/profiles.js";
+import type { BenchOptions } from "./benchOptions.js";
+import type { ExperimentResult } from "./experimentResult.js";
+import { EXPERIMENTS } from "./experiments.js";
+import { runPooled } from "./runPooled.js";
+
+const NAME = "pooled-limits";
+const DURATION_MS = 4_000;
+const USES = [0.6, 0.9, 2, 5];
+const LIMITS = [1, 2, 4, 11];
+
+async function run({ seed, scale }: BenchOptions): Promise<ExperimentResult> {
+    const rows: Record<string, string | number>[] = [];
+    for (const use of USES) {
+        for (const limit of LIMITS) {
+            const durationMs = DURATION_MS * scale;
+            const profile = PROFILES.shorepermit;
+            const figures = await runPooled({
+                seed,
+                profile,
+                use,
+                durationMs,
+                faults: [],
+                picker: {},
+                limit,
+            });
+            const read = figures.tally.getSummary("read");
+            const once = figures.tally.getSummary("once");
+            rows.push({
+                "load / capacity": use,
+                "limit of a host": limit,
+                goodput: figures.tally.getGoodWork() / (profile.servers * profile.slots * durationMs),
+                "read good %": 100 * read.good / read.requests,
+                "once good %": 100 * once.good / once.requests,
+                "once unknown": once.unknown,
+                "read p99 ms": read.p99,
+                "once p99 ms": once.p99,
+                "attempts/request": figures.attempts / figures.requests,
+                "peak connections": figures.peakConnections,
+                "false refusals": figures.falseRefusals,
+                reasons: figures.tally.getReasons(),
+            });
+        }
+    }
+    return { name: NAME, rows, plots: [] };
+}
+
+EXPERIMENTS.register({
+    name: NAME,
+    question: "How many requests may one of ten entry hosts have at one pooled server of four slots?",
+    run,
+});
+
+export { run as runPooledLimits };
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,7 +1,12 @@
 import { cac } from "cac";
 import { writeFileSync } from "node:fs";
 import { EXPERIMENTS } from "./experiments/experiments.js";
+import "./experiments/keyedPaths.js";
+import "./experiments/overload.js";
+import "./experiments/pooledLimits.js";
 import "./experiments/pooledPickers.js";
+import "./experiments/rebalancing.js";
+import "./experiments/retries.js";
 import type { ExperimentResult } from "./experiments/experimentResult.js";
 import { formatTable } from "./report/formatTable.js";
 
--- a/packages/bench/src/systems/pooledHost.ts
+++ b/packages/bench/src/systems/pooledHost.ts
@@ -113,11 +113,14 @@
         signal: AbortSignal,
     ): Promise<ServerEnd> {
         const startedAt = this.clock.now();
-        const wait = new CallerWait(this.clock, startedAt + this.settings.attemptTimeout);
+        const { attemptTimeout } = this.settings;
+        const wait = attemptTimeout < request.deadlineAt - startedAt
+            ? new CallerWait(this.clock, startedAt + attemptTimeout, signal)
+            : undefined;
         this.attempts++;
         this.picker.started(server);
-        const end = await this.links.get(server)!.send(request, AbortSignal.any([signal, wait.signal]));
-        wait.end();
+        const end = await this.links.get(server)!.send(request, wait?.signal ?? signal);
+        wait?.end();
         const now = this.clock.now();
         this.picker.ended(server, { kind: end.kind, durationMs: now - startedAt }, now);
         return end;
--- a/packages/policy/src/queue/queueEntry.ts
+++ b/packages/policy/src/queue/queueEntry.ts
@@ -11,8 +11,8 @@
     /** Time that the job is expected to hold a slot. */
     readonly expected: Milliseconds;
     readonly submission: Promise<Submission<Value>>;
-    /** Aborted to take the entry out of the line. */
-    readonly withdrawal = new AbortController();
+    /** Aborted to take the entry out of the line; `undefined` for one that starts at once. */
+    withdrawal: AbortController | undefined;
     startedAt: Milliseconds | undefined;
     private settlement!: { resolve(submission: Submission<Value>): void; reject(error: unknown): void; };
     private deadline: Timer | undefined;
--- a/packages/policy/src/queue/serverQueue.ts
+++ b/packages/policy/src/queue/serverQueue.ts
@@ -172,10 +172,11 @@
     }
 
     private enqueue(entry: QueueEntry<unknown>): void {
+        entry.withdrawal = this.hasFreeSlot() ? undefined : new AbortController();
         this.line.add(entry);
-        const options = { priority: entry.rank, signal: entry.withdrawal.signal };
+        const options = { priority: entry.rank, signal: entry.withdrawal?.signal };
         this.queue.add(() => this.start(entry), options).catch(() => undefined);
-        if (entry.startedAt === undefined) {
+        if (entry.withdrawal) {
             const remaining = entry.job.deadlineAt - this.clock.now();
             const deadline = this.clock.schedule(remaining, () => this.expire(entry));
             entry.beginWait(deadline, () => this.withdraw(entry, newCallerGone()));
@@ -192,7 +193,7 @@
         if (!this.line.remove(entry)) {
             return;
         }
-        entry.withdrawal.abort();
+        entry.withdrawal?.abort();
         this.refuse(entry, refusal);
     }
 
