Load policy: a job starts only if most of its class would end within its deadline

Change: mean deviation of the service times is kept beside the mean; admission and start ask for the mean plus two deviations. A free server takes any job, so that the figures stay fresh.

--- a/packages/policy/src/queue/serverQueue.ts
+++ b/packages/policy/src/queue/serverQueue.ts
@@ -111,21 +111,23 @@
         if (timely || this.hasFreeSlot()) {
             return timely;
         }
+        return this.getHopelessRefusal(entry, this.estimateRankWait(entry.rank)) ?? this.makeRoom(entry);
+    }
+
+    /** Refuses a job that would most likely still run at its deadline if it started after `wait`. */
+    private getHopelessRefusal(entry: QueueEntry<unknown>, wait: Milliseconds): Refusal | undefined {
         const remaining = entry.job.deadlineAt - this.clock.now();
-        if (this.estimateRankWait(entry.rank) + entry.expected > remaining) {
-            return newRefusal("shed", "The server has too much work to answer within the deadline.");
-        }
-        return this.makeRoom(entry);
+        const needed = wait + this.serviceTimes.getUsualMost(entry.job.classId);
+        return needed > remaining
+            ? newRefusal("shed", "The server has too much work to answer within the deadline.")
+            : undefined;
     }
 
     private getLateRefusal(entry: QueueEntry<unknown>): Refusal | undefined {
-        if (entry.job.signal.aborted) {
-            return newCallerGone();
-        }
         if (this.clock.now() >= entry.job.deadlineAt) {
             return newRefusal("deadlineBeforeStart", "The deadline passed before the request could start.");
         }
-        return undefined;
+        return entry.job.signal.aborted ? newCallerGone() : undefined;
     }
 
     /** Refuses the least important waiting job if the newcomer is worth more than it; otherwise the newcomer. */
@@ -179,13 +181,16 @@
         if (entry.withdrawal) {
             const remaining = entry.job.deadlineAt - this.clock.now();
             const deadline = this.clock.schedule(remaining, () => this.expire(entry));
-            entry.beginWait(deadline, () => this.withdraw(entry, newCallerGone()));
+            entry.beginWait(deadline, () => this.expire(entry));
         }
     }
 
+    /** Ends the wait of an entry whose deadline passed or whose caller left. */
     private expire(entry: QueueEntry<unknown>): void {
-        const detail = "The deadline passed before the request could start.";
-        this.withdraw(entry, newRefusal("deadlineBeforeStart", detail));
+        const refusal = this.getLateRefusal(entry);
+        if (refusal) {
+            this.withdraw(entry, refusal);
+        }
     }
 
     /** Takes a waiting entry out of the line and refuses it; no effect once it has left the line. */
@@ -206,7 +211,7 @@
 
     private async start(entry: QueueEntry<unknown>): Promise<void> {
         this.line.remove(entry);
-        const refusal = this.getLateRefusal(entry);
+        const refusal = this.getStartRefusal(entry);
         if (refusal) {
             this.refuse(entry, refusal);
             return;
@@ -223,6 +228,13 @@
         this.record("arbutusdoor_queue_service_us", entry, duration);
     }
 
+    /** A job that waited is checked once more; with nothing else running it starts, so that estimates stay fresh. */
+    private getStartRefusal(entry: QueueEntry<unknown>): Refusal | undefined {
+        const late = this.getLateRefusal(entry);
+        const hasWaited = entry.withdrawal !== undefined;
+        return late || !hasWaited || this.running.size === 0 ? late : this.getHopelessRefusal(entry, 0);
+    }
+
     private record(name: string, entry: QueueEntry<unknown>, duration: Milliseconds): void {
         const labels = { ...this.labels, class: entry.job.classId };
         this.metrics.record(name, labels, duration * MICROSECONDS_IN_MS);
--- a/packages/policy/src/queue/serviceTimes.ts
+++ b/packages/policy/src/queue/serviceTimes.ts
@@ -3,9 +3,11 @@
 
 const SHARED_CLASS = "" as ClassId;
 
-/** Running mean of the time that jobs of each class hold a slot. */
+type Spread = { mean: Milliseconds; deviation: Milliseconds; };
+
+/** Running mean, and mean deviation from it, of the time that jobs of each class hold a slot. */
 export class ServiceTimes {
-    private readonly means = new Map<ClassId, Milliseconds>();
+    private readonly spreads = new Map<ClassId, Spread>();
     private readonly settings: ServerQueueSettings;
 
     constructor(settings: ServerQueueSettings) {
@@ -14,14 +16,30 @@
 
     /** Takes in the time that one job held its slot. */
     record(classId: ClassId, duration: Milliseconds): void {
-        const hasOwnMean = this.means.has(classId) || this.means.size < this.settings.maxClasses;
-        const name = hasOwnMean ? classId : SHARED_CLASS;
-        const mean = this.means.get(name) ?? duration;
-        this.means.set(name, mean + this.settings.newestWeight * (duration - mean));
+        const hasOwn = this.spreads.has(classId) || this.spreads.size < this.settings.maxClasses;
+        const name = hasOwn ? classId : SHARED_CLASS;
+        const { mean, deviation } = this.spreads.get(name) ?? { mean: duration, deviation: 0 };
+        const weight = this.settings.newestWeight;
+        this.spreads.set(name, {
+            mean: mean + weight * (duration - mean),
+            deviation: deviation + weight * (Math.abs(duration - mean) - deviation),
+        });
     }
 
     /** Expected time for a job of the class. */
     getMean(classId: ClassId): Milliseconds {
-        return this.means.get(classId) ?? this.means.get(SHARED_CLASS) ?? this.settings.initialServiceMs;
+        return this.getSpread(classId)?.mean ?? this.settings.initialServiceMs;
+    }
+
+    /** Time within which most jobs of the class end. */
+    getUsualMost(classId: ClassId): Milliseconds {
+        const spread = this.getSpread(classId);
+        return spread
+            ? spread.mean + this.settings.deviations * spread.deviation
+            : this.settings.initialServiceMs;
+    }
+
+    private getSpread(classId: ClassId): Spread | undefined {
+        return this.spreads.get(classId) ?? this.spreads.get(SHARED_CLASS);
     }
 }
