--- a/packages/bench/src/experiments/runKeyed.ts
+++ b/packages/bench/src/experiments/runKeyed.ts
@@ -53,7 +53,7 @@
     const servers = newServers(clock, run.profile, run.faults ?? []);
     const slices = new SliceMap(SLICES, servers.map(({ id }) => id));
     const system = new KeyedSystem(clock, servers, slices, run);
-    const tally = new Tally();
+    const tally = new Tally(run.durationMs);
     const imbalance = new Imbalance(clock, servers, IMBALANCE_INTERVAL_MS);
     const keys = new KeySource(run.profile, random, NO_HOT_MOVE_MS);
     const arrivals = new Arrivals(clock, random, run.profile, keys);
--- a/packages/bench/src/experiments/runPooled.ts
+++ b/packages/bench/src/experiments/runPooled.ts
@@ -59,7 +59,7 @@
     const hosts = [...Array(HOSTS).keys()].map(index =>
         new PooledHost(clock, new RandomSource(run.seed * 1_000 + index), servers, settings)
     );
-    const tally = new Tally();
+    const tally = new Tally(run.durationMs);
     const imbalance = new Imbalance(clock, servers, IMBALANCE_INTERVAL_MS);
     const keys = new KeySource(run.profile, random, NO_HOT_MOVE_MS);
     const arrivals = new Arrivals(clock, random, run.profile, keys);
--- a/packages/bench/src/experiments/runRebalancing.ts
+++ b/packages/bench/src/experiments/runRebalancing.ts
@@ -86,7 +86,7 @@
     };
     clock.schedule(PLAN_INTERVAL_MS, decide);
 
-    const tally = new Tally();
+    const tally = new Tally(run.durationMs);
     const imbalance = new Imbalance(clock, servers, IMBALANCE_INTERVAL_MS);
     const keys = new KeySource(run.profile, random, run.hotIntervalMs);
     const arrivals = new Arrivals(clock, random, run.profile, keys);
--- a/packages/bench/src/statistics/tally.ts
+++ b/packages/bench/src/statistics/tally.ts
@@ -1,3 +1,4 @@
+import type { Milliseconds } from "@arbutusdoor/common";
 import { build, type Histogram } from "hdr-histogram-js";
 import type { SimulatedServer } from "../simulation/simulatedServer.js";
 import type { ClassSummary } from "./classSummary.js";
@@ -17,11 +18,17 @@
 
 /** Collects the outcomes of a run by class, and holds refusals against the servers' journals. */
 export class Tally {
+    private readonly until: Milliseconds;
     private readonly classes = new Map<string, ClassTally>();
     private readonly reasons = new Map<string, number>();
     private readonly refusedIds: number[] = [];
     private readonly onceIds: number[] = [];
 
+    /** @param until end of the time over which goodput is measured */
+    constructor(until: Milliseconds) {
+        this.until = until;
+    }
+
     record({ request, kind, reason, at }: RequestOutcome): void {
         const tally = this.getClass(request.profile.classId);
         tally.requests++;
@@ -32,7 +39,7 @@
             tally.latency.recordValue(Math.round((at - request.arrivedAt) * MICROSECONDS_IN_MS));
             const isGood = at <= request.deadlineAt;
             tally.good += isGood ? 1 : 0;
-            tally.goodWork += isGood ? request.work : 0;
+            tally.goodWork += isGood && at <= this.until ? request.work : 0;
             return;
         }
         tally.refused += kind === "notRun" ? 1 : 0;
@@ -59,7 +66,7 @@
         };
     }
 
-    /** Slot time in ms of all requests answered within their deadline. */
+    /** Slot time in ms of all requests answered within their deadline and before the end of measurement. */
     getGoodWork(): number {
         return [...this.classes.values()].reduce((sum, { goodWork }) => sum + goodWork, 0);
     }
--- a/packages/bench/src/systems/pooledHost.ts
+++ b/packages/bench/src/systems/pooledHost.ts
@@ -122,7 +122,8 @@
         const end = await this.links.get(server)!.send(request, wait?.signal ?? signal);
         wait?.end();
         const now = this.clock.now();
-        this.picker.ended(server, { kind: end.kind, durationMs: now - startedAt }, now);
+        const isWithdrawn = end.kind === "notRun" && (end.cause === "cancelled" || end.cause === "deadline");
+        this.picker.ended(server, { kind: end.kind, durationMs: now - startedAt, isWithdrawn }, now);
         return end;
     }
 
--- a/packages/policy/src/pool/poolPicker.ts
+++ b/packages/policy/src/pool/poolPicker.ts
@@ -71,8 +71,10 @@
         const observed = this.observe(server);
         observed.outstanding = Math.max(0, observed.outstanding - 1);
         this.detector.recordEnd(observed, end, now);
-        this.recordEnd(observed, end, now);
-        this.learn(observed, end);
+        if (!end.isWithdrawn) {
+            this.recordEnd(observed, end, now);
+            this.learn(observed, end);
+        }
     }
 
     /** Requests that this entry host has at the server. */
--- a/packages/policy/src/pool/requestEnd.ts
+++ b/packages/policy/src/pool/requestEnd.ts
@@ -4,4 +4,6 @@
 export type RequestEnd = {
     readonly kind: OutcomeKind;
     readonly durationMs: Milliseconds;
+    /** True when the caller left or its deadline passed, so that the end says nothing about the server. */
+    readonly isWithdrawn?: boolean;
 };
