--- a/packages/bench/src/experiments/overload.ts
+++ b/packages/bench/src/experiments/overload.ts
@@ -14,6 +14,7 @@
 const VARIANTS = [
     { name: "one queue, admission", mode: "relay", queueMode: "admission", limit: 4 },
     { name: "one queue, admission, 1 over", mode: "relay", queueMode: "admission", limit: 5 },
+    { name: "one queue, admission, 2 over", mode: "relay", queueMode: "admission", limit: 6 },
     { name: "one queue, plain", mode: "relay", queueMode: "plain", limit: 4 },
     { name: "direct, admission", mode: "direct", queueMode: "admission", limit: 11 },
     { name: "direct, plain", mode: "direct", queueMode: "plain", limit: 11 },
--- a/packages/bench/src/experiments/pooledLimits.ts
+++ b/packages/bench/src/experiments/pooledLimits.ts
@@ -6,12 +6,19 @@
 
 const NAME = "pooled-limits";
 const DURATION_MS = 4_000;
-const USES = [0.6, 0.9, 2, 5];
 const LIMITS = [1, 2, 4, 11];
 
+const SITUATIONS = [
+    { use: 0.6, firstHostShare: 0.1 },
+    { use: 0.6, firstHostShare: 0.7 },
+    { use: 0.9, firstHostShare: 0.1 },
+    { use: 2, firstHostShare: 0.1 },
+    { use: 5, firstHostShare: 0.1 },
+];
+
 async function run({ seed, scale }: BenchOptions): Promise<ExperimentResult> {
     const rows: Record<string, string | number>[] = [];
-    for (const use of USES) {
+    for (const { use, firstHostShare } of SITUATIONS) {
         for (const limit of LIMITS) {
             const durationMs = DURATION_MS * scale;
             const profile = PROFILES.shorepermit;
@@ -23,13 +30,15 @@
                 faults: [],
                 picker: {},
                 limit,
+                firstHostShare,
             });
             const read = figures.tally.getSummary("read");
             const once = figures.tally.getSummary("once");
             rows.push({
                 "load / capacity": use,
+                "at the first host": firstHostShare,
                 "limit of a host": limit,
-                goodput: figures.tally.getGoodWork() / (profile.servers * profile.slots * durationMs),
+                goodput: figures.tally.getGoodput(profile.servers * profile.slots),
                 "read good %": 100 * read.good / read.requests,
                 "once good %": 100 * once.good / once.requests,
                 "once unknown": once.unknown,
--- a/packages/bench/src/experiments/runKeyed.ts
+++ b/packages/bench/src/experiments/runKeyed.ts
@@ -65,11 +65,10 @@
     await runUntil(clock, run.durationMs);
     imbalance.stop();
     await runUntil(clock, run.durationMs + SETTLING_MS);
-    const available = run.profile.servers * run.profile.slots * run.durationMs;
     return {
         tally,
         imbalance,
-        goodput: tally.getGoodWork() / available,
+        goodput: tally.getGoodput(run.profile.servers * run.profile.slots),
         peakConnections: Math.max(...servers.map(server => server.peakConnections)),
         peakPresent: Math.max(...servers.map(server => server.peakPresent)),
         falseRefusals: tally.countFalseRefusals(servers),
--- a/packages/bench/src/experiments/runPooled.ts
+++ b/packages/bench/src/experiments/runPooled.ts
@@ -32,6 +32,8 @@
     readonly attemptTimeoutMs?: number;
     /** Faults strike all servers instead of one. */
     readonly isEverywhere?: boolean;
+    /** Share of the requests that arrive at the first host; the others share the rest evenly. */
+    readonly firstHostShare?: number;
 };
 
 /** Outcomes of a run of a pooled service. */
@@ -63,9 +65,12 @@
     const imbalance = new Imbalance(clock, servers, IMBALANCE_INTERVAL_MS);
     const keys = new KeySource(run.profile, random, NO_HOT_MOVE_MS);
     const arrivals = new Arrivals(clock, random, run.profile, keys);
+    const placing = new RandomSource(run.seed + 1);
     let requests = 0;
     arrivals.start(run.use * getCapacity(run.profile), run.durationMs, request => {
-        const host = hosts[requests++ % HOSTS]!;
+        const isForFirst = placing.nextFraction() < (run.firstHostShare ?? 1 / HOSTS);
+        const host = hosts[isForFirst ? 0 : 1 + requests % (HOSTS - 1)]!;
+        requests++;
         void host.handle(request).then(outcome => tally.record(outcome));
     });
     await runUntil(clock, run.durationMs);
--- a/packages/bench/src/statistics/tally.ts
+++ b/packages/bench/src/statistics/tally.ts
@@ -18,15 +18,17 @@
 
 /** Collects the outcomes of a run by class, and holds refusals against the servers' journals. */
 export class Tally {
+    private readonly from: Milliseconds;
     private readonly until: Milliseconds;
     private readonly classes = new Map<string, ClassTally>();
     private readonly reasons = new Map<string, number>();
     private readonly refusedIds: number[] = [];
     private readonly onceIds: number[] = [];
 
-    /** @param until end of the time over which goodput is measured */
-    constructor(until: Milliseconds) {
-        this.until = until;
+    /** Goodput is measured over the last three quarters of the run. */
+    constructor(duration: Milliseconds) {
+        this.from = duration / 4;
+        this.until = duration;
     }
 
     record({ request, kind, reason, at }: RequestOutcome): void {
@@ -39,7 +41,7 @@
             tally.latency.recordValue(Math.round((at - request.arrivedAt) * MICROSECONDS_IN_MS));
             const isGood = at <= request.deadlineAt;
             tally.good += isGood ? 1 : 0;
-            tally.goodWork += isGood && at <= this.until ? request.work : 0;
+            tally.goodWork += isGood && at >= this.from && at <= this.until ? request.work : 0;
             return;
         }
         tally.refused += kind === "notRun" ? 1 : 0;
@@ -66,9 +68,10 @@
         };
     }
 
-    /** Slot time in ms of all requests answered within their deadline and before the end of measurement. */
-    getGoodWork(): number {
-        return [...this.classes.values()].reduce((sum, { goodWork }) => sum + goodWork, 0);
+    /** Slot time of the timely answers over the slot time that there was. */
+    getGoodput(slots: number): number {
+        const work = [...this.classes.values()].reduce((sum, { goodWork }) => sum + goodWork, 0);
+        return work / (slots * (this.until - this.from));
     }
 
     /** Refusals and unknown outcomes by reason, in order of name. */
--- a/packages/policy/src/pool/outlierDetector.ts
+++ b/packages/policy/src/pool/outlierDetector.ts
@@ -14,6 +14,7 @@
 export class OutlierDetector {
     private readonly settings: PoolPickerSettings;
     private medianMs: Milliseconds | undefined;
+    private usualFailures = 0;
     private reviewedAt = -Infinity;
 
     constructor(settings: PoolPickerSettings) {
@@ -31,7 +32,8 @@
             return;
         }
         this.reviewedAt = now;
-        this.medianMs = getMedian(servers);
+        this.medianMs = getMedian(servers.flatMap(({ latencyMs }) => latencyMs ?? []));
+        this.usualFailures = getMedian(servers.map(({ failures }) => failures)) ?? 0;
         const allowed = Math.floor(servers.length * this.settings.maxEjectedShare);
         let ejected = servers.filter(server => server.ejectedUntil !== undefined).length;
         for (const server of servers) {
@@ -91,7 +93,7 @@
 
     private isOutlier(server: ObservedServer, now: Milliseconds): boolean {
         const { maxFailures, minSamples } = this.settings;
-        if (server.failures >= maxFailures || this.isStalled(server, now)) {
+        if (server.failures >= maxFailures + 2 * this.usualFailures || this.isStalled(server, now)) {
             return true;
         }
         const isJudged = server.answers >= minSamples && server.latencyMs !== undefined;
@@ -112,8 +114,8 @@
     }
 }
 
-/** Median latency of the servers that answered; `undefined` when fewer than two did. */
-function getMedian(servers: readonly ObservedServer[]): Milliseconds | undefined {
-    const latencies = servers.flatMap(({ latencyMs }) => latencyMs ?? []).sort((a, b) => a - b);
-    return latencies.length < 2 ? undefined : latencies[(latencies.length - 1) >> 1];
+/** The lower median; `undefined` of fewer than two values. */
+function getMedian(values: readonly number[]): number | undefined {
+    const sorted = [...values].sort((a, b) => a - b);
+    return sorted.length < 2 ? undefined : sorted[(sorted.length - 1) >> 1];
 }
--- a/packages/policy/src/pool/poolPickerSettings.ts
+++ b/packages/policy/src/pool/poolPickerSettings.ts
@@ -6,7 +6,7 @@
     picker: z.string().default("leastCost"),
     /** Whether servers that look faulty are left out for a while. */
     isEjecting: z.boolean().default(true),
-    /** Requests of unknown outcome in a row after which a server is left out. */
+    /** Requests of unknown outcome in a row, beyond twice the pool's median, after which a server is left out. */
     maxFailures: z.int().min(1).max(1_000).default(3),
     /** Time in ms without any answer, while requests are outstanding, after which a server is left out. */
     stallMs: z.number().min(1).max(600_000).default(250),
