A request that ran no longer gets a bare 400 when stray bytes follow it

Cause: Node answers unreadable bytes with 400 of its own, also while a request that arrived whole is still being served on the connection: its caller was told 400 without an outcome although the request ran. Seen by a test that sent bytes beyond the body's length. Change: such bytes end only what they belong to. A whole request gets its answer; on an idle connection the refusal is a problem with outcome not-run; a body broken half way closes the connection without a claim.

--- a/packages/daemon/src/entry/callerPort.ts
+++ b/packages/daemon/src/entry/callerPort.ts
@@ -2,13 +2,16 @@
 import { type Declaration, getClass } from "@arbutusdoor/configuration";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import type { Duplex } from "node:stream";
 import polka from "polka";
 import type { RequestRouter } from "../routing/requestRouter.js";
 import type { Answer } from "../serving/answer.js";
 import type { CallerRequest } from "./callerRequest.js";
 import { getForwardedHeaders } from "./getForwardedHeaders.js";
+import { OpenExchanges } from "./openExchanges.js";
 import { parseCallerPath } from "./parseCallerPath.js";
 import { readRequestBody } from "./readRequestBody.js";
+import { refuseMalformed } from "./refuseMalformed.js";
 import type { RequestIds } from "./requestIds.js";
 import { sendAnswer } from "./sendAnswer.js";
 import { sendRefusal } from "./sendRefusal.js";
@@ -44,6 +47,7 @@
 export class CallerPort {
     private readonly options: CallerPortOptions;
     private readonly server: Server;
+    private readonly exchanges = new OpenExchanges();
     private inFlight = 0;
     private isClosing = false;
     private notifyIdle: (() => void) | undefined;
@@ -51,6 +55,7 @@
     constructor(options: CallerPortOptions) {
         this.options = options;
         this.server = createServer({ maxHeaderSize: options.limits.headerLimitBytes, requestTimeout: 0 });
+        this.server.on("clientError", (error, socket) => this.endMalformed(error, socket));
         options.metrics.gauge("arbutusdoor_requests_in_flight", () => this.inFlight);
     }
 
@@ -86,6 +91,7 @@
         const beganAt = clock.now();
         const gone = new AbortController();
         this.inFlight++;
+        this.exchanges.add(message, response);
         response.once("close", () => {
             gone.abort();
             this.end();
@@ -188,6 +194,18 @@
         return { kind: "request", request };
     }
 
+    /** A request that arrived whole still gets its answer; nothing is claimed of one whose body broke. */
+    private endMalformed(error: Error, socket: Duplex): void {
+        this.options.metrics.count("arbutusdoor_malformed_requests_total");
+        const state = this.exchanges.getState(socket);
+        if (state === "idle") {
+            refuseMalformed(socket, error);
+        }
+        else if (state === "broken") {
+            socket.destroy();
+        }
+    }
+
     private end(): void {
         this.inFlight--;
         if (this.inFlight === 0) {
--- /dev/null
+++ b/packages/daemon/src/entry/refuseMalformed.ts
@@ -0,0 +1,34 @@
+import type { Duplex } from "node:stream";
+import { OUTCOME_HEADERS } from "./outcomeHeaders.js";
+
+const HEADER_OVERFLOW = "HPE_HEADER_OVERFLOW";
+
+/** Answers bytes that are no HTTP request, on a connection on which nothing else is open, and closes it. */
+export function refuseMalformed(socket: Duplex, error: NodeJS.ErrnoException): void {
+    if (!socket.writable) {
+        socket.destroy();
+        return;
+    }
+    const isOverflow = error.code === HEADER_OVERFLOW;
+    const status = isOverflow ? "431 Request Header Fields Too Large" : "400 Bad Request";
+    const detail = isOverflow
+        ? "the header section is longer than the limit"
+        : "the bytes are not an HTTP request";
+    const problem = JSON.stringify({
+        type: "urn:arbutusdoor:reason:malformedRequest",
+        title: "malformedRequest",
+        status: Number.parseInt(status, 10),
+        detail,
+        outcome: "not-run",
+    });
+    socket.end([
+        `HTTP/1.1 ${status}`,
+        "connection: close",
+        "content-type: application/problem+json",
+        `content-length: ${Buffer.byteLength(problem)}`,
+        `${OUTCOME_HEADERS.OUTCOME}: not-run`,
+        `${OUTCOME_HEADERS.REASON}: malformedRequest`,
+        "",
+        problem,
+    ].join("\r\n"));
+}
