--- a/packages/mesh/src/core/stepRelay.ts
+++ b/packages/mesh/src/core/stepRelay.ts
@@ -28,7 +28,6 @@
     | { readonly kind: "deliver"; }
     | { readonly kind: "dropOrphan"; }
     | { readonly kind: "cancelAtPeer"; }
-    | { readonly kind: "finishAnswer"; }
     | { readonly kind: "breakAnswer"; }
     | { readonly kind: "ask"; };
 
@@ -48,7 +47,7 @@
         case "refused":
             return phase === "handed" ? end(event.refusal) : go(phase, { kind: "dropOrphan" });
         case "answerEnded":
-            return phase === "answering" ? go("ended", { kind: "finishAnswer" }) : go(phase);
+            return phase === "answering" ? go("ended") : go(phase);
         case "answerBroken":
             return phase === "answering" ? go("ended", { kind: "breakAnswer" }) : go(phase);
         case "linkLost":
--- a/packages/mesh/src/greeting/greeter.ts
+++ b/packages/mesh/src/greeting/greeter.ts
@@ -189,8 +189,8 @@
 
     private end(result: GreetingResult): void {
         if (!this.isOver) {
-            this.options.connection.terminate();
             this.settle(result);
+            this.options.connection.terminate();
         }
     }
 
--- a/packages/mesh/src/protocol/encodeMessage.ts
+++ b/packages/mesh/src/protocol/encodeMessage.ts
@@ -25,9 +25,11 @@
         case "refusal":
             return [message.stream, message.id, ...listRefusalFields(message.refusal)];
         case "data":
+            return [message.stream, message.offset, message.bytes];
+        case "end":
+            return [message.stream, message.length];
         case "credit":
             return [message.stream, message.bytes];
-        case "end":
         case "broken":
         case "cancel":
         case "unwanted":
--- a/packages/mesh/src/protocol/message.ts
+++ b/packages/mesh/src/protocol/message.ts
@@ -23,10 +23,10 @@
         readonly id: RequestId;
         readonly refusal: Refusal;
     }
-    /** A piece of the request's or the answer's body. */
-    | { readonly kind: "data"; readonly stream: number; readonly bytes: Uint8Array; }
-    /** The body of the sender's direction is whole. */
-    | { readonly kind: "end"; readonly stream: number; }
+    /** A piece of the request's or the answer's body, which begins at `offset`. */
+    | { readonly kind: "data"; readonly stream: number; readonly offset: number; readonly bytes: Uint8Array; }
+    /** The body of the sender's direction is whole, with that many bytes. */
+    | { readonly kind: "end"; readonly stream: number; readonly length: number; }
     /** The body of the sender's direction broke off. */
     | { readonly kind: "broken"; readonly stream: number; }
     /** The receiver of a body has room for that many bytes more. */
--- a/packages/mesh/src/protocol/readMessage.ts
+++ b/packages/mesh/src/protocol/readMessage.ts
@@ -5,6 +5,7 @@
     type RefusalReason,
     type RequestId,
 } from "@arbutusdoor/common";
+import { isCount } from "./checks/isCount.js";
 import { isPositiveInteger } from "./checks/isPositiveInteger.js";
 import { isText } from "./checks/isText.js";
 import { isTextRecord } from "./checks/isTextRecord.js";
@@ -24,7 +25,7 @@
     [MESSAGE_CODES.answer, readAnswer],
     [MESSAGE_CODES.refusal, readRefusalMessage],
     [MESSAGE_CODES.data, readData],
-    [MESSAGE_CODES.end, fields => readStreamMessage("end", fields)],
+    [MESSAGE_CODES.end, readEnd],
     [MESSAGE_CODES.broken, fields => readStreamMessage("broken", fields)],
     [MESSAGE_CODES.credit, readCredit],
     [MESSAGE_CODES.cancel, fields => readStreamMessage("cancel", fields)],
@@ -43,7 +44,7 @@
 }
 
 function readStreamMessage(
-    kind: "end" | "broken" | "cancel" | "unwanted",
+    kind: "broken" | "cancel" | "unwanted",
     [, stream]: readonly unknown[],
 ): Message | undefined {
     return isPositiveInteger(stream) ? { kind, stream } : undefined;
@@ -70,11 +71,15 @@
     return { kind: "refusal", stream, id: id as RequestId, refusal };
 }
 
-function readData([, stream, bytes]: readonly unknown[]): Message | undefined {
-    if (!isPositiveInteger(stream) || !(bytes instanceof Uint8Array)) {
+function readData([, stream, offset, bytes]: readonly unknown[]): Message | undefined {
+    if (!isPositiveInteger(stream) || !isCount(offset) || !(bytes instanceof Uint8Array)) {
         return undefined;
     }
-    return { kind: "data", stream, bytes };
+    return { kind: "data", stream, offset, bytes };
+}
+
+function readEnd([, stream, length]: readonly unknown[]): Message | undefined {
+    return isPositiveInteger(stream) && isCount(length) ? { kind: "end", stream, length } : undefined;
 }
 
 function readCredit([, stream, bytes]: readonly unknown[]): Message | undefined {
--- a/packages/mesh/src/relay/askedRelay.ts
+++ b/packages/mesh/src/relay/askedRelay.ts
@@ -94,9 +94,18 @@
         this.apply({ kind: "answered" });
     }
 
-    /** Takes a piece of the answer's body. False when the peer sent more than it had room for. */
-    takeData(bytes: Uint8Array): boolean {
-        return this.answerBody?.receive(bytes) ?? false;
+    /** Takes a piece of the answer's body. False when it is out of place or the peer had no room for it. */
+    takeData(offset: number, bytes: Uint8Array): boolean {
+        return this.answerBody?.receive(offset, bytes) ?? false;
+    }
+
+    /** The answer's body is whole. False when that is not its length. */
+    takeEnd(length: number): boolean {
+        const isWhole = this.answerBody?.finish(length) ?? false;
+        if (isWhole) {
+            this.apply({ kind: "answerEnded" });
+        }
+        return isWhole;
     }
 
     /** Takes room for the request's body. */
@@ -155,9 +164,6 @@
             case "breakAnswer":
                 this.answerBody?.breakOff("the link to the entry host was lost within the answer");
                 break;
-            case "finishAnswer":
-                this.answerBody?.finish();
-                break;
             case "ask":
                 this.awaitVerdict();
                 break;
--- a/packages/mesh/src/relay/relayClient.ts
+++ b/packages/mesh/src/relay/relayClient.ts
@@ -73,10 +73,9 @@
                 this.takeHead(link, relay, message);
                 return true;
             case "data":
-                return relay?.takeData(message.bytes) ?? true;
+                return relay?.takeData(message.offset, message.bytes) ?? true;
             case "end":
-                relay?.apply({ kind: "answerEnded" });
-                return true;
+                return relay?.takeEnd(message.length) ?? true;
             case "broken":
                 relay?.apply({ kind: "answerBroken" });
                 return true;
--- a/packages/mesh/src/relay/relayServer.ts
+++ b/packages/mesh/src/relay/relayServer.ts
@@ -71,10 +71,9 @@
         const relay = link.served.get(message.stream);
         switch (message.kind) {
             case "data":
-                return relay?.takeData(message.bytes) ?? true;
+                return relay?.takeData(message.offset, message.bytes) ?? true;
             case "end":
-                relay?.finishBody();
-                return true;
+                return relay?.takeEnd(message.length) ?? true;
             case "broken":
                 relay?.breakBody();
                 return true;
--- a/packages/mesh/src/relay/servedRelay.ts
+++ b/packages/mesh/src/relay/servedRelay.ts
@@ -54,14 +54,14 @@
         }
     }
 
-    /** Takes a piece of the request's body. False when the peer sent more than it had room for. */
-    takeData(bytes: Uint8Array): boolean {
-        return this.body?.receive(bytes) ?? false;
+    /** Takes a piece of the request's body. False when it is out of place or the peer had no room for it. */
+    takeData(offset: number, bytes: Uint8Array): boolean {
+        return this.body?.receive(offset, bytes) ?? false;
     }
 
-    /** The request's body is whole. */
-    finishBody(): void {
-        this.body?.finish();
+    /** The request's body is whole. False when that is not its length. */
+    takeEnd(length: number): boolean {
+        return this.body?.finish(length) ?? false;
     }
 
     /** The request's body broke off. */
--- a/packages/mesh/src/settings/meshSettings.ts
+++ b/packages/mesh/src/settings/meshSettings.ts
@@ -12,7 +12,7 @@
     /** Time in ms without hearing anything after which a link counts as lost. */
     heartbeatTimeoutMs: z.int().min(20).max(600_000).default(400),
     /** Longest time in ms from a new connection to an open link. */
-    greetingTimeoutMs: z.int().min(10).max(60_000).default(1_000),
+    greetingTimeoutMs: z.int().min(10).max(60_000).default(400),
     reconnectMinMs: z.int().min(1).max(60_000).default(50),
     reconnectMaxMs: z.int().min(1).max(600_000).default(2_000),
     /** Time in ms before dialling again a peer with which a link was refused. */
--- a/packages/mesh/src/stream/bodyReceiver.ts
+++ b/packages/mesh/src/stream/bodyReceiver.ts
@@ -23,6 +23,7 @@
     private readonly pieces: Uint8Array[] = [];
     private openBytes: number;
     private readBytes = 0;
+    private length = 0;
     private isWhole = false;
     private isWanted = false;
     private isEndPushed = false;
@@ -32,7 +33,6 @@
         this.windowBytes = windowBytes;
         this.openBytes = windowBytes;
         this.events = events;
-        // A body that nobody reads yet may break off; readers that come later see the error of the stream.
         this.readable = new Readable({
             highWaterMark: 1,
             read: () => this.noteWanted(),
@@ -41,14 +41,17 @@
                 callback(error);
             },
         });
+        // A body that nobody reads yet may break off; readers that come later see the error of the stream.
         this.readable.on("error", () => {});
     }
 
-    /** Takes a piece. False when it is empty, the sender had no room for it or the body had ended. */
-    receive(bytes: Uint8Array): boolean {
-        if (this.isWhole || bytes.length === 0 || bytes.length > this.openBytes) {
+    /** Takes a piece. False when it is empty or out of place, the sender had no room for it or the body had ended. */
+    receive(offset: number, bytes: Uint8Array): boolean {
+        const hasPlace = !this.isWhole && offset === this.length;
+        if (!hasPlace || bytes.length === 0 || bytes.length > this.openBytes) {
             return false;
         }
+        this.length += bytes.length;
         this.openBytes -= bytes.length;
         if (this.readable.destroyed) {
             return true;
@@ -58,10 +61,14 @@
         return true;
     }
 
-    /** Notes that the body is whole. */
-    finish(): void {
+    /** Notes that the body is whole. False when that is not its length so far. */
+    finish(length: number): boolean {
+        if (this.isWhole || length !== this.length) {
+            return false;
+        }
         this.isWhole = true;
         this.pushWanted();
+        return true;
     }
 
     /** Ends the body with an error for its reader, unless it is whole. */
@@ -89,7 +96,9 @@
             if (!piece) {
                 break;
             }
-            this.isWanted = this.readable.push(piece);
+            // A reader may ask for more within the push, so only its answer may set this again.
+            this.isWanted = false;
+            this.isWanted = this.readable.push(piece) || this.isWanted;
             this.giveRoom(piece.length);
         }
         if (this.isWhole && this.pieces.length === 0 && !this.isEndPushed) {
--- a/packages/mesh/src/stream/bodySender.ts
+++ b/packages/mesh/src/stream/bodySender.ts
@@ -26,6 +26,7 @@
     private readonly options: BodySenderOptions;
     private rest: Uint8Array = EMPTY;
     private roomBytes: number;
+    private length = 0;
     private state: "open" | "ended" | "broken" | "done" = "open";
     private readonly notice = () => this.options.events.onReady();
     private readonly noteEnd = () => this.settle("ended");
@@ -58,7 +59,9 @@
         const bytes = this.takePiece();
         const { stream } = this.options;
         if (bytes) {
-            return encodeMessage({ kind: "data", stream, bytes });
+            const offset = this.length;
+            this.length += bytes.length;
+            return encodeMessage({ kind: "data", stream, offset, bytes });
         }
         if (this.state === "broken") {
             this.finish();
@@ -66,7 +69,7 @@
         }
         if (this.state === "ended" && this.rest.length === 0) {
             this.finish();
-            return encodeMessage({ kind: "end", stream });
+            return encodeMessage({ kind: "end", stream, length: this.length });
         }
         return undefined;
     }
--- a/packages/mesh/src/transport/wsConnection.ts
+++ b/packages/mesh/src/transport/wsConnection.ts
@@ -65,6 +65,7 @@
         if (code?.startsWith(PROTOCOL_ERROR_PREFIX)) {
             this.cause = "malformed";
         }
+        this.socket.terminate();
     }
 
     private end(): void {
--- /dev/null
+++ b/packages/mesh/tests/helpers/newRequest.ts
@@ -0,0 +1,20 @@
+import type { ClassId, RequestId, ServiceId } from "@arbutusdoor/common";
+import type { RelayRequest } from "../../src/relay/relayRequest.js";
+
+/** A request with ordinary fields. */
+export function newRequest(id: string, fields: Partial<RelayRequest> = {}): RelayRequest {
+    return {
+        id: id as RequestId,
+        service: "gustboard" as ServiceId,
+        key: "beach",
+        classId: "read" as ClassId,
+        method: "GET",
+        path: "/",
+        headers: { accept: "text/plain" },
+        deadline: 2_000,
+        server: undefined,
+        slice: undefined,
+        hasBody: false,
+        ...fields,
+    };
+}
--- /dev/null
+++ b/packages/mesh/tests/relaySessions.test.ts
@@ -0,0 +1,230 @@
+import type { HostId } from "@arbutusdoor/common";
+import { PassThrough, Readable } from "node:stream";
+import { expect, test } from "vitest";
+import { describeFrame } from "./helpers/describeFrame.js";
+import { MeshSession } from "./helpers/meshSession.js";
+
+/** A session with a linked to b. */
+async function startPair(settings = {}) {
+    const session = new MeshSession();
+    const a = await session.start("a", { seeds: ["b:1"], settings });
+    const b = await session.start("b", { settings });
+    await session.advance(100);
+    session.note("linked");
+    return { session, a, b };
+}
+
+function isAnswer(bytes: Uint8Array): boolean {
+    return describeFrame(bytes).some(line => line.startsWith("answer"));
+}
+
+function rename(bytes: Uint8Array, id: string, other: string): Uint8Array {
+    return Buffer.from(Buffer.from(bytes).toString("latin1").replace(id, other), "latin1");
+}
+
+/** Loses the first frame with such a message and cuts the connection; later frames pass. */
+function cutAt(session: MeshSession, kind: string): void {
+    session.network.fault = (from, to, bytes) => {
+        if (!describeFrame(bytes).some(line => line.startsWith(kind))) {
+            return [bytes];
+        }
+        session.note(`the frame is lost and the link between ${from} and ${to} breaks`);
+        session.network.fault = (_from, _to, later) => [later];
+        session.network.later(() => session.network.cut(from, to));
+        return [];
+    };
+}
+
+test("the link breaks before the head is sent: not run", async () => {
+    const { session, a } = await startPair();
+    const done = session.relay(a, "b", "a1-1");
+    session.network.cut("a", "b");
+    await session.advance(200);
+    await done;
+    await expect(session.trace).toMatchFileSnapshot("golden/breakBeforeHead.txt");
+});
+
+test("the link breaks after the head was sent and never received: not run, and a late copy is refused", async () => {
+    const { session, a } = await startPair();
+    cutAt(session, "request");
+    void session.relay(a, "b", "a1-1");
+    await session.advance(200);
+    session.note("a late copy");
+    void session.relay(a, "b", "a1-1");
+    await session.advance(10);
+    await expect(session.trace).toMatchFileSnapshot("golden/breakAfterHead.txt");
+});
+
+test("the link breaks while the request runs: unknown, once it has ended", async () => {
+    const { session, a } = await startPair();
+    void session.relay(a, "b", "a1-1", { path: "/wait/150" });
+    await session.advance(20);
+    session.network.cut("a", "b");
+    await session.advance(300);
+    await expect(session.trace).toMatchFileSnapshot("golden/breakWhileRunning.txt");
+});
+
+test("the answer is lost after the run: unknown", async () => {
+    const { session, a } = await startPair();
+    cutAt(session, "answer");
+    void session.relay(a, "b", "a1-1", { path: "/wait/5" });
+    await session.advance(200);
+    await expect(session.trace).toMatchFileSnapshot("golden/breakBeforeAnswer.txt");
+});
+
+test("the peer's refusal is lost: asked again, it still says not run", async () => {
+    const { session, a } = await startPair();
+    cutAt(session, "refusal");
+    void session.relay(a, "b", "a1-1", { path: "/refuse" });
+    await session.advance(200);
+    await expect(session.trace).toMatchFileSnapshot("golden/breakBeforeRefusal.txt");
+});
+
+test("the link breaks within the request's body and within the answer's", async () => {
+    const { session, a, b } = await startPair();
+    const body = new PassThrough();
+    body.write("first half");
+    b.handler.answer = async (request, requestBody) => {
+        requestBody?.on("data", (piece: Buffer) => session.note(`b: reads "${piece}" of ${request.id}`));
+        requestBody?.on("error", error => session.note(`b: the body of ${request.id} broke (${error.name})`));
+        const answer = new PassThrough();
+        answer.write("half an answer");
+        return { kind: "answered", status: 200, headers: {}, body: answer };
+    };
+    void session.relay(a, "b", "a1-1", { body });
+    await session.advance(20);
+    session.network.cut("a", "b");
+    await session.advance(100);
+    await expect(session.trace).toMatchFileSnapshot("golden/breakWithinBodies.txt");
+});
+
+test("the peer restarts after the hand-over: unknown", async () => {
+    const { session, a } = await startPair();
+    cutAt(session, "request");
+    void session.relay(a, "b", "a1-1");
+    await session.settle();
+    await session.start("b", { incarnation: "b2" });
+    await session.advance(200);
+    await expect(session.trace).toMatchFileSnapshot("golden/peerRestarts.txt");
+});
+
+test("the peer never comes back after the hand-over: unknown after the ask timeout", async () => {
+    const { session, a } = await startPair({ askTimeoutMs: 300 });
+    cutAt(session, "request");
+    session.network.unreachable.add("b:1");
+    void session.relay(a, "b", "a1-1");
+    await session.advance(400);
+    await expect(session.trace).toMatchFileSnapshot("golden/peerStaysAway.txt");
+});
+
+test("answers late, twice, in another order and to another request's stream reach only their own callers", async () => {
+    const { session, a } = await startPair({ deadlineGraceMs: 0 });
+    session.note("in another order");
+    void session.relay(a, "b", "a1-1", { path: "/wait/20" });
+    void session.relay(a, "b", "a1-2", { path: "/wait/10" });
+    await session.advance(50);
+    session.note("twice");
+    session.network.fault = (from, _to, bytes) => from === "b" ? [bytes, bytes] : [bytes];
+    void session.relay(a, "b", "a1-3", { path: "/refuse" });
+    await session.advance(50);
+    session.network.fault = (_from, _to, bytes) => [bytes];
+    session.note("late");
+    void session.relay(a, "b", "a1-4", { path: "/wait/5", deadline: 10 });
+    session.network.hold("b", "a");
+    await session.advance(20);
+    session.network.release("b", "a");
+    await session.advance(20);
+    session.note("with another request's id");
+    session.network.fault = (_from, _to, bytes) => [isAnswer(bytes) ? rename(bytes, "a1-5", "a1-9") : bytes];
+    void session.relay(a, "b", "a1-5", { deadline: 10 });
+    await session.advance(20);
+    expect(a.metrics.getCount("arbutusdoor_mesh_answers_orphaned_total")).toBeGreaterThan(0);
+    await expect(session.trace).toMatchFileSnapshot("golden/answersOutOfOrder.txt");
+});
+
+test("a piece of an answer that arrives twice breaks the answer off, never into it", async () => {
+    const { session, a } = await startPair();
+    session.network.fault = (_from, _to, bytes) =>
+        describeFrame(bytes).some(line => line.startsWith("data")) ? [bytes, bytes] : [bytes];
+    void session.relay(a, "b", "a1-1");
+    await session.advance(10);
+    await expect(session.trace).toMatchFileSnapshot("golden/dataTwice.txt");
+});
+
+test("a request id that was received before is refused and never run twice", async () => {
+    const { session, a, b } = await startPair();
+    const c = await session.start("c", { seeds: ["b:1"] });
+    await session.advance(100);
+    void session.relay(a, "b", "a1-1", { path: "/wait/20" });
+    void session.relay(a, "b", "a1-1");
+    void session.relay(c, "b", "a1-1");
+    await session.advance(50);
+    void session.relay(a, "b", "a1-1");
+    await session.advance(10);
+    expect(session.trace.split("\n").filter(line => line.includes("runs a1-1"))).toHaveLength(1);
+    expect(b.metrics.getCount("arbutusdoor_mesh_requests_refused_total", { reason: "duplicateRequest" }))
+        .toBe(2);
+    await expect(session.trace).toMatchFileSnapshot("golden/duplicateRequest.txt");
+});
+
+test("a forgotten request is never reported as not received", async () => {
+    const { session, a } = await startPair({ requestMemory: 1 });
+    cutAt(session, "answer 1 a1-1");
+    void session.relay(a, "b", "a1-1");
+    await session.settle();
+    void session.relay(a, "b", "a1-2", { path: "/wait/2" });
+    await session.advance(200);
+    expect(session.trace).toContain("caller of a1-1: unknown relayLost");
+    expect(session.trace).not.toContain("caller of a1-1: notRun");
+});
+
+test("cancel reaches the handler, and the caller's answer is not waited for", async () => {
+    const { session, a } = await startPair();
+    const controller = new AbortController();
+    void session.relay(a, "b", "a1-1", { path: "/wait/50", signal: controller.signal });
+    void session.relay(a, "b", "a1-2", { path: "/wait/50" });
+    await session.advance(10);
+    controller.abort();
+    await session.advance(60);
+    await expect(session.trace).toMatchFileSnapshot("golden/cancel.txt");
+});
+
+test("a graceful close refuses new requests and lets those under way end", async () => {
+    const { session, a, b } = await startPair();
+    void session.relay(a, "b", "a1-1", { path: "/wait/50" });
+    await session.advance(10);
+    session.note("b closes");
+    void b.mesh.close();
+    void session.relay(a, "b", "a1-2");
+    await session.advance(100);
+    await expect(session.trace).toMatchFileSnapshot("golden/gracefulClose.txt");
+});
+
+test("a slow reader holds back only its own stream, within the window", async () => {
+    const { session, a, b } = await startPair();
+    const produced = { bytes: 0 };
+    b.handler.answer = async request => {
+        const isLarge = request.path === "/large";
+        const body = isLarge ? Readable.from(produce(produced)) : Readable.from([Buffer.from("small")]);
+        return { kind: "answered", status: 200, headers: {}, body };
+    };
+    const signal = new AbortController().signal;
+    const { newRequest } = await import("./helpers/newRequest.js");
+    const large = await Promise.all([
+        a.mesh.relay("b" as HostId, newRequest("a1-1", { path: "/large" }), undefined, signal),
+        session.advance(50),
+    ]);
+    void session.relay(a, "b", "a1-2");
+    await session.advance(10);
+    expect(session.trace).toContain("caller of a1-2: answered 200 \"small\"");
+    expect(produced.bytes).toBeGreaterThan(200_000);
+    expect(produced.bytes).toBeLessThan(512 * 1_024);
+    expect(large[0].kind).toBe("answered");
+});
+
+async function* produce(produced: { bytes: number; }): AsyncGenerator<Buffer> {
+    for (let piece = 0; piece < 1_000; piece++) {
+        produced.bytes += 10_000;
+        yield Buffer.alloc(10_000);
+    }
+}
