Intents: at most once across a caller's own repeats

An intent is inserted before the request is sent (group commit; a conflict of one write does not fail the others; a lost answer is read back) and its end is recorded afterwards. An intent that did not run is marked free and not deleted: a delete whose answer is lost and which is repeated could remove a later intent of the same version. A write that may yet take effect is fenced by a row of our own.

--- a/packages/common/src/outcome/refusalReason.ts
+++ b/packages/common/src/outcome/refusalReason.ts
@@ -32,6 +32,7 @@
     relayLost: { status: 502, outcome: "unknown", retry: false },
     relayUnreachable: { status: 503, outcome: "notRun", retry: true },
     relayNotReceived: { status: 503, outcome: "notRun", retry: true },
+    repeatAnswerTooLarge: { status: 409, outcome: "unknown", retry: false },
     duplicateRequest: { status: 409, outcome: "unknown", retry: false },
 } as const satisfies Record<string, { status: number; outcome: OutcomeKind; retry: boolean; }>;
 
--- /dev/null
+++ b/packages/daemon/src/intents/captureBody.ts
@@ -0,0 +1,61 @@
+import type { Digest } from "@arbutusdoor/common";
+import { createHash, type Hash } from "node:crypto";
+import { Readable } from "node:stream";
+
+/** How much of an answer's body was captured. */
+type CapturedBody =
+    | { readonly kind: "whole"; readonly bytes: Buffer; readonly digest: Digest; }
+    /** Larger than the limit: the body goes on as a stream; `ended` resolves to its digest, or `undefined` when it breaks off. */
+    | { readonly kind: "large"; readonly body: Readable; readonly ended: Promise<Digest | undefined>; }
+    | { readonly kind: "broken"; };
+
+/** Reads a body whole up to a limit in bytes; a longer one is handed on while its digest is made. Never rejects. */
+export async function captureBody(body: Readable, limitBytes: number): Promise<CapturedBody> {
+    const hash = createHash("sha256");
+    const pieces: Buffer[] = [];
+    let length = 0;
+    const reader = body[Symbol.asyncIterator]() as AsyncIterator<Buffer | string>;
+    try {
+        for (let next = await reader.next(); !next.done; next = await reader.next()) {
+            const piece = Buffer.from(next.value);
+            hash.update(piece);
+            pieces.push(piece);
+            length += piece.length;
+            if (length > limitBytes) {
+                return handOn(pieces, reader, hash);
+            }
+        }
+    }
+    catch {
+        return { kind: "broken" };
+    }
+    return { kind: "whole", bytes: Buffer.concat(pieces), digest: hash.digest("hex") as Digest };
+}
+
+function handOn(pieces: readonly Buffer[], reader: AsyncIterator<Buffer | string>, hash: Hash): CapturedBody {
+    let end: (digest: Digest | undefined) => void;
+    const ended = new Promise<Digest | undefined>(resolve => {
+        end = resolve;
+    });
+    const body = Readable.from(readOn(pieces, reader, hash, digest => end(digest)), { objectMode: false });
+    body.once("close", () => {
+        end(undefined);
+        void reader.return?.();
+    });
+    return { kind: "large", body, ended };
+}
+
+async function* readOn(
+    pieces: readonly Buffer[],
+    reader: AsyncIterator<Buffer | string>,
+    hash: Hash,
+    onEnd: (digest: Digest) => void,
+): AsyncGenerator<Buffer> {
+    yield* pieces;
+    for (let next = await reader.next(); !next.done; next = await reader.next()) {
+        const piece = Buffer.from(next.value);
+        hash.update(piece);
+        yield piece;
+    }
+    onEnd(hash.digest("hex") as Digest);
+}
--- /dev/null
+++ b/packages/daemon/src/intents/getIntentKey.ts
@@ -0,0 +1,9 @@
+import { getDigest, type RowKey } from "@arbutusdoor/common";
+import type { IntentRequest } from "./intentRequest.js";
+
+/** Key of the row of a request's intent. */
+export function getIntentKey(request: IntentRequest): RowKey {
+    const { tenant, service, key, idempotencyKey } = request;
+    const named = [tenant, service, key ?? "", idempotencyKey];
+    return `intent/${service}/${getDigest(JSON.stringify(named))}` as RowKey;
+}
--- /dev/null
+++ b/packages/daemon/src/intents/intentKeeper.ts
@@ -0,0 +1,137 @@
+import {
+    type Clock,
+    type Logger,
+    type Metrics,
+    newRefusal,
+    type RandomSource,
+    type RefusalReason,
+} from "@arbutusdoor/common";
+import type { Row, TableService } from "@arbutusdoor/platform";
+import { getIntentKey } from "./getIntentKey.js";
+import type { Intent } from "./intent.js";
+import type { IntentBeginning } from "./intentBeginning.js";
+import type { IntentOutcome } from "./intentOutcome.js";
+import type { IntentRequest } from "./intentRequest.js";
+import type { IntentSettings } from "./intentSettings.js";
+import { IntentSettler } from "./intentSettler.js";
+import { newBegunRow } from "./newBegunRow.js";
+import { reconcileIntent } from "./reconcileIntent.js";
+import { StoreState } from "./storeState.js";
+import { TableWriter } from "./tableWriter.js";
+
+type IntentKeeperOptions = {
+    readonly clock: Clock;
+    readonly table: TableService;
+    readonly settings: IntentSettings;
+    readonly random: RandomSource;
+    readonly metrics: Metrics;
+    readonly logger: Logger;
+    /** Names this run of the host. */
+    readonly writer: string;
+};
+
+const MICROSECONDS_PER_MS = 1_000;
+
+/** Keeps once-only work from running twice, across a caller's own repeats and across entry hosts. */
+export class IntentKeeper {
+    private readonly options: IntentKeeperOptions;
+    private readonly writer: TableWriter;
+    private readonly settler: IntentSettler;
+    private readonly store: StoreState;
+
+    constructor(options: IntentKeeperOptions) {
+        this.options = options;
+        this.writer = new TableWriter(options);
+        this.settler = new IntentSettler({ ...options, writer: this.writer });
+        this.store = new StoreState(options.logger);
+        options.metrics.gauge("arbutusdoor_intent_writes_queued", () => this.writer.queuedSize);
+        options.metrics.gauge("arbutusdoor_intents_settling", () => this.settler.size);
+    }
+
+    /** Records the intent before the request is sent. Never rejects; a refusal `notRun` is certain. */
+    async begin(request: IntentRequest): Promise<IntentBeginning> {
+        const beganAt = this.options.clock.now();
+        const beginning = await this.tryToBegin(request);
+        const duration = this.options.clock.now() - beganAt;
+        const labels = { service: request.service, class: request.classId };
+        const outcome = beginning.kind === "refusal" ? beginning.refusal.reason : beginning.kind;
+        this.options.metrics.count("arbutusdoor_intents_total", { ...labels, outcome });
+        this.options.metrics.record("arbutusdoor_intent_begin_us", labels, duration * MICROSECONDS_PER_MS);
+        return beginning;
+    }
+
+    /**
+     * Records how the request ended; tried again for a while when the table service is out.
+     * Resolves to whether it was recorded. Unless it was, a repeat is refused as unknown.
+     */
+    finish(intent: Intent, outcome: IntentOutcome): Promise<boolean> {
+        return this.settler.settle(intent, outcome);
+    }
+
+    /** Resolves once no end of an intent is left to record. */
+    drain(): Promise<void> {
+        return this.settler.drain();
+    }
+
+    private async tryToBegin(request: IntentRequest): Promise<IntentBeginning> {
+        const { clock, settings } = this.options;
+        const key = getIntentKey(request);
+        const begun = newBegunRow(request, clock.wallTime(), settings.retentionMs);
+        const intent: Intent = { request, key, begun, version: undefined };
+        let expectedVersion = 0;
+        for (let attempt = 0; attempt < settings.attempts; attempt++) {
+            const result = await this.writer.write({ key, expectedVersion, value: begun });
+            this.store.note(result.kind);
+            switch (result.kind) {
+                case "committed":
+                    return proceed(intent, result.row.version);
+                case "notRun":
+                    return this.beginWithoutStore(intent);
+                case "unknown":
+                    return this.beginUnsure(intent);
+                case "conflict":
+                    break;
+            }
+            const decision = this.reconcile(result.row, request);
+            switch (decision.kind) {
+                case "take":
+                    expectedVersion = decision.version;
+                    break;
+                case "own":
+                    return proceed(intent, decision.version);
+                case "recorded":
+                case "refusal":
+                    return decision;
+            }
+        }
+        return refuse("repeatInProgress", "other requests under this idempotency key come at the same time");
+    }
+
+    private reconcile(row: Row, request: IntentRequest): ReturnType<typeof reconcileIntent> {
+        return reconcileIntent(row, request, this.options.clock.wallTime(), this.options.settings.marginMs);
+    }
+
+    private beginWithoutStore(intent: Intent): IntentBeginning {
+        if (intent.request.outage === "serve") {
+            return { kind: "proceed", intent };
+        }
+        return refuse("intentStoreUnavailable", "the record of once-only work cannot be written");
+    }
+
+    /** The row may have been written, or may yet be; unless the request is sent, it must not look as if it was. */
+    private beginUnsure(intent: Intent): IntentBeginning {
+        const beginning = this.beginWithoutStore(intent);
+        if (beginning.kind === "refusal") {
+            void this.settler.settle(intent, { kind: "notRun" });
+        }
+        return beginning;
+    }
+}
+
+function proceed(intent: Intent, version: number): IntentBeginning {
+    return { kind: "proceed", intent: { ...intent, version } };
+}
+
+function refuse(reason: RefusalReason, detail: string): IntentBeginning {
+    return { kind: "refusal", refusal: newRefusal(reason, detail) };
+}
--- /dev/null
+++ b/packages/daemon/src/intents/intentRow.ts
@@ -0,0 +1,34 @@
+import type { Digest, OperationId, RequestId } from "@arbutusdoor/common";
+import { z } from "zod";
+import { RecordedAnswer } from "./recordedAnswer.js";
+
+const rowFields = {
+    format: z.literal(1),
+    /** The write that made this row. */
+    operationId: z.string().transform(id => id as OperationId),
+    /** The request that runs, ran or may have run. */
+    requestId: z.string().transform(id => id as RequestId),
+    /** Digest of method and path. */
+    target: z.string().transform(digest => digest as Digest),
+    /** Digest of the request's body, when it was known. */
+    body: z.string().transform(digest => digest as Digest).optional(),
+    /** Wall-clock time by which the request's answer was due. */
+    deadlineAt: z.number(),
+    /** Wall-clock time after which the row may be deleted. */
+    expiresAt: z.number(),
+};
+
+/**
+ * Row `intent/<service>/<hash>`: `begun` (a request may be sent or was), `free` (it did not run; the next may),
+ * `answered` or `unknown` (it may have run).
+ */
+const IntentRow = z.discriminatedUnion("state", [
+    z.strictObject({ ...rowFields, state: z.literal("begun") }),
+    z.strictObject({ ...rowFields, state: z.literal("free") }),
+    z.strictObject({ ...rowFields, state: z.literal("unknown") }),
+    z.strictObject({ ...rowFields, state: z.literal("answered"), answer: RecordedAnswer }),
+]);
+
+type IntentRow = z.infer<typeof IntentRow>;
+
+export { IntentRow };
--- /dev/null
+++ b/packages/daemon/src/intents/reconcileIntent.ts
@@ -0,0 +1,79 @@
+import { type Milliseconds, newRefusal, type Refusal, type RefusalReason } from "@arbutusdoor/common";
+import type { Row } from "@arbutusdoor/platform";
+import type { Fingerprint } from "./fingerprint.js";
+import type { IntentRequest } from "./intentRequest.js";
+import { IntentRow } from "./intentRow.js";
+import type { RecordedAnswer } from "./recordedAnswer.js";
+
+/**
+ * What the stored intent means for a request: `take` (write the row at that version; nothing has run),
+ * `own` (the row is this very request's), `recorded` (it ran; that is its answer) or a refusal.
+ */
+type IntentDecision =
+    | { readonly kind: "take"; readonly version: number; }
+    | { readonly kind: "own"; readonly version: number; }
+    | { readonly kind: "recorded"; readonly answer: RecordedAnswer; }
+    | { readonly kind: "refusal"; readonly refusal: Refusal; };
+
+/**
+ * Compares a request with the row of its intent. Never lets a request run that may have run before: only an absent row
+ * or one that is certain not to have run can be taken.
+ * @param now wall-clock time
+ * @param marginMs time beyond its deadline that a begun intent counts as in progress
+ */
+export function reconcileIntent(
+    row: Row,
+    request: IntentRequest,
+    now: Milliseconds,
+    marginMs: Milliseconds,
+): IntentDecision {
+    if (row.version === 0) {
+        return { kind: "take", version: 0 };
+    }
+    const parsed = IntentRow.safeParse(row.value);
+    if (!parsed.success) {
+        return refuse("repeatOutcomeUnknown", "the record of an earlier request cannot be read");
+    }
+    const stored = parsed.data;
+    if (stored.state === "free") {
+        return { kind: "take", version: row.version };
+    }
+    if (stored.state === "begun" && stored.requestId === request.requestId) {
+        return { kind: "own", version: row.version };
+    }
+    if (!isSameRequest(stored, request.fingerprint)) {
+        return refuse("repeatMismatch", "another request was sent under this idempotency key");
+    }
+    return judgeRepeat(stored, now, marginMs);
+}
+
+function judgeRepeat(stored: IntentRow, now: Milliseconds, marginMs: Milliseconds): IntentDecision {
+    if (stored.state === "answered") {
+        return judgeAnswer(stored.answer);
+    }
+    const isInProgress = stored.state === "begun" && now <= stored.deadlineAt + marginMs;
+    return isInProgress
+        ? refuse("repeatInProgress", "an earlier request under this idempotency key has not ended")
+        : refuse(
+            "repeatOutcomeUnknown",
+            "an earlier request under this idempotency key may have run; it is not run again",
+        );
+}
+
+function judgeAnswer(answer: RecordedAnswer): IntentDecision {
+    if (answer.body !== undefined) {
+        return { kind: "recorded", answer };
+    }
+    const detail = `an earlier request ran and was answered with status ${answer.status}; `
+        + `its body is too large to be kept (SHA-256 ${answer.digest})`;
+    return refuse("repeatAnswerTooLarge", detail);
+}
+
+function isSameRequest(stored: IntentRow, { target, body }: Fingerprint): boolean {
+    const areBodiesKnown = stored.body !== undefined && body !== undefined;
+    return stored.target === target && (!areBodiesKnown || stored.body === body);
+}
+
+function refuse(reason: RefusalReason, detail: string): IntentDecision {
+    return { kind: "refusal", refusal: newRefusal(reason, detail) };
+}
--- /dev/null
+++ b/packages/daemon/src/intents/sortWrites.ts
@@ -0,0 +1,25 @@
+import type { OperationId } from "@arbutusdoor/common";
+import type { Row } from "@arbutusdoor/platform";
+
+/**
+ * Compares the conditional writes of a failed transaction with the rows as they stand: `committed` (the row carries the
+ * write's name), `conflict` (the row has another version) or `open` (the row is as the write expects; it can be tried again).
+ * @param operationId name of the transaction, if it may have taken effect
+ */
+export function sortWrites(
+    writes: readonly { readonly expectedVersion: number; }[],
+    rows: readonly Row[],
+    operationId: OperationId | undefined,
+): readonly ("committed" | "conflict" | "open")[] {
+    return writes.map(({ expectedVersion }, index) => {
+        const row = rows[index];
+        if (operationId !== undefined && getWriter(row) === operationId) {
+            return "committed";
+        }
+        return row?.version === expectedVersion ? "open" : "conflict";
+    });
+}
+
+function getWriter(row: Row | undefined): unknown {
+    return (row?.value as { operationId?: unknown; } | undefined)?.operationId;
+}
--- /dev/null
+++ b/packages/daemon/src/intents/tableWriter.ts
@@ -0,0 +1,193 @@
+import type { Clock, Metrics, OperationId, RowKey, Timer } from "@arbutusdoor/common";
+import type { Row, TableService } from "@arbutusdoor/platform";
+import PQueue from "p-queue";
+import { sortWrites } from "./sortWrites.js";
+
+/** One conditional write of a JSON object. */
+type PendingWrite = {
+    readonly key: RowKey;
+    readonly expectedVersion: number;
+    /** New value, to which the name of the write is added; `undefined` deletes the row. */
+    readonly value: object | undefined;
+};
+
+/**
+ * How a write ended: `committed`, `conflict` with the row as it stands, `notRun` (it will not take effect) or `unknown`
+ * (it may have taken effect, or may yet).
+ */
+type WriteResult =
+    | { readonly kind: "committed"; readonly row: Row; }
+    | { readonly kind: "conflict"; readonly row: Row; }
+    | { readonly kind: "notRun" | "unknown"; readonly reason: string; };
+
+type Entry = {
+    readonly write: PendingWrite;
+    readonly resolve: (result: WriteResult) => void;
+};
+
+type TableWriterOptions = {
+    readonly table: TableService;
+    readonly clock: Clock;
+    readonly metrics: Metrics;
+    /** Begins the names of writes; unique for each run of a host. */
+    readonly writer: string;
+    readonly settings: {
+        readonly batchSize: number;
+        readonly batchWaitMs: number;
+        readonly maxTransactions: number;
+        readonly maxQueued: number;
+        readonly attempts: number;
+    };
+};
+
+/**
+ * Group commit: gathers single conditional writes into transactions. A conflict of one does not fail the others, and a
+ * transaction whose answer is lost is read back.
+ */
+export class TableWriter {
+    private readonly options: TableWriterOptions;
+    private readonly transactions: PQueue;
+    private waiting: Entry[] = [];
+    private timer: Timer | undefined;
+    private operations = 0;
+
+    constructor(options: TableWriterOptions) {
+        this.options = options;
+        this.transactions = new PQueue({ concurrency: options.settings.maxTransactions });
+    }
+
+    /** Writes that wait for a transaction. */
+    get queuedSize(): number {
+        return this.waiting.length;
+    }
+
+    /** Writes a row on the condition of its version. Never rejects. */
+    write(write: PendingWrite): Promise<WriteResult> {
+        const { batchSize, batchWaitMs, maxQueued } = this.options.settings;
+        if (this.waiting.length >= maxQueued) {
+            return Promise.resolve({ kind: "notRun", reason: "too many writes wait" });
+        }
+        return new Promise(resolve => {
+            this.waiting.push({ write, resolve });
+            if (this.waiting.length >= batchSize) {
+                this.flush();
+            }
+            else {
+                this.timer ??= this.options.clock.schedule(batchWaitMs, () => this.flush());
+            }
+        });
+    }
+
+    private flush(): void {
+        this.timer?.cancel();
+        this.timer = undefined;
+        this.pump();
+    }
+
+    private pump(): void {
+        const { maxTransactions } = this.options.settings;
+        const hasRoom = () => this.transactions.pending + this.transactions.size < maxTransactions;
+        while (this.waiting.length > 0 && hasRoom()) {
+            const batch = this.takeBatch();
+            void this.transactions.add(() => this.commit(batch)).then(() => this.pumpRest());
+        }
+    }
+
+    /** Writes that had to wait for a transaction to end need not wait any longer. */
+    private pumpRest(): void {
+        if (!this.timer) {
+            this.pump();
+        }
+    }
+
+    /** The next writes, at most one for each row. */
+    private takeBatch(): Entry[] {
+        const keys = new Set<RowKey>();
+        const batch: Entry[] = [];
+        const rest: Entry[] = [];
+        for (const entry of this.waiting) {
+            const hasRoom = batch.length < this.options.settings.batchSize;
+            if (hasRoom && !keys.has(entry.write.key)) {
+                keys.add(entry.write.key);
+                batch.push(entry);
+            }
+            else {
+                rest.push(entry);
+            }
+        }
+        this.waiting = rest;
+        return batch;
+    }
+
+    private async commit(batch: readonly Entry[]): Promise<void> {
+        let open = batch;
+        for (let attempt = 0; attempt < this.options.settings.attempts && open.length > 0; attempt++) {
+            open = await this.attempt(open);
+        }
+        resolveAll(open, { kind: "unknown", reason: "the writes kept failing" });
+    }
+
+    /** Tries to write; returns the entries that are to be tried again. */
+    private async attempt(entries: readonly Entry[]): Promise<readonly Entry[]> {
+        const { table, metrics } = this.options;
+        const operationId = this.newOperationId();
+        const writes = entries.map(({ write }) => ({
+            ...write,
+            value: write.value && { ...write.value, operationId },
+        }));
+        metrics.record("arbutusdoor_intent_batch_size", {}, writes.length);
+        const outcome = await table.transact({ operationId, writes });
+        metrics.count("arbutusdoor_intent_transactions_total", { outcome: outcome.kind });
+        switch (outcome.kind) {
+            case "committed":
+                entries.forEach(({ resolve }, index) =>
+                    resolve({ kind: "committed", row: outcome.rows[index]! })
+                );
+                return [];
+            case "conflict":
+                return this.settleRows(entries, outcome.rows, undefined);
+            case "notRun":
+                resolveAll(entries, outcome);
+                return [];
+            case "unknown":
+                return this.readBack(entries, operationId, outcome.reason);
+        }
+    }
+
+    private async readBack(
+        entries: readonly Entry[],
+        operationId: OperationId,
+        reason: string,
+    ): Promise<readonly Entry[]> {
+        const read = await this.options.table.read(entries.map(({ write }) => write.key));
+        if (read.kind === "unavailable") {
+            resolveAll(entries, { kind: "unknown", reason });
+            return [];
+        }
+        return this.settleRows(entries, read.rows, operationId);
+    }
+
+    private settleRows(
+        entries: readonly Entry[],
+        rows: readonly Row[],
+        operationId: OperationId | undefined,
+    ): readonly Entry[] {
+        const sorted = sortWrites(entries.map(({ write }) => write), rows, operationId);
+        return entries.filter(({ resolve }, index) => {
+            const kind = sorted[index]!;
+            if (kind !== "open") {
+                resolve({ kind, row: rows[index]! });
+            }
+            return kind === "open";
+        });
+    }
+
+    private newOperationId(): OperationId {
+        this.operations++;
+        return `${this.options.writer}.intents.${this.operations}` as OperationId;
+    }
+}
+
+function resolveAll(entries: readonly Entry[], result: WriteResult): void {
+    entries.forEach(({ resolve }) => resolve(result));
+}
--- /dev/null
+++ b/packages/daemon/tests/intents/intentFaults.test.ts
@@ -0,0 +1,68 @@
+import { RandomSource } from "@arbutusdoor/common";
+import { expect, test } from "vitest";
+import type { Intent } from "../../src/intents/intent.js";
+import type { IntentKeeper } from "../../src/intents/intentKeeper.js";
+import { IntentSession } from "./intentSession.js";
+
+const SESSIONS = 60;
+const HOSTS = ["a", "b", "c"];
+const NAMES = ["deposit-1", "deposit-2"];
+const FAULTS = ["none", "none", "none", "lost", "dropped", "late", "out"] as const;
+
+/** One host's repeats of one piece of work, each ended at random or left as by a killed host. */
+async function repeat(
+    session: IntentSession,
+    random: RandomSource,
+    host: string,
+    keeper: IntentKeeper,
+    runs: Map<string, number>,
+): Promise<void> {
+    for (let round = 0; round < 4; round++) {
+        const name = random.pick(NAMES);
+        const intent = await session.begin(host, keeper, { name, deadline: 20 });
+        if (intent) {
+            await end(session, random, keeper, intent, () => runs.set(name, (runs.get(name) ?? 0) + 1));
+        }
+        await session.clock.sleep(random.nextInteger(40));
+    }
+}
+
+async function end(
+    session: IntentSession,
+    random: RandomSource,
+    keeper: IntentKeeper,
+    intent: Intent,
+    run: () => void,
+): Promise<void> {
+    const ending = random.pick(["answered", "unknown", "notRun", "killed"] as const);
+    session.note(`${intent.request.requestId}: ends as ${ending}`);
+    if (ending !== "notRun") {
+        run();
+    }
+    if (ending === "killed") {
+        return;
+    }
+    const outcome = ending === "answered" ? session.newAnswered() : { kind: ending };
+    void keeper.finish(intent, outcome);
+}
+
+test("work runs at most once, whatever the table does to its writers", async () => {
+    for (let seed = 1; seed <= SESSIONS; seed++) {
+        const random = new RandomSource(seed);
+        const session = new IntentSession({ marginMs: 0 });
+        const runs = new Map<string, number>();
+        session.table.nextFault = () => random.pick(FAULTS);
+        session.table.isReadable = () => random.nextInteger(3) > 0;
+        const hosts = HOSTS.map(host => repeat(session, random, host, session.newKeeper(host), runs));
+        for (let turn = 0; turn < 300; turn++) {
+            await session.advance(1);
+            if (random.nextInteger(10) === 0) {
+                session.table.applyLate();
+            }
+        }
+        await session.advance(5_000, 50);
+        await Promise.all(hosts);
+        const most = Math.max(0, ...runs.values());
+        expect(most, `seed ${seed}\n${session.trace}`).toBeLessThanOrEqual(1);
+    }
+});
--- /dev/null
+++ b/packages/daemon/tests/intents/intentRouter.test.ts
@@ -0,0 +1,93 @@
+import { newRefusal, type RequestId } from "@arbutusdoor/common";
+import { RequestClass, Service } from "@arbutusdoor/configuration";
+import { Readable } from "node:stream";
+import { text } from "node:stream/consumers";
+import { expect, test } from "vitest";
+import type { CallerRequest } from "../../src/entry/callerRequest.js";
+import { RequestBody } from "../../src/entry/requestBody.js";
+import { IntentRouter } from "../../src/intents/intentRouter.js";
+import type { Answer } from "../../src/serving/answer.js";
+import { IntentSession } from "./intentSession.js";
+
+const requestClass = RequestClass.parse({ name: "deposit", methods: ["POST"], isIdempotent: false });
+const service = Service.parse({ name: "reservas", kind: "keyed", classes: [requestClass] });
+
+/** A router over a session, and a way to send a request and read its answer. */
+function start(answer: () => Answer) {
+    const session = new IntentSession();
+    let sent = 0;
+    const inner = {
+        route: async () => {
+            sent++;
+            return answer();
+        },
+    };
+    const router = new IntentRouter(session.clock, session.newKeeper("a"), session.settings, inner);
+    const send = async (id: string) => {
+        const routed = router.route(newRequest(id, session.clock.now() + 2_000));
+        await session.advance(10);
+        const routedAnswer = await routed;
+        if (routedAnswer.kind === "refusal") {
+            return routedAnswer.refusal.reason;
+        }
+        const content = await text(routedAnswer.body).catch((error: Error) => `broke: ${error.message}`);
+        await session.advance(10);
+        return `${routedAnswer.status} ${content.slice(0, 20)}`;
+    };
+    return { send, countSent: () => sent };
+}
+
+function newRequest(id: string, deadlineAt: number): CallerRequest {
+    return {
+        id: id as RequestId,
+        tenant: "lima",
+        service,
+        requestClass,
+        key: "booking-1",
+        method: "POST",
+        path: "/deposit",
+        headers: {},
+        body: RequestBody.whole(Buffer.from("40 soles")),
+        deadlineAt,
+        idempotencyKey: "deposit-1",
+        signal: new AbortController().signal,
+    };
+}
+
+function answerWith(...pieces: readonly string[]): Answer {
+    const body = Readable.from(pieces.map(piece => Buffer.from(piece)));
+    return { kind: "answered", status: 201, headers: { "content-type": "text/plain" }, body };
+}
+
+test("a repeat gets the recorded answer and is not sent", async () => {
+    const { send, countSent } = start(() => answerWith("pa", "id"));
+    expect([await send("a-1"), await send("a-2"), countSent()]).toEqual(["201 paid", "201 paid", 1]);
+});
+
+test("a request that did not run may be sent again", async () => {
+    let refusals = 0;
+    const refusal = newRefusal("noOwner", "");
+    const { send } = start(() => refusals++ === 0 ? { kind: "refusal", refusal } : answerWith("paid"));
+    expect([await send("a-1"), await send("a-2")]).toEqual(["noOwner", "201 paid"]);
+});
+
+test("a large answer passes whole, and its repeat is refused truly", async () => {
+    const large = "x".repeat(10_000);
+    const { send, countSent } = start(() => answerWith(large, large, large));
+    expect([await send("a-1"), await send("a-2"), countSent()])
+        .toEqual([`201 ${"x".repeat(20)}`, "repeatAnswerTooLarge", 1]);
+});
+
+test.each([
+    ["a small answer", 10, "connectionLost"],
+    ["a large answer", 20_000, "201 broke: gone"],
+])("%s that breaks off leaves the outcome unknown", async (_name, bytes, first) => {
+    async function* produce() {
+        yield Buffer.alloc(bytes);
+        throw new Error("gone");
+    }
+    const { send, countSent } = start(() => {
+        return { kind: "answered", status: 201, headers: {}, body: Readable.from(produce()) };
+    });
+    expect([await send("a-1"), await send("a-2"), countSent()]).toEqual([first, "repeatOutcomeUnknown", 1]);
+});
--- /dev/null
+++ b/packages/daemon/tests/intents/intentSession.ts
@@ -0,0 +1,126 @@
+import {
+    type ClassId,
+    type Digest,
+    Logger,
+    ManualClock,
+    Metrics,
+    RandomSource,
+    type RequestId,
+    type ServiceId,
+} from "@arbutusdoor/common";
+import type { TableTransaction } from "@arbutusdoor/platform";
+import { getFingerprint } from "../../src/intents/getFingerprint.js";
+import type { Intent } from "../../src/intents/intent.js";
+import { IntentKeeper } from "../../src/intents/intentKeeper.js";
+import type { IntentOutcome } from "../../src/intents/intentOutcome.js";
+import type { IntentRequest } from "../../src/intents/intentRequest.js";
+import { IntentSettings } from "../../src/intents/intentSettings.js";
+import { MemoryTable } from "./memoryTable.js";
+
+type RequestOptions = {
+    readonly name?: string;
+    readonly body?: string;
+    readonly outage?: "refuse" | "serve";
+    readonly deadline?: number;
+};
+
+const SETTLE_TURNS = 3;
+
+/** Entry hosts that share a table, on a manual clock; notes what happens, in order. */
+export class IntentSession {
+    readonly clock = new ManualClock(1_000);
+    readonly table = new MemoryTable();
+    readonly settings: IntentSettings;
+    private readonly lines: string[] = [];
+    private requests = 0;
+
+    constructor(settings: Partial<IntentSettings> = {}) {
+        this.settings = IntentSettings.parse(settings);
+        this.table.watch = (transaction, result) => this.note(describe(transaction, result));
+    }
+
+    get trace(): string {
+        return `${this.lines.join("\n")}\n`;
+    }
+
+    note(line: string): void {
+        this.lines.push(`${String(this.clock.now()).padStart(6)} ${line}`);
+    }
+
+    newKeeper(host: string): IntentKeeper {
+        return new IntentKeeper({
+            clock: this.clock,
+            table: this.table,
+            settings: this.settings,
+            random: new RandomSource(1),
+            metrics: new Metrics(),
+            logger: new Logger(this.clock, host, "silent"),
+            writer: host,
+        });
+    }
+
+    newRequest(host: string, options: RequestOptions = {}): IntentRequest {
+        this.requests++;
+        return {
+            requestId: `${host}-${this.requests}` as RequestId,
+            tenant: "lima",
+            service: "reservas" as ServiceId,
+            classId: "deposit" as ClassId,
+            key: "booking-1",
+            idempotencyKey: options.name ?? "deposit-1",
+            fingerprint: getFingerprint("POST", "/deposit", Buffer.from(options.body ?? "40 soles")),
+            deadline: options.deadline ?? 2_000,
+            outage: options.outage ?? "refuse",
+        };
+    }
+
+    /** Begins an intent and notes how that ended; resolves to it when the request may be sent. */
+    async begin(
+        host: string,
+        keeper: IntentKeeper,
+        options: RequestOptions = {},
+    ): Promise<Intent | undefined> {
+        const request = this.newRequest(host, options);
+        const beginning = await keeper.begin(request);
+        switch (beginning.kind) {
+            case "proceed":
+                this.note(`${request.requestId}: may be sent`);
+                return beginning.intent;
+            case "recorded":
+                this.note(`${request.requestId}: recorded answer ${beginning.answer.status}`);
+                return undefined;
+            case "refusal":
+                this.note(`${request.requestId}: ${beginning.refusal.outcome} ${beginning.refusal.reason}`);
+                return undefined;
+        }
+    }
+
+    /** An outcome with an answer. */
+    newAnswered(body: string | undefined = "paid"): IntentOutcome {
+        const fields = body === undefined ? {} : { body: Buffer.from(body).toString("base64") };
+        return { kind: "answered", answer: { status: 201, headers: {}, digest: "00" as Digest, ...fields } };
+    }
+
+    async advance(duration: number, step = 1): Promise<void> {
+        for (let passed = 0; passed < duration; passed += step) {
+            this.clock.advance(step);
+            await this.settle();
+        }
+    }
+
+    async settle(): Promise<void> {
+        for (let turn = 0; turn < SETTLE_TURNS; turn++) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+    }
+}
+
+function describe({ writes }: TableTransaction, result: string): string {
+    const described = writes.map(({ value, expectedVersion }) => {
+        const { state, requestId } = (value ?? {}) as { state?: string; requestId?: string; };
+        return value === undefined
+            ? `delete at ${expectedVersion}`
+            : `${state} by ${requestId} at ${expectedVersion}`;
+    });
+    return `table: ${described.join(", ")}: ${result}`;
+}
--- a/scripts/newLogsPage.ts
+++ b/scripts/newLogsPage.ts
@@ -10,6 +10,8 @@
 /** Text of docs/LOGS.md. */
 export function newLogsPage(): string {
     const events = Object.entries(LOG_EVENTS).sort((left, right) => left[1].number - right[1].number);
-    const rows = events.map(([name, { number, level, text }]) => `| ${number} | \`${name}\` | ${level} | ${text} |`);
+    const rows = events.map(([name, { number, level, text }]) =>
+        `| ${number} | \`${name}\` | ${level} | ${text} |`
+    );
     return `${HEAD}\n| number | event | level | meaning |\n| --- | --- | --- | --- |\n${rows.join("\n")}\n`;
 }
--- a/scripts/newSettingsPage.ts
+++ b/scripts/newSettingsPage.ts
@@ -1,10 +1,10 @@
-import { getSettingName } from "../packages/daemon/src/settings/getSettingName.js";
 import { DaemonSettings } from "../packages/daemon/src/settings/daemonSettings.js";
+import { getSettingName } from "../packages/daemon/src/settings/getSettingName.js";
 import { listSettings } from "../packages/daemon/src/settings/listSettings.js";
 import { SECRET_SETTINGS } from "../packages/daemon/src/settings/secretSettings.js";
 import { SETTING_GROUPS } from "../packages/daemon/src/settings/settingGroups.js";
 
-type Schema = { safeParse(value: unknown): { success: boolean; data?: unknown }; description?: string };
+type Schema = { safeParse(value: unknown): { success: boolean; data?: unknown; }; description?: string; };
 
 const HEAD = `# Settings of \`arbutusdoord\`
 
@@ -20,9 +20,13 @@
         const schema = (shape as unknown as Record<string, Schema>)[name]!;
         const { flag, variable } = getSettingName(fullName);
         const flagCell = SECRET_SETTINGS.has(fullName) ? "environment only" : `\`${flag}\``;
-        return `| ${flagCell} | \`${variable}\` | ${getDefault(schema)} | ${schema.description ?? getWords(name)} |`;
+        return `| ${flagCell} | \`${variable}\` | ${getDefault(schema)} | ${
+            schema.description ?? getWords(name)
+        } |`;
     });
-    return `${HEAD}\n| flag | variable | default | meaning |\n| --- | --- | --- | --- |\n${rows.join("\n")}\n`;
+    return `${HEAD}\n| flag | variable | default | meaning |\n| --- | --- | --- | --- |\n${
+        rows.join("\n")
+    }\n`;
 }
 
 function getDefault(schema: Schema): string {
