--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -43,10 +43,8 @@
             owner: this.newOwner(),
             onUp: link => this.noteUp(link),
         });
-        this.client = new RelayClient({
-            ...options,
-            orphanLog: new RateLimit(clock, settings.logLinesPerSecond),
-        });
+        const orphanLog = new RateLimit(clock, settings.logLinesPerSecond);
+        this.client = new RelayClient({ ...options, orphanLog });
         this.server = new RelayServer({ ...options, findLink: serial => this.links.find(serial) });
         this.dialler = new Dialler({
             ...options,
--- a/packages/mesh/src/relay/relayClient.ts
+++ b/packages/mesh/src/relay/relayClient.ts
@@ -131,9 +131,11 @@
         body: Readable | undefined,
         signal: AbortSignal,
     ): Promise<RelayAnswer> {
+        const { clock, settings } = this.options;
         return new Promise(resolve => {
             const relay = new AskedRelay({
-                ...this.options,
+                clock,
+                settings,
                 link,
                 request,
                 body,
