--- a/packages/standins/src/backendServer/backendStandIn.ts
+++ b/packages/standins/src/backendServer/backendStandIn.ts
@@ -67,6 +67,16 @@
         this.app.get("/health", this.withFaults((...[, response]) => this.sendHealth(response)));
     }
 
+    /** Whether new requests are refused because the server is about to stop. */
+    get isRefusingNew(): boolean {
+        return this.refusesNew;
+    }
+
+    /** Requests that wait for a slot. */
+    get waitingCount(): number {
+        return this.slots.waitingCount;
+    }
+
     override readJournal(): unknown {
         const { entries, dropped } = this.journal.read();
         return {
--- /dev/null
+++ b/packages/standins/tests/support/newGrantor.ts
@@ -0,0 +1,7 @@
+import type { HostId, HostIncarnation } from "@arbutusdoor/common";
+import type { Grantor } from "@arbutusdoor/platform";
+
+/** The first run of an entry host. */
+export function newGrantor(host: string): Grantor {
+    return { host: host as HostId, incarnation: `${host}-1` as HostIncarnation };
+}
