--- a/packages/configuration/tests/declarations.test.ts
+++ b/packages/configuration/tests/declarations.test.ts
@@ -149,6 +149,10 @@
             ...base,
             services: [{ ...board, routes: [{ key: "a", server: "x" }] }],
         },
+        "key that is not Unicode": {
+            ...base,
+            services: [{ ...board, routes: [{ key: "\ud800", server: "board-1" }] }],
+        },
         "key twice": { ...base, services: [{ ...board, routes: [...board.routes, ...board.routes] }] },
         "route of a pooled service": { ...base, services: [{ ...board, kind: "pooled" }] },
         "class twice": { ...base, services: [{ ...board, classes: [read, { ...once, name: "read" }] }] },
@@ -217,6 +221,8 @@
         services[0].routes[0].server: server "board-1" is draining and cannot own a routed key
       route to an unknown server:
         services[0].routes[0].server: "x" is not a server of service "board"
+      key that is not Unicode:
+        services[0].routes[0].key: must be well-formed Unicode
       key twice:
         services[0].routes[1]: key "beach" is declared twice
       route of a pooled service:
--- a/packages/tool/src/commands/statusCommand.ts
+++ b/packages/tool/src/commands/statusCommand.ts
@@ -13,6 +13,8 @@
 const DEFAULT_WAIT_MS = 30_000;
 const MAX_CALL_MS = 10_000;
 const ASK_INTERVAL_MS = 250;
+/** Waiting before the first submission is waiting for it. */
+const FIRST_VERSION = 1;
 
 /** Shows the system as one host sees it, or waits until every host has the version in force. */
 export class StatusCommand extends Command {
@@ -49,7 +51,7 @@
                 return failOnAsk(context, outcome);
             }
             if (outcome.kind === "answer") {
-                target ??= Math.max(...getVersions(outcome.body));
+                target ??= Math.max(FIRST_VERSION, ...getVersions(outcome.body));
                 const lateHosts = getLateHosts(outcome.body, target);
                 if (lateHosts.length === 0) {
                     return this.reportAll(context, target, outcome.body);
@@ -73,7 +75,7 @@
             const status = SystemStatus.safeParse(reply.kind === "reply" ? reply.json : undefined);
             return status.success ? getVersions(status.data) : [];
         });
-        return versions.length === 0 ? undefined : Math.max(...versions);
+        return versions.length === 0 ? undefined : Math.max(FIRST_VERSION, ...versions);
     }
 
     private askUntil(context: CommandContext, end: Milliseconds): Promise<AskOutcome<SystemStatus>> {
@@ -86,7 +88,7 @@
 
     private reportAll(context: CommandContext, version: number, status: SystemStatus): ExitName {
         const hosts = status.hosts.map(({ host }) => host);
-        const line = `version ${version} is in force on all ${hosts.length} known hosts`;
+        const line = `version ${version} is in force on all known hosts: ${hosts.join(", ")}`;
         return context.report({ kind: "inForce", version, hosts }, [line]);
     }
 
--- a/packages/tool/tests/tool.test.ts
+++ b/packages/tool/tests/tool.test.ts
@@ -113,7 +113,7 @@
     await harness.start(context);
     const file = await write("declaration.json", newTestDeclaration());
     await harness.run("status");
-    await harness.run("status", "--wait");
+    await harness.run("status", "--wait", "--timeout", "300");
     await harness.run("submit", file, "--base", "0");
     await harness.run("status");
     context.otherHosts = { "host-b": 0, "host-c": 1 };
