--- a/packages/bench/src/experiments/runPooled.ts
+++ b/packages/bench/src/experiments/runPooled.ts
@@ -1,5 +1,5 @@
 import { RandomSource } from "@arbutusdoor/common";
-import { PoolPickerSettings } from "@arbutusdoor/policy";
+import { getHostLimit, PoolPickerSettings } from "@arbutusdoor/policy";
 import type { Fault } from "../simulation/fault.js";
 import { newServers } from "../simulation/newServers.js";
 import { runUntil } from "../simulation/runUntil.js";
@@ -54,7 +54,7 @@
     const servers = newServers(clock, run.profile, run.faults, run.isEverywhere);
     const settings = {
         picker: PoolPickerSettings.parse(run.picker),
-        limit: run.limit ?? Math.floor(run.profile.connections / HOSTS),
+        limit: run.limit ?? getHostLimit(run.profile, HOSTS, HOSTS - 1),
         retryMode: run.retryMode ?? "budget",
         attemptTimeout: run.attemptTimeoutMs ?? Infinity,
     };
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -10,6 +10,7 @@
 export * from "./balance/planMoves.js";
 export * from "./balance/sliceLoad.js";
 export * from "./balance/sliceLoadSettings.js";
+export * from "./pool/getHostLimit.js";
 export * from "./pool/newPoolPicker.js";
 export * from "./pool/poolCandidate.js";
 export * from "./pool/poolPicker.js";
--- a/packages/policy/src/queue/serverQueue.ts
+++ b/packages/policy/src/queue/serverQueue.ts
@@ -111,13 +111,19 @@
         if (timely || this.hasFreeSlot()) {
             return timely;
         }
-        return this.getHopelessRefusal(entry, this.estimateRankWait(entry.rank)) ?? this.makeRoom(entry);
+        const { waitDeviations } = this.settings;
+        const wait = this.estimateRankWait(entry.rank);
+        return this.getHopelessRefusal(entry, wait, waitDeviations) ?? this.makeRoom(entry);
     }
 
     /** Refuses a job that would most likely still run at its deadline if it started after `wait`. */
-    private getHopelessRefusal(entry: QueueEntry<unknown>, wait: Milliseconds): Refusal | undefined {
-        const remaining = entry.job.deadlineAt - this.clock.now();
-        const needed = wait + this.serviceTimes.getUsualMost(entry.job.classId);
+    private getHopelessRefusal(
+        { job }: QueueEntry<unknown>,
+        wait: Milliseconds,
+        deviations: number,
+    ): Refusal | undefined {
+        const remaining = job.deadlineAt - this.clock.now();
+        const needed = wait + this.serviceTimes.getBound(job.classId, deviations);
         return needed > remaining
             ? newRefusal("shed", "The server has too much work to answer within the deadline.")
             : undefined;
@@ -232,7 +238,9 @@
     private getStartRefusal(entry: QueueEntry<unknown>): Refusal | undefined {
         const late = this.getLateRefusal(entry);
         const hasWaited = entry.withdrawal !== undefined;
-        return late || !hasWaited || this.running.size === 0 ? late : this.getHopelessRefusal(entry, 0);
+        return late || !hasWaited || this.running.size === 0
+            ? late
+            : this.getHopelessRefusal(entry, 0, this.settings.startDeviations);
     }
 
     private record(name: string, entry: QueueEntry<unknown>, duration: Milliseconds): void {
--- a/packages/policy/src/queue/serviceTimes.ts
+++ b/packages/policy/src/queue/serviceTimes.ts
@@ -31,12 +31,10 @@
         return this.getSpread(classId)?.mean ?? this.settings.initialServiceMs;
     }
 
-    /** Time within which most jobs of the class end. */
-    getUsualMost(classId: ClassId): Milliseconds {
+    /** Expected time for a job of the class and a number of mean deviations on top. */
+    getBound(classId: ClassId, deviations: number): Milliseconds {
         const spread = this.getSpread(classId);
-        return spread
-            ? spread.mean + this.settings.deviations * spread.deviation
-            : this.settings.initialServiceMs;
+        return spread ? spread.mean + deviations * spread.deviation : this.settings.initialServiceMs;
     }
 
     private getSpread(classId: ClassId): Spread | undefined {
