--- a/packages/bench/src/experiments/runPooled.ts
+++ b/packages/bench/src/experiments/runPooled.ts
@@ -56,7 +56,7 @@
         picker: PoolPickerSettings.parse(run.picker),
         limit: run.limit ?? getHostLimit(run.profile, HOSTS, HOSTS - 1),
         retryMode: run.retryMode ?? "budget",
-        attemptTimeout: run.attemptTimeoutMs ?? Infinity,
+        attemptTimeout: run.attemptTimeoutMs,
     };
     const hosts = [...Array(HOSTS).keys()].map(index =>
         new PooledHost(clock, new RandomSource(run.seed * 1_000 + index), servers, settings)
--- a/packages/bench/src/systems/pooledHost.ts
+++ b/packages/bench/src/systems/pooledHost.ts
@@ -37,8 +37,8 @@
     /** Most requests of one host at one server. */
     readonly limit: number;
     readonly retryMode: RetryMode;
-    /** Longest time that one attempt may take. */
-    readonly attemptTimeout: Milliseconds;
+    /** Longest time that one attempt may take; the picker says it when absent. */
+    readonly attemptTimeout: Milliseconds | undefined;
 };
 
 /** An entry host that sends requests of a pooled service straight to the servers, with the real decisions. */
@@ -113,8 +113,10 @@
         signal: AbortSignal,
     ): Promise<ServerEnd> {
         const startedAt = this.clock.now();
-        const { attemptTimeout } = this.settings;
-        const wait = attemptTimeout < request.deadlineAt - startedAt
+        const remaining = request.deadlineAt - startedAt;
+        const attemptTimeout = this.settings.attemptTimeout
+            ?? this.picker.getAttemptTimeout(request.profile.isIdempotent, remaining);
+        const wait = attemptTimeout < remaining
             ? new CallerWait(this.clock, startedAt + attemptTimeout, signal)
             : undefined;
         this.attempts++;
--- a/packages/policy/src/pool/outlierDetector.ts
+++ b/packages/policy/src/pool/outlierDetector.ts
@@ -26,6 +26,12 @@
         return this.medianMs;
     }
 
+    /** Time without an answer after which a server with requests counts as stalled. */
+    get stallLimitMs(): Milliseconds {
+        const { stallMs, stallFactor } = this.settings;
+        return Math.max(stallMs, stallFactor * (this.medianMs ?? 0));
+    }
+
     /** Judges all servers of the pool, at most once in the review interval. */
     review(servers: readonly ObservedServer[], now: Milliseconds): void {
         if (now - this.reviewedAt < this.settings.reviewIntervalMs) {
@@ -104,9 +110,7 @@
     }
 
     private isStalled(server: ObservedServer, now: Milliseconds): boolean {
-        const { stallMs, stallFactor } = this.settings;
-        const limit = Math.max(stallMs, stallFactor * (this.medianMs ?? 0));
-        return server.outstanding > 0 && now - server.progressAt > limit;
+        return server.outstanding > 0 && now - server.progressAt > this.stallLimitMs;
     }
 
     private isSlow(latency: Milliseconds): boolean {
--- a/packages/policy/src/pool/poolPicker.ts
+++ b/packages/policy/src/pool/poolPicker.ts
@@ -77,6 +77,16 @@
         }
     }
 
+    /**
+     * Longest time in ms that one attempt of a request may take: an idempotent request gives up a stalled server early
+     * enough to try another one, any other stays with its server until the deadline.
+     *
+     * @param remaining time in ms until the deadline
+     */
+    getAttemptTimeout(isIdempotent: boolean, remaining: Milliseconds): Milliseconds {
+        return isIdempotent ? Math.min(remaining, this.detector.stallLimitMs) : remaining;
+    }
+
     /** Requests that this entry host has at the server. */
     getOutstanding(server: ServerId): number {
         return this.servers.get(server)?.outstanding ?? 0;
