--- a/packages/policy/src/pool/poolPicker.ts
+++ b/packages/policy/src/pool/poolPicker.ts
@@ -134,11 +134,15 @@
         return [candidates[first]!, candidates[(first + offset) % candidates.length]!];
     }
 
+    /** The duration of a request that was given up stands for a latency of at least that. */
     private recordEnd(observed: ObservedServer, end: RequestEnd, now: Milliseconds): void {
         const { newestWeight, shedPauseMs, maxShedPauseMs } = this.settings;
-        if (end.kind === "answered") {
-            const mean = observed.latencyMs ?? end.durationMs;
+        const mean = observed.latencyMs ?? end.durationMs;
+        const isLatencyKnown = end.kind === "answered" || (end.kind === "unknown" && end.durationMs > mean);
+        if (isLatencyKnown) {
             observed.latencyMs = mean + newestWeight * (end.durationMs - mean);
+        }
+        if (end.kind === "answered") {
             observed.answers++;
             observed.failures = 0;
             observed.sheds = 0;
