--- a/packages/ownership/src/decider/createServers.ts
+++ b/packages/ownership/src/decider/createServers.ts
@@ -43,6 +43,7 @@
         checksOrders: server.checksOrders,
         incarnation,
         epoch: 1,
+        attestations: [],
         list: { listVersion: 1, grantors },
         operationId: "",
     };
--- a/packages/ownership/src/decider/isHostAttested.ts
+++ b/packages/ownership/src/decider/isHostAttested.ts
@@ -4,6 +4,5 @@
 
 /** Whether an operator attested that a run of an entry host is gone. */
 export function isHostAttested(state: HostState, grantor: GrantorList["grantors"][number]): boolean {
-    const row = state.decider.attested[ROW_KEYS.attestedHost(grantor.host)]?.value;
-    return row?.kind === "host" && row.incarnation === grantor.incarnation;
+    return state.decider.attested[ROW_KEYS.attestedHost(grantor.host, grantor.incarnation)] !== undefined;
 }
--- a/packages/ownership/src/decider/planServers.ts
+++ b/packages/ownership/src/decider/planServers.ts
@@ -5,10 +5,11 @@
 import type { HostState } from "../state/hostState.js";
 import { canWrite } from "../table/canWrite.js";
 import { startTransaction } from "../table/startTransaction.js";
-import { getAttestation } from "./getAttestation.js";
+import { getAttestations } from "./getAttestations.js";
 import { getMembers } from "./getMembers.js";
 import { getResponsibilities } from "./getResponsibilities.js";
 import { isHostAttested } from "./isHostAttested.js";
+import { isTouchDue } from "./isTouchDue.js";
 import { planServer } from "./planServer.js";
 import { takeOver } from "./takeOver.js";
 
@@ -25,15 +26,15 @@
 function planOne(state: HostState, server: ServerId, now: Milliseconds): Step {
     const row = state.servers[server]!;
     const key = ROW_KEYS.server(server);
-    const attestation = getAttestation(state, row.value);
+    const attestations = getAttestations(state, row.value);
+    const isAttested = attestations.some(attestation => !row.value.attestations.includes(attestation));
     if (!canWrite(state, [key])) {
         return { state, effects: [] };
     }
-    if (attestation !== undefined || isRoundComplete(state, server)) {
-        return takeOver(state, row, attestation, now);
+    if (isAttested || isRoundComplete(state, server)) {
+        return takeOver(state, row, attestations, now);
     }
-    const isTouchDue = state.decider.rounds[server]?.isAbandoned ?? false;
-    const next = planServer(state, row.value, now) ?? (isTouchDue ? row.value : undefined);
+    const next = planServer(state, row.value, now) ?? (isTouchDue(state, row.value) ? row.value : undefined);
     return next
         ? startTransaction(state, [{ key, expectedVersion: row.version, value: next }], now)
         : { state, effects: [] };
--- a/packages/ownership/src/decider/takeOver.ts
+++ b/packages/ownership/src/decider/takeOver.ts
@@ -18,7 +18,7 @@
 export function takeOver(
     state: HostState,
     row: Versioned<ServerRow>,
-    attestation: number | undefined,
+    attestations: readonly string[],
     now: Milliseconds,
 ): Step {
     const key = ROW_KEYS.server(row.value.server);
@@ -29,7 +29,7 @@
         ...row.value,
         incarnation: getNewIncarnation(state, row.value) ?? row.value.incarnation,
         epoch: row.value.epoch + 1,
-        ...(attestation === undefined ? {} : { attestation }),
+        attestations,
     };
     const planning = newPlanning(state, state.configuration.declaration, [next]);
     const writes: RowWrite[] = [{ key, expectedVersion: row.version, value: next }];
--- a/packages/ownership/src/messages/serverReport.ts
+++ b/packages/ownership/src/messages/serverReport.ts
@@ -12,6 +12,8 @@
     /** Epoch that the run of the row acknowledged; 0 when unknown. */
     readonly epoch: number;
     readonly isLeaving: boolean;
+    /** Whether the grantor stands by a promise to some decider that it renews and sends nothing. */
+    readonly isBarred: boolean;
     /** Whether the run of the row did not answer for the suspicion time, or nothing listens at its address. */
     readonly isSuspect: boolean;
     /** Time since the run of the row last answered. */
--- a/packages/ownership/src/rows/serverRow.ts
+++ b/packages/ownership/src/rows/serverRow.ts
@@ -15,8 +15,8 @@
     list: GrantorList,
     /** A grantor list that the server has not provably accepted yet; both lists count until it has. */
     change: GrantorList.optional(),
-    /** Version of the attestation that the epoch already covers. */
-    attestation: z.int().optional(),
+    /** Attestations, each as row key and version, that the epoch already covers. */
+    attestations: z.array(z.string()).readonly(),
     operationId: z.string(),
 });
 
--- a/packages/ownership/tests/session/callers.ts
+++ b/packages/ownership/tests/session/callers.ts
@@ -117,6 +117,7 @@
         clock.schedule(DEADLINE_MS, () => end(() => undefined));
         const request = {
             id: entry.id,
+            sentAt: clock.now(),
             key: entry.key,
             slice: `${SERVICE}/${slice}`,
             generation,
