--- a/packages/daemon/src/entry/entryPlugin.ts
+++ b/packages/daemon/src/entry/entryPlugin.ts
@@ -1,9 +1,9 @@
 import { CONFIGURATION } from "../configuration/configurationService.js";
+import { CALLER_ROUTER } from "../intents/callerRouterService.js";
 import type { Kernel } from "../kernel/kernel.js";
 import { Plugin } from "../kernel/plugin.js";
 import { plugins } from "../kernel/plugins.js";
 import { PEERS } from "../peers/peersService.js";
-import { ROUTER } from "../serving/routerService.js";
 import { CallerPort } from "./callerPort.js";
 import { RequestIds } from "./requestIds.js";
 
@@ -21,7 +21,7 @@
             clock,
             metrics,
             ids: new RequestIds(kernel.get(PEERS).self.incarnation),
-            router: kernel.get(ROUTER),
+            router: kernel.get(CALLER_ROUTER),
             limits: settings,
             getDeclaration: () => configuration.current()?.declaration,
         });
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./newDaemon.js";
+export * from "./settings/readSettings.js";
+export * from "./settings/settings.js";
--- /dev/null
+++ b/packages/daemon/src/intents/intentsPlugin.ts
@@ -0,0 +1,54 @@
+import type { ServiceId } from "@arbutusdoor/common";
+import { CONFIGURATION } from "../configuration/configurationService.js";
+import type { Kernel } from "../kernel/kernel.js";
+import { Plugin } from "../kernel/plugin.js";
+import { plugins } from "../kernel/plugins.js";
+import { PEERS } from "../peers/peersService.js";
+import { PLATFORM } from "../platform/platformServices.js";
+import { ROUTER } from "../serving/routerService.js";
+import { CALLER_ROUTER } from "./callerRouterService.js";
+import { IntentKeeper } from "./intentKeeper.js";
+import { IntentRouter } from "./intentRouter.js";
+import { IntentSweeper } from "./intentSweeper.js";
+
+/** Keeps once-only work from running twice across a caller's repeats. */
+export class IntentsPlugin extends Plugin {
+    override readonly name = "intents";
+    private keeper!: IntentKeeper;
+    private sweeper!: IntentSweeper;
+
+    override install(kernel: Kernel): void {
+        const { clock, logger, metrics, random } = kernel;
+        const settings = kernel.settings.groups.intent;
+        const writer = kernel.get(PEERS).self.incarnation;
+        const table = kernel.get(PLATFORM.TABLE);
+        const parts = { clock, logger, metrics, random, settings, table, writer };
+        this.keeper = new IntentKeeper(parts);
+        this.sweeper = new IntentSweeper({ ...parts, listServices: () => listSweptServices(kernel) });
+        kernel.provide(CALLER_ROUTER, new IntentRouter(clock, this.keeper, settings, kernel.get(ROUTER)));
+    }
+
+    override async start(): Promise<void> {
+        this.sweeper.start();
+    }
+
+    override drain(): Promise<void> {
+        this.sweeper.stop();
+        return this.keeper.drain();
+    }
+
+    /** What was in flight when the drain began may have added ends to record. */
+    override stop(): Promise<void> {
+        return this.keeper.drain();
+    }
+}
+
+/** One host sweeps, the one with the lowest name among those linked; two at once do no harm. */
+function listSweptServices(kernel: Kernel): readonly ServiceId[] {
+    const peers = kernel.get(PEERS);
+    const isSweeper = peers.list().every(peer => peers.self.host < peer.host);
+    const declaration = kernel.get(CONFIGURATION).current()?.declaration;
+    return isSweeper ? (declaration?.services ?? []).map(service => service.name as ServiceId) : [];
+}
+
+plugins.register({ name: "intents", newPlugin: () => new IntentsPlugin() });
--- a/packages/daemon/src/kernel/newPlugins.ts
+++ b/packages/daemon/src/kernel/newPlugins.ts
@@ -6,6 +6,7 @@
 import "../ownership/ownershipPlugin.js";
 import "../balance/balancePlugin.js";
 import "../serving/servingPlugin.js";
+import "../intents/intentsPlugin.js";
 import "../monitor/monitorPlugin.js";
 import "../operator/operatorPlugin.js";
 import "../entry/entryPlugin.js";
--- a/packages/daemon/src/settings/settingGroups.ts
+++ b/packages/daemon/src/settings/settingGroups.ts
@@ -10,6 +10,7 @@
     SliceLoadSettings,
 } from "@arbutusdoor/policy";
 import { BalanceSettings } from "../balance/balanceSettings.js";
+import { IntentSettings } from "../intents/intentSettings.js";
 import { OperatorSettings } from "../operator/operatorSettings.js";
 
 /** Settings of the daemon's parts; a setting's flag begins with the name of its group. */
@@ -25,5 +26,6 @@
     retry: RetryBudgetSettings,
     backend: BackendTrafficSettings.omit({ host: true }),
     orders: ServerOrdersSettings,
+    intent: IntentSettings,
     operator: OperatorSettings.omit({ address: true, port: true }),
 } as const;
--- a/packages/daemon/tests/callerPort.test.ts
+++ b/packages/daemon/tests/callerPort.test.ts
@@ -123,7 +123,7 @@
     while (seen === undefined) {
         await sleep(5);
     }
-    expect(seen).toMatchInlineSnapshot(`"aborted"`);
+    expect(seen).toMatchInlineSnapshot("\"aborted\"");
 });
 
 test("a body in chunks beyond the limit breaks off, and a whole one within it arrives whole", async () => {
--- a/packages/ownership/tests/losses.test.ts
+++ b/packages/ownership/tests/losses.test.ts
@@ -75,7 +75,7 @@
             session.host(grantor).kill();
             session.server("b1").kill();
         });
-        lose(session, `an operator attests the loss of b1`, () => {
+        lose(session, "an operator attests the loss of b1", () => {
             const value = { kind: "server", server: "b1", incarnation: "b1#1", operationId: "operator" };
             session.table.put("attested/server/b1/b1#1" as never, value);
         }, 8000);
