Pooled requests wait by priority at the entry host; a refusal speaks for all attempts

Change: one line for each pooled service with as many slots as the servers' limits for this host; an attempt at another server is made in time; the refusal of a request is not-run only if every attempt was.

--- a/packages/common/src/outcome/refusalReason.ts
+++ b/packages/common/src/outcome/refusalReason.ts
@@ -33,6 +33,7 @@
     relayUnreachable: { status: 503, outcome: "notRun", retry: true },
     relayNotReceived: { status: 503, outcome: "notRun", retry: true },
     repeatAnswerTooLarge: { status: 409, outcome: "unknown", retry: false },
+    earlierAttemptUnknown: { status: 504, outcome: "unknown", retry: false },
     duplicateRequest: { status: 409, outcome: "unknown", retry: false },
 } as const satisfies Record<string, { status: number; outcome: OutcomeKind; retry: boolean; }>;
 
--- a/packages/daemon/src/entry/requestBody.ts
+++ b/packages/daemon/src/entry/requestBody.ts
@@ -33,6 +33,11 @@
         return this.bytes !== undefined || this.stream !== undefined;
     }
 
+    /** Whether the body can be sent any number of times. */
+    get isRepeatable(): boolean {
+        return this.stream === undefined;
+    }
+
     /** The bytes of a body that was read whole; used to tell a repeated request from a different one. */
     get wholeBytes(): Buffer | undefined {
         return this.bytes;
--- /dev/null
+++ b/packages/daemon/src/routing/hostPoolView.ts
@@ -0,0 +1,38 @@
+import type { ServerId } from "@arbutusdoor/common";
+import type { Declaration } from "@arbutusdoor/configuration";
+import type { ConfigurationSpread } from "../configuration/configurationSpread.js";
+import type { ListedHosts } from "../hosts/listedHosts.js";
+import type { Peers } from "../peers/peers.js";
+import { PoolView } from "./poolView.js";
+
+/** The system as this entry host's other plug-ins know it. */
+export class HostPoolView extends PoolView {
+    override readonly dataCentre: string;
+    private readonly configuration: ConfigurationSpread;
+    private readonly listed: ListedHosts;
+    private readonly peers: Peers;
+
+    constructor(configuration: ConfigurationSpread, listed: ListedHosts, peers: Peers) {
+        super();
+        this.dataCentre = peers.self.dataCentre;
+        this.configuration = configuration;
+        this.listed = listed;
+        this.peers = peers;
+    }
+
+    override getDeclaration(): Declaration | undefined {
+        return this.configuration.current()?.declaration;
+    }
+
+    /** Entry hosts of a data centre send to its own servers first, so they share them evenly. */
+    override getShare(): { hosts: number; position: number; } {
+        const { self } = this.peers;
+        const near = this.peers.list().filter(peer => peer.dataCentre === self.dataCentre);
+        const names = [...near.map(peer => peer.host), self.host].sort();
+        return { hosts: names.length, position: names.indexOf(self.host) };
+    }
+
+    override isLeaving(server: ServerId): boolean {
+        return this.listed.isLeaving(server);
+    }
+}
--- a/packages/daemon/src/routing/keyedRouter.ts
+++ b/packages/daemon/src/routing/keyedRouter.ts
@@ -4,6 +4,7 @@
 import type { Answer } from "../serving/answer.js";
 import { refuse } from "../serving/refuse.js";
 import type { ServingPort } from "../serving/servingPort.js";
+import { Attempts } from "./attempts.js";
 import type { OwnerWait } from "./ownerWait.js";
 import type { RelayPort } from "./relayPort.js";
 import { RequestRouter } from "./requestRouter.js";
@@ -39,21 +40,22 @@
 
     override async route(request: CallerRequest): Promise<Answer> {
         const beganAt = this.clock.now();
+        const attempts = new Attempts();
         this.retryRules.begin(request);
-        let retries = 0;
         for (;;) {
             const answer = await this.attempt(request);
             if (answer.kind === "answered") {
                 return answer;
             }
             const { refusal } = answer;
+            attempts.note(refusal);
             if (await this.mayWait(request, refusal, beganAt)) {
                 continue;
             }
-            retries++;
-            if (!this.retryRules.takeRetry(request, refusal, retries)) {
-                return answer;
+            if (!this.retryRules.takeRetry(request, refusal, attempts.count)) {
+                return { kind: "refusal", refusal: attempts.getRefusal(refusal) };
             }
+            attempts.repeat();
         }
     }
 
--- /dev/null
+++ b/packages/daemon/src/routing/listPoolServers.ts
@@ -0,0 +1,20 @@
+import type { ServerId } from "@arbutusdoor/common";
+import type { RequestClass, Server } from "@arbutusdoor/configuration";
+import type { PoolView } from "./poolView.js";
+
+/** Servers of a pooled service that take new work; those of this host's data centre alone as long as there are any. */
+export function listPoolServers(
+    view: PoolView,
+    service: string,
+    requestClass?: RequestClass,
+): readonly Server[] {
+    const declared = view.getDeclaration()?.servers ?? [];
+    const open = declared.filter(server =>
+        server.service === service
+        && !server.isDraining
+        && (requestClass?.servers === undefined || requestClass.servers.includes(server.name))
+        && !view.isLeaving(server.name as ServerId)
+    );
+    const near = open.filter(server => server.dataCentre === view.dataCentre);
+    return near.length > 0 ? near : open;
+}
--- /dev/null
+++ b/packages/daemon/src/routing/poolGate.ts
@@ -0,0 +1,149 @@
+import type { Clock, ServerId } from "@arbutusdoor/common";
+import type { Server } from "@arbutusdoor/configuration";
+import { getHostLimit, type PoolCandidate, type PoolPicker } from "@arbutusdoor/policy";
+import type { CallerRequest } from "../entry/callerRequest.js";
+import type { Answer } from "../serving/answer.js";
+import { refuse } from "../serving/refuse.js";
+import type { ServerSender } from "../serving/serverSender.js";
+import { Attempts } from "./attempts.js";
+import { listPoolServers } from "./listPoolServers.js";
+import type { PoolView } from "./poolView.js";
+import type { RetryRules } from "./retryRules.js";
+
+const LOOK_AGAIN_MS = 5;
+
+type Sending = Awaited<ReturnType<ServerSender["send"]>>;
+
+/** What the attempts at a pooled service's requests are made with. */
+type PoolGateParts = {
+    readonly clock: Clock;
+    readonly picker: PoolPicker;
+    readonly sender: ServerSender;
+    readonly retryRules: RetryRules;
+    readonly view: PoolView;
+};
+
+/** Attempts requests of one pooled service at servers that its picker chooses. */
+export class PoolGate {
+    private readonly parts: PoolGateParts;
+
+    constructor(parts: PoolGateParts) {
+        this.parts = parts;
+    }
+
+    /** Attempts a request until it is answered or may not be tried again. Never rejects. */
+    async attempt(request: CallerRequest): Promise<Sending> {
+        const attempts = new Attempts();
+        const visited = new Set<ServerId>();
+        for (;;) {
+            const server = await this.waitForServer(request, visited);
+            const sending = server
+                ? await this.sendTo(server, request)
+                : this.refuseWithoutServer(request, visited);
+            if (sending.answer.kind === "answered") {
+                return sending;
+            }
+            const { refusal } = sending.answer;
+            attempts.note(refusal);
+            if (!server || !this.parts.retryRules.takeRetry(request, refusal, attempts.count)) {
+                return { ...sending, answer: { kind: "refusal", refusal: attempts.getRefusal(refusal) } };
+            }
+            attempts.repeat();
+            visited.add(server.name as ServerId);
+        }
+    }
+
+    private async waitForServer(
+        request: CallerRequest,
+        visited: ReadonlySet<ServerId>,
+    ): Promise<Server | undefined> {
+        const { clock, view } = this.parts;
+        while (!request.signal.aborted && clock.now() < request.deadlineAt) {
+            const servers = listPoolServers(view, request.service.name, request.requestClass);
+            const picked = this.pick(request, servers, visited);
+            if (picked || servers.every(server => visited.has(server.name as ServerId))) {
+                return picked;
+            }
+            await clock.sleep(LOOK_AGAIN_MS);
+        }
+        return undefined;
+    }
+
+    private pick(
+        request: CallerRequest,
+        servers: readonly Server[],
+        visited: ReadonlySet<ServerId>,
+    ): Server | undefined {
+        const { clock, picker, view } = this.parts;
+        const { hosts, position } = view.getShare();
+        const candidates: PoolCandidate[] = servers.map(server => ({
+            server: server.name as ServerId,
+            slots: server.slots,
+            limit: getHostLimit(server, hosts, position),
+        }));
+        const picked = picker.pick(candidates, visited, clock.now(), request.requestClass.isIdempotent);
+        return servers.find(server => server.name === picked);
+    }
+
+    private async sendTo(server: Server, request: CallerRequest): Promise<Sending> {
+        const { clock, picker, sender } = this.parts;
+        const serverId = server.name as ServerId;
+        const startedAt = clock.now();
+        picker.started(serverId);
+        const sending = await sender.send({
+            id: request.id,
+            tenant: request.tenant,
+            service: request.service.name,
+            requestClass: request.requestClass,
+            server: serverId,
+            address: server.address,
+            slice: undefined,
+            key: undefined,
+            method: request.method,
+            path: request.path,
+            headers: request.headers,
+            body: request.body.open(),
+            deadlineAt: this.getAttemptEnd(request),
+            signal: request.signal,
+        });
+        const { answer } = sending;
+        const kind = answer.kind === "answered" ? "answered" : answer.refusal.outcome;
+        const isWithdrawn = answer.kind === "refusal" && isCallersDoing(answer.refusal.reason);
+        void sending.ended.then(() => {
+            const now = clock.now();
+            picker.ended(serverId, { kind, durationMs: now - startedAt, isWithdrawn }, now);
+        });
+        return sending;
+    }
+
+    /** An attempt that can be made again at another server is given up early enough to do so. */
+    private getAttemptEnd(request: CallerRequest): number {
+        const now = this.parts.clock.now();
+        const { isIdempotent } = request.requestClass;
+        if (!request.body.isRepeatable) {
+            return request.deadlineAt;
+        }
+        return now + this.parts.picker.getAttemptTimeout(isIdempotent, request.deadlineAt - now);
+    }
+
+    private refuseWithoutServer(request: CallerRequest, visited: ReadonlySet<ServerId>): Sending {
+        return { answer: this.newRefusal(request, visited), ended: Promise.resolve() };
+    }
+
+    private newRefusal(request: CallerRequest, visited: ReadonlySet<ServerId>): Answer {
+        if (this.parts.clock.now() >= request.deadlineAt) {
+            return refuse("deadlineBeforeStart", "the deadline passed before a backend server had room");
+        }
+        return refuse(
+            "noServer",
+            visited.size > 0
+                ? "no further backend server of the class can be tried"
+                : "no backend server of the class is declared, or all are leaving",
+        );
+    }
+}
+
+/** Whether a refusal says something of the caller and nothing of the server. */
+function isCallersDoing(reason: string): boolean {
+    return reason === "callerGone" || reason === "bodyBroken" || reason === "uploadStalled";
+}
--- a/packages/daemon/src/routing/pooledRouter.ts
+++ b/packages/daemon/src/routing/pooledRouter.ts
@@ -1,170 +1,114 @@
-import type { Clock, Metrics, RandomSource, ServerId } from "@arbutusdoor/common";
-import type { Declaration, Server } from "@arbutusdoor/configuration";
+import type { ClassId, Clock, Metrics, RandomSource } from "@arbutusdoor/common";
 import {
+    getHostLimit,
     newPoolPicker,
-    type PoolCandidate,
-    type PoolPicker,
     type PoolPickerSettings,
-    splitLimit,
+    ServerQueue,
+    type ServerQueueSettings,
 } from "@arbutusdoor/policy";
 import type { CallerRequest } from "../entry/callerRequest.js";
 import type { Answer } from "../serving/answer.js";
-import { refuse } from "../serving/refuse.js";
+import { Deferred } from "../serving/deferred.js";
 import type { ServerSender } from "../serving/serverSender.js";
+import { listPoolServers } from "./listPoolServers.js";
+import { PoolGate } from "./poolGate.js";
+import type { PoolView } from "./poolView.js";
 import { RequestRouter } from "./requestRouter.js";
 import type { RetryRules } from "./retryRules.js";
 
-const LOOK_AGAIN_MS = 5;
-
-/** What the pooled router needs to know of the system around it. */
-type PoolView = {
-    readonly dataCentre: string;
+/** What the router of pooled services works with. */
+type PooledRouterParts = {
+    readonly clock: Clock;
+    readonly metrics: Metrics;
+    readonly random: RandomSource;
+    readonly sender: ServerSender;
+    readonly retryRules: RetryRules;
+    readonly view: PoolView;
     readonly pickerSettings: PoolPickerSettings;
-    /** The declaration in force. */
-    readonly getDeclaration: () => Declaration | undefined;
-    /** Number of entry hosts that share the servers' connections, and the place of this one among them. */
-    readonly getShare: () => { readonly hosts: number; readonly position: number; };
-    /** Whether a server has said that it leaves, or the platform's list says so. */
-    readonly isLeaving: (server: ServerId) => boolean;
+    readonly queueSettings: ServerQueueSettings;
+};
+
+/** The line of one pooled service on this host, and the gate behind it. */
+type Pool = {
+    readonly queue: ServerQueue;
+    readonly gate: PoolGate;
 };
 
-/** Routes a request of a pooled service straight to a server, chosen from what this host saw of the servers itself. */
+/**
+ * Routes a request of a pooled service straight to a server, chosen from what this host saw of the servers itself.
+ * What the servers cannot take at once waits here, by priority.
+ */
 export class PooledRouter extends RequestRouter {
-    private readonly clock: Clock;
-    private readonly metrics: Metrics;
-    private readonly random: RandomSource;
-    private readonly sender: ServerSender;
-    private readonly retryRules: RetryRules;
-    private readonly view: PoolView;
-    private readonly pickers = new Map<string, PoolPicker>();
+    private readonly parts: PooledRouterParts;
+    private readonly pools = new Map<string, Pool>();
 
-    constructor(
-        clock: Clock,
-        metrics: Metrics,
-        random: RandomSource,
-        sender: ServerSender,
-        retryRules: RetryRules,
-        view: PoolView,
-    ) {
+    constructor(parts: PooledRouterParts) {
         super();
-        this.clock = clock;
-        this.metrics = metrics;
-        this.random = random;
-        this.sender = sender;
-        this.retryRules = retryRules;
-        this.view = view;
+        this.parts = parts;
     }
 
     override async route(request: CallerRequest): Promise<Answer> {
-        this.retryRules.begin(request);
-        const visited = new Set<ServerId>();
-        for (let attempt = 1;; attempt++) {
-            const server = await this.waitForServer(request, visited);
-            if (!server) {
-                return this.refuseWithoutServer(request, visited);
-            }
-            const answer = await this.sendTo(server, request);
-            if (answer.kind === "answered" || !this.retryRules.takeRetry(request, answer.refusal, attempt)) {
-                return answer;
+        this.parts.retryRules.begin(request);
+        const pool = this.getPool(request);
+        pool.queue.setSlots(this.countSlots(request.service.name));
+        const head = new Deferred<Answer>();
+        const { requestClass } = request;
+        const submission = pool.queue.submit({
+            id: request.id,
+            classId: requestClass.name as ClassId,
+            priority: requestClass.priority,
+            isIdempotent: requestClass.isIdempotent,
+            deadlineAt: request.deadlineAt,
+            signal: request.signal,
+            run: () => this.run(pool.gate, request, head),
+        });
+        void submission.then(result => {
+            if (result.kind === "refusal") {
+                head.resolve(result);
             }
-            visited.add(server.name as ServerId);
-        }
+        });
+        return head.promise;
     }
 
-    private async waitForServer(
-        request: CallerRequest,
-        visited: ReadonlySet<ServerId>,
-    ): Promise<Server | undefined> {
-        while (!request.signal.aborted && this.clock.now() < request.deadlineAt) {
-            const servers = this.listServers(request);
-            const picked = this.pick(request, servers, visited);
-            if (
-                picked || servers.length === 0
-                || servers.every(server => visited.has(server.name as ServerId))
-            ) {
-                return picked;
+    /** Forgets the lines of services that are no longer declared; what waits in them still ends. */
+    retain(services: ReadonlySet<string>): void {
+        for (const [service, { queue }] of this.pools) {
+            if (!services.has(service) && queue.runningSize + queue.waitingSize === 0) {
+                this.pools.delete(service);
             }
-            await this.clock.sleep(LOOK_AGAIN_MS);
         }
-        return undefined;
     }
 
-    private refuseWithoutServer(request: CallerRequest, visited: ReadonlySet<ServerId>): Answer {
-        if (this.clock.now() >= request.deadlineAt) {
-            return refuse("deadlineBeforeStart", "the deadline passed before a backend server had room");
-        }
-        const detail = visited.size > 0
-            ? "no further backend server of the class can be tried"
-            : "no backend server of the class is declared or all are leaving";
-        return refuse("noServer", detail);
+    /** Holds the slot until the answer's body has ended. */
+    private async run(gate: PoolGate, request: CallerRequest, head: Deferred<Answer>): Promise<void> {
+        const { answer, ended } = await gate.attempt(request);
+        head.resolve(answer);
+        await ended;
     }
 
-    private async sendTo(server: Server, request: CallerRequest): Promise<Answer> {
-        const picker = this.getPicker(request.service.name);
-        const serverId = server.name as ServerId;
-        const startedAt = this.clock.now();
-        picker.started(serverId);
-        const { answer, ended } = await this.sender.send({
-            id: request.id,
-            tenant: request.tenant,
-            service: request.service.name,
-            requestClass: request.requestClass,
-            server: serverId,
-            address: server.address,
-            slice: undefined,
-            key: undefined,
-            method: request.method,
-            path: request.path,
-            headers: request.headers,
-            body: request.body.open(),
-            deadlineAt: request.deadlineAt,
-            signal: request.signal,
-        });
-        const kind = answer.kind === "answered" ? "answered" : answer.refusal.outcome;
-        void ended.then(() => {
-            const now = this.clock.now();
-            picker.ended(serverId, { kind, durationMs: now - startedAt }, now);
-        });
-        this.metrics.count("arbutusdoor_pool_sends_total", { service: request.service.name, outcome: kind });
-        return answer;
-    }
-
-    private pick(
-        request: CallerRequest,
-        servers: readonly Server[],
-        visited: ReadonlySet<ServerId>,
-    ): Server | undefined {
-        const { hosts, position } = this.view.getShare();
-        const candidates: PoolCandidate[] = servers.map(server => ({
-            server: server.name as ServerId,
-            slots: server.slots,
-            limit: splitLimit(server.connections, hosts, position),
-        }));
-        const picker = this.getPicker(request.service.name);
-        const picked = picker.pick(candidates, visited, this.clock.now(), request.requestClass.isIdempotent);
-        return servers.find(server => server.name === picked);
+    /** Requests that this host may have at the service's servers together; one at least, so that a refusal has its reason. */
+    private countSlots(service: string): number {
+        const { view } = this.parts;
+        const { hosts, position } = view.getShare();
+        const limits = listPoolServers(view, service).map(server => getHostLimit(server, hosts, position));
+        return Math.max(1, limits.reduce((sum, limit) => sum + limit, 0));
     }
 
-    /** Servers of the class that take new work; those of this host's data centre alone as long as there are any. */
-    private listServers(request: CallerRequest): readonly Server[] {
-        const declared = this.view.getDeclaration()?.servers ?? [];
-        const { servers: allowed } = request.requestClass;
-        const open = declared.filter(server =>
-            server.service === request.service.name
-            && !server.isDraining
-            && (allowed === undefined || allowed.includes(server.name))
-            && !this.view.isLeaving(server.name as ServerId)
-        );
-        const near = open.filter(server => server.dataCentre === this.view.dataCentre);
-        return near.length > 0 ? near : open;
+    private getPool(request: CallerRequest): Pool {
+        const { name } = request.service;
+        const pool = this.pools.get(name) ?? this.newPool(request);
+        this.pools.set(name, pool);
+        return pool;
     }
 
-    private getPicker(service: string): PoolPicker {
-        let picker = this.pickers.get(service);
-        if (!picker) {
-            picker = newPoolPicker(this.view.pickerSettings, this.random);
-            this.pickers.set(service, picker);
-        }
-        return picker;
+    private newPool({ service, tenant }: CallerRequest): Pool {
+        const { clock, metrics, pickerSettings, queueSettings, random, retryRules, sender, view } =
+            this.parts;
+        const picker = newPoolPicker(pickerSettings, random);
+        const labels = { tenant, service: service.name };
+        return {
+            queue: new ServerQueue(clock, metrics, 1, queueSettings, labels),
+            gate: new PoolGate({ clock, picker, sender, retryRules, view }),
+        };
     }
 }
--- a/packages/daemon/src/serving/servingPlugin.ts
+++ b/packages/daemon/src/serving/servingPlugin.ts
@@ -6,9 +6,9 @@
 import { Plugin } from "../kernel/plugin.js";
 import { plugins } from "../kernel/plugins.js";
 import { OWNERSHIP } from "../ownership/ownershipService.js";
-import type { Peers } from "../peers/peers.js";
 import { PEERS } from "../peers/peersService.js";
 import { PLATFORM } from "../platform/platformServices.js";
+import { HostPoolView } from "../routing/hostPoolView.js";
 import { KeyedRouter } from "../routing/keyedRouter.js";
 import { OwnerWait } from "../routing/ownerWait.js";
 import { PooledRouter } from "../routing/pooledRouter.js";
@@ -25,6 +25,7 @@
     private kernel!: Kernel;
     private gate!: ServerGate;
     private relay!: LocalRelay;
+    private pooled!: PooledRouter;
 
     override install(kernel: Kernel): void {
         const { clock, metrics, random, settings } = kernel;
@@ -32,7 +33,6 @@
         const peers = kernel.get(PEERS);
         const ownership = kernel.get(OWNERSHIP);
         const configuration = kernel.get(CONFIGURATION);
-        const listed = kernel.get(LISTED_HOSTS);
         const getDeclaration = () => configuration.current()?.declaration;
         const sender = new ServerSender(clock, metrics, kernel.get(PLATFORM.TRAFFIC));
         const retryRules = new RetryRules(clock, groups.retry);
@@ -47,14 +47,17 @@
         this.gate = new ServerGate(clock, metrics, ownership, sender, groups.queue, kernel.get(LOAD_BOOK));
         this.relay = new LocalRelay(clock, peers, this.gate, getDeclaration);
         const keyed = new KeyedRouter(clock, ownership, this.relay, wait, retryRules);
-        const pooled = new PooledRouter(clock, metrics, random, sender, retryRules, {
-            dataCentre: settings.dataCentre,
+        this.pooled = new PooledRouter({
+            clock,
+            metrics,
+            random,
+            sender,
+            retryRules,
+            view: new HostPoolView(configuration, kernel.get(LISTED_HOSTS), peers),
             pickerSettings: groups.pool,
-            getDeclaration,
-            getShare: () => getShare(peers),
-            isLeaving: server => listed.isLeaving(server),
+            queueSettings: groups.queue,
         });
-        kernel.provide(ROUTER, new ServiceRouter(keyed, pooled));
+        kernel.provide(ROUTER, new ServiceRouter(keyed, this.pooled));
     }
 
     override async start(): Promise<void> {
@@ -65,6 +68,7 @@
         );
         configuration.keeper.onAdopted(({ declaration }) => {
             this.gate.retain(new Set(declaration.servers.map(server => server.name as ServerId)));
+            this.pooled.retain(new Set(declaration.services.map(service => service.name)));
             declaration.servers.forEach(server =>
                 traffic.limitConnections(server.address, server.connections)
             );
@@ -76,10 +80,4 @@
     }
 }
 
-/** Entry hosts share the connections of pooled servers evenly; hosts of every data centre may send to them. */
-function getShare(peers: Peers): { hosts: number; position: number; } {
-    const names = [...peers.list().map(peer => peer.host), peers.self.host].sort();
-    return { hosts: names.length, position: names.indexOf(peers.self.host) };
-}
-
 plugins.register({ name: "serving", newPlugin: () => new ServingPlugin() });
--- /dev/null
+++ b/packages/daemon/tests/helpers/newCallerRequest.ts
@@ -0,0 +1,28 @@
+import type { RequestId } from "@arbutusdoor/common";
+import type { CallerRequest } from "../../src/entry/callerRequest.js";
+import { RequestBody } from "../../src/entry/requestBody.js";
+import { newDeclaration } from "./newDeclaration.js";
+
+/** A request of a class of a service of `newDeclaration`, with 500 ms left from time 0. */
+export function newCallerRequest(
+    service: string,
+    requestClass: string,
+    changes: Partial<CallerRequest> = {},
+): CallerRequest {
+    const declared = newDeclaration().services.find(other => other.name === service)!;
+    return {
+        id: "entry-1-a.1" as RequestId,
+        tenant: "aqaba",
+        service: declared,
+        requestClass: declared.classes.find(other => other.name === requestClass)!,
+        key: declared.kind === "keyed" ? "beach" : undefined,
+        method: "GET",
+        path: `/${service}/beach`,
+        headers: {},
+        body: RequestBody.none(),
+        deadlineAt: 500,
+        idempotencyKey: undefined,
+        signal: new AbortController().signal,
+        ...changes,
+    };
+}
--- /dev/null
+++ b/packages/daemon/tests/pooledRouter.test.ts
@@ -0,0 +1,96 @@
+import { ManualClock, Metrics, RandomSource } from "@arbutusdoor/common";
+import { type BackendAnswer } from "@arbutusdoor/platform";
+import { PoolPickerSettings, RetryBudgetSettings, ServerQueueSettings } from "@arbutusdoor/policy";
+import { Readable } from "node:stream";
+import { expect, test } from "vitest";
+import { RequestBody } from "../src/entry/requestBody.js";
+import { PooledRouter } from "../src/routing/pooledRouter.js";
+import { PoolView } from "../src/routing/poolView.js";
+import { RetryRules } from "../src/routing/retryRules.js";
+import { ServerSender } from "../src/serving/serverSender.js";
+import { newCallerRequest } from "./helpers/newCallerRequest.js";
+import { newDeclaration } from "./helpers/newDeclaration.js";
+import { ScriptedTraffic } from "./helpers/scriptedTraffic.js";
+
+const SHED: BackendAnswer = { kind: "notRun", cause: "shed", detail: "busy" };
+const LOST: BackendAnswer = { kind: "unknown", cause: "connectionLost", detail: "reset" };
+
+class OneHostView extends PoolView {
+    override readonly dataCentre = "north";
+    override getDeclaration = newDeclaration;
+    override getShare = () => ({ hosts: 1, position: 0 });
+    override isLeaving = () => false;
+}
+
+function newAnswered(): BackendAnswer {
+    return { kind: "answered", status: 200, headers: {}, body: Readable.from(["ok"]) };
+}
+
+function newRouter(...answers: BackendAnswer[]) {
+    const clock = new ManualClock();
+    const metrics = new Metrics();
+    const traffic = new ScriptedTraffic((_request, count) => answers[count - 1] ?? newAnswered());
+    const router = new PooledRouter({
+        clock,
+        metrics,
+        random: new RandomSource(1),
+        sender: new ServerSender(clock, metrics, traffic),
+        retryRules: new RetryRules(clock, RetryBudgetSettings.parse({})),
+        view: new OneHostView(),
+        pickerSettings: PoolPickerSettings.parse({}),
+        queueSettings: ServerQueueSettings.parse({}),
+    });
+    return { router, traffic };
+}
+
+async function getOutcome(
+    router: PooledRouter,
+    requestClass: string,
+    body = RequestBody.none(),
+): Promise<string> {
+    const answer = await router.route(newCallerRequest("permits", requestClass, { body }));
+    return answer.kind === "answered" ? "answered" : `${answer.refusal.outcome} ${answer.refusal.reason}`;
+}
+
+test("an idempotent request is tried again after either kind of failure, at another server", async () => {
+    const { router, traffic } = newRouter(LOST);
+    expect(await getOutcome(router, "read")).toBe("answered");
+    expect(new Set(traffic.sent.map(request => request.server)).size).toBe(2);
+});
+
+test("once-only work is tried again only if it was not run", async () => {
+    const shed = newRouter(SHED);
+    expect(await getOutcome(shed.router, "once", RequestBody.whole(Buffer.from("x")))).toBe("answered");
+    const lost = newRouter(LOST);
+    expect(await getOutcome(lost.router, "once", RequestBody.whole(Buffer.from("x")))).toBe(
+        "unknown connectionLost",
+    );
+    expect(lost.traffic.sent.length).toBe(1);
+});
+
+test("a refusal of the last attempt is not called not run when an earlier one may have run", async () => {
+    const { router, traffic } = newRouter(LOST, SHED);
+    expect(await getOutcome(router, "read")).toBe("unknown earlierAttemptUnknown");
+    expect(traffic.sent.length).toBe(2);
+});
+
+test("a body of which bytes were read is not sent a second time", async () => {
+    const stream = Readable.from([Buffer.from("x"), Buffer.from("y")]);
+    const clock = new ManualClock();
+    const traffic = new ScriptedTraffic(async request => {
+        await request.body?.[Symbol.asyncIterator]().next();
+        return SHED;
+    });
+    const router = new PooledRouter({
+        clock,
+        metrics: new Metrics(),
+        random: new RandomSource(1),
+        sender: new ServerSender(clock, new Metrics(), traffic),
+        retryRules: new RetryRules(clock, RetryBudgetSettings.parse({})),
+        view: new OneHostView(),
+        pickerSettings: PoolPickerSettings.parse({}),
+        queueSettings: ServerQueueSettings.parse({}),
+    });
+    expect(await getOutcome(router, "once", RequestBody.arriving(stream))).toBe("notRun serverRefused");
+    expect(traffic.sent.length).toBe(1);
+});
