--- a/packages/ownership/src/actions/peerUpAction.ts
+++ b/packages/ownership/src/actions/peerUpAction.ts
@@ -2,6 +2,7 @@
 import { Action } from "../kernel/action.js";
 import { actionManager } from "../kernel/actionManager.js";
 import type { Effect } from "../kernel/effect.js";
+import { forgetPeers } from "../kernel/forgetPeers.js";
 import type { Input } from "../kernel/input.js";
 import type { Step } from "../kernel/step.js";
 import { ROW_KEYS } from "../rows/rowKeys.js";
@@ -14,7 +15,7 @@
     perform(state: HostState, input: Extract<Input, { kind: "peerUp"; }>, now: Milliseconds): Step {
         const { identity } = input;
         const peer = { identity, isUp: true, changedAt: now, isResigning: false };
-        const peers = { ...state.peers, [identity.host]: peer };
+        const peers = { ...forgetPeers(state, now).peers, [identity.host]: peer };
         const effects: Effect[] = [{
             kind: "sendPeer",
             to: identity.host,
--- a/packages/ownership/src/decider/planServer.ts
+++ b/packages/ownership/src/decider/planServer.ts
@@ -1,16 +1,18 @@
-import type { Milliseconds } from "@arbutusdoor/common";
+import type { Milliseconds, ServiceId } from "@arbutusdoor/common";
 import { isGrantorOf } from "../grantor/isGrantorOf.js";
 import type { GrantorList } from "../rows/grantorList.js";
 import type { ServerRow } from "../rows/serverRow.js";
 import type { HostState } from "../state/hostState.js";
 import { chooseGrantors } from "./chooseGrantors.js";
 import { getReports } from "./getReports.js";
+import { hasHoldings } from "./hasHoldings.js";
 import { isHostAttested } from "./isHostAttested.js";
 import { isIsolated } from "./isIsolated.js";
 
-/** The next value of a server's row as far as its grantor list goes, or `undefined` when there is nothing to decide. */
+/** The next value of a server's row apart from takeovers, or `undefined` when there is nothing to decide. */
 export function planServer(state: HostState, row: ServerRow, now: Milliseconds): ServerRow | undefined {
-    if (row.dataCentre !== state.self.dataCentre) {
+    const isRoleFresh = now - state.decider.rowSeenAt < state.settings.deciderLeaseMs;
+    if (row.dataCentre !== state.self.dataCentre || !isRoleFresh) {
         return undefined;
     }
     if (row.change) {
@@ -22,6 +24,10 @@
         return undefined;
     }
     const grantors = chooseGrantors(state, row.server, row.list.grantors, now);
+    const declared = planDeclared(state, row);
+    if (declared) {
+        return declared;
+    }
     const isSame = grantors.length === row.list.grantors.length
         && grantors.every(grantor => hasGrantor(row.list, grantor));
     if (grantors.length === 0 || isSame) {
@@ -30,6 +36,18 @@
     return { ...row, change: { listVersion: row.list.listVersion + 1, grantors } };
 }
 
+/** The row as the declaration wants it; a server changes its service only when it holds nothing. */
+function planDeclared(state: HostState, row: ServerRow): ServerRow | undefined {
+    const declared = state.configuration?.declaration.servers.find(other => other.name === row.server);
+    if (!declared) {
+        return undefined;
+    }
+    const { address, checksOrders } = declared;
+    const service = hasHoldings(state, row) ? row.service : declared.service as ServiceId;
+    const isSame = address === row.address && checksOrders === row.checksOrders && service === row.service;
+    return isSame ? undefined : { ...row, address, checksOrders, service };
+}
+
 /**
  * Whether the server goes by the new list alone. One that checks orders says so itself; for another one, each host that the list drops
  * must have said that it sends nothing more.
--- a/packages/ownership/src/grantor/sendOrders.ts
+++ b/packages/ownership/src/grantor/sendOrders.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds, ServerId } from "@arbutusdoor/common";
+import { hasHoldings } from "../decider/hasHoldings.js";
 import { sequence } from "../kernel/sequence.js";
 import type { Step } from "../kernel/step.js";
 import type { Grant } from "../state/grant.js";
@@ -16,7 +17,13 @@
 function isDue(state: HostState, grant: Grant, now: Milliseconds): boolean {
     const isUnderWay = grant.orderSentAt !== undefined
         && now - grant.orderSentAt < state.settings.orderTimeoutMs;
-    return !isUnderWay && now >= grant.nextOrderAt;
+    return !isUnderWay && now >= grant.nextOrderAt && !isRetired(state, grant.server);
+}
+
+/** A server that is no longer declared and holds nothing is left alone. */
+function isRetired(state: HostState, server: ServerId): boolean {
+    const isDeclared = state.configuration?.declaration.servers.some(other => other.name === server) ?? true;
+    return !isDeclared && !hasHoldings(state, state.servers[server]!.value);
 }
 
 function sendOrder(state: HostState, grant: Grant, now: Milliseconds): Step {
--- a/packages/ownership/src/messages/takeReport.ts
+++ b/packages/ownership/src/messages/takeReport.ts
@@ -1,10 +1,13 @@
-import type { Milliseconds } from "@arbutusdoor/common";
+import type { HostId, Milliseconds, ServerId } from "@arbutusdoor/common";
 import { abandonRound } from "../decider/abandonRound.js";
 import type { Step } from "../kernel/step.js";
+import type { HeardReport } from "../state/heardReport.js";
 import type { HostIdentity } from "../state/hostIdentity.js";
 import type { HostState } from "../state/hostState.js";
 import type { ServerReport } from "./serverReport.js";
 
+const MEMORY_MS = 10_000;
+
 /** Notes what a grantor sees of a server. One that answers ends a round of bars against it. */
 export function takeReport(
     state: HostState,
@@ -12,7 +15,7 @@
     report: ServerReport,
     now: Milliseconds,
 ): Step {
-    const known = state.decider.reports[report.server] ?? {};
+    const known = getRecent(state, report.server, now);
     const heard = { from, heardAt: now, report };
     const reports = { ...state.decider.reports, [report.server]: { ...known, [from.host]: heard } };
     const noted = { ...state, isPlanDue: true, decider: { ...state.decider, reports } };
@@ -23,3 +26,13 @@
         && known[from.host]?.report.isSuspect === true;
     return hasAnswered ? abandonRound(noted, report.server, now) : { state: noted, effects: [] };
 }
+
+/** Reports about a server that are not old; hosts that have gone leave none behind. */
+function getRecent(
+    state: HostState,
+    server: ServerId,
+    now: Milliseconds,
+): Readonly<Record<HostId, HeardReport>> {
+    const entries = Object.entries(state.decider.reports[server] ?? {});
+    return Object.fromEntries(entries.filter(([, { heardAt }]) => now - heardAt < MEMORY_MS));
+}
--- a/packages/ownership/src/rows/serverRow.ts
+++ b/packages/ownership/src/rows/serverRow.ts
@@ -15,7 +15,7 @@
     list: GrantorList,
     /** A grantor list that the server has not provably accepted yet; both lists count until it has. */
     change: GrantorList.optional(),
-    /** Attestations, each as row key and version, that the epoch already covers. */
+    /** Attestations, each as row key and operation id, that the epoch already covers. */
     attestations: z.array(z.string()).readonly(),
     operationId: z.string(),
 });
--- a/packages/ownership/src/table/endRead.ts
+++ b/packages/ownership/src/table/endRead.ts
@@ -5,6 +5,7 @@
 import { ROW_KEYS } from "../rows/rowKeys.js";
 import type { HostState } from "../state/hostState.js";
 import { adoptRows } from "./adoptRows.js";
+import { dropWithdrawn } from "./dropWithdrawn.js";
 import { noteTableFailure } from "./noteTableFailure.js";
 import { noteTableSuccess } from "./noteTableSuccess.js";
 import { shareRows } from "./shareRows.js";
@@ -12,6 +13,7 @@
 /** Takes the result of a read. A result that comes after the read was given up still brings its rows, but proves no freshness. */
 export function endRead(state: HostState, tag: string, outcome: TableRead, now: Milliseconds): Step {
     const { [tag]: read, ...reads } = state.table.reads;
+    const isNewest = read?.prefix !== undefined && read.count > (state.table.scanned[read.prefix] ?? 0);
     const closed = { ...state, table: { ...state.table, reads } };
     if (outcome.kind === "unavailable") {
         return noteTableFailure(closed, outcome.reason, now);
@@ -19,6 +21,12 @@
     return sequence(
         closed,
         noteTableSuccess,
+        current => ({
+            state: isNewest && read.prefix === ROW_KEYS.attestedPrefix
+                ? dropWithdrawn(current, outcome.rows)
+                : current,
+            effects: [],
+        }),
         current =>
             state.decider.isHeld || read?.keys
                 ? shareRows(current, outcome.rows, now)
--- a/packages/ownership/tests/losses.test.ts
+++ b/packages/ownership/tests/losses.test.ts
@@ -89,6 +89,19 @@
     lose(session, "b1 is killed", () => session.server("b1").kill());
 });
 
+expectSession("hostsLost", "Loss of two of three entry hosts, the decider among them", {
+    ...oneCentre,
+    centres: { north: { hosts: ["e1", "e2", "e3"], servers: ["b1", "b2", "b3", "b4"] } },
+}, session => {
+    const decider = session.decider("north")!;
+    const other = [...session.hosts.values()].find(host => host !== decider)!;
+    lose(session, `${decider.name} and ${other.name} are killed`, () => {
+        decider.kill();
+        other.kill();
+    }, 5000);
+    lose(session, "b1 is killed", () => session.server("b1").kill());
+});
+
 expectSession("serverLeaves", "Server that leaves", oneCentre, session => {
     lose(session, "b1 is about to stop", () => {
         session.server("b1").isLeaving = true;
