Add callers and an observer that judges servers and entry hosts from outside

The process tests need a judge that doesn't trust the entry hosts. The observer goes by the servers' journals and the callers' logs alone. An answer that breaks off visibly is counted, not found: its caller was told nothing false.

--- a/packages/standins/src/backendServer/backendStandIn.ts
+++ b/packages/standins/src/backendServer/backendStandIn.ts
@@ -83,6 +83,7 @@
             kind: "backendServer",
             server: this.settings.server,
             incarnation: this.settings.incarnation,
+            checksOrders: this.settings.checksOrders,
             dropped,
             entries: [...entries, ...this.ownership.list(), ...this.work.list()],
         };
@@ -238,8 +239,9 @@
         const { server, incarnation, maxAnswerBytes } = this.settings;
         const { requestId, idempotencyKey, method, path, answerBytes } = service;
         const identity = {
-            "arbutusdoor-echo-server": server,
-            "arbutusdoor-echo-request-id": requestId,
+            "echo-server": server,
+            "echo-request-id": requestId,
+            "echo-path": path,
         };
         if (answerBytes === undefined) {
             const echo = { server, incarnation, requestId, idempotencyKey, method, path };
@@ -251,7 +253,7 @@
         response.writeHead(200, {
             ...identity,
             "content-length": length,
-            "arbutusdoor-echo-sha256": long.sha256,
+            "echo-sha256": long.sha256,
         });
         await new Promise<void>(resolve => pipeline(long.body, response, () => resolve()));
     }
--- /dev/null
+++ b/packages/standins/src/caller/sendCall.ts
@@ -0,0 +1,80 @@
+import type { Clock } from "@arbutusdoor/common";
+import { type Dispatcher, request } from "undici";
+import type { Call } from "./call.js";
+import type { CallerEntry } from "./callerEntry.js";
+import { isOwnAnswer } from "./isOwnAnswer.js";
+
+const OUTCOMES: Readonly<Record<string, "answered" | "notRun" | "unknown">> = {
+    "answered": "answered",
+    "not-run": "notRun",
+    "unknown": "unknown",
+};
+
+/** Where and how an attempt is sent. */
+type Attempt = {
+    readonly entryHost: string;
+    readonly attempt: number;
+    readonly dispatcher: Dispatcher;
+    readonly timeoutMs: number;
+    readonly clock: Clock;
+};
+
+/** Sends a call to an entry host, reads the whole answer and notes what the caller saw. Never rejects. */
+export async function sendCall(call: Call, to: Attempt): Promise<CallerEntry> {
+    const sentAt = to.clock.wallTime();
+    const late = new AbortController();
+    const timer = to.clock.schedule(to.timeoutMs, () => late.abort());
+    const seen = await exchange(call, to, late.signal);
+    timer.cancel();
+    const { name, kind, path, headers } = call;
+    return {
+        name,
+        attempt: to.attempt,
+        kind,
+        path,
+        idempotencyKey: headers["idempotency-key"],
+        entryHost: to.entryHost,
+        sentAt,
+        endedAt: to.clock.wallTime(),
+        ...seen,
+    };
+}
+
+async function exchange(
+    call: Call,
+    to: Attempt,
+    signal: AbortSignal,
+): Promise<Pick<CallerEntry, "outcome" | "status" | "reason" | "requestId" | "isOwn">> {
+    let answer: Dispatcher.ResponseData;
+    try {
+        const { method, path, headers, body } = call;
+        const url = `http://${to.entryHost}${path}`;
+        answer = await request(url, { method, headers, body, signal, dispatcher: to.dispatcher });
+    }
+    catch (error) {
+        return { outcome: "none", status: 0, reason: getCode(error), isOwn: false };
+    }
+    const { statusCode: status, headers } = answer;
+    const seen = {
+        status,
+        reason: getText(headers["arbutusdoor-reason"]),
+        requestId: getText(headers["arbutusdoor-request-id"]),
+    };
+    try {
+        const body = Buffer.from(await answer.body.arrayBuffer());
+        const outcome = OUTCOMES[String(headers["arbutusdoor-outcome"])] ?? "none";
+        return { outcome, ...seen, isOwn: outcome === "answered" && isOwnAnswer(call, headers, body) };
+    }
+    catch {
+        return { outcome: "broken", ...seen, isOwn: false };
+    }
+}
+
+function getCode(error: unknown): string {
+    const { code, name } = error as NodeJS.ErrnoException;
+    return String(code ?? name);
+}
+
+function getText(header: string | string[] | undefined): string | undefined {
+    return Array.isArray(header) ? header.join(", ") : header;
+}
