--- a/packages/policy/src/pool/poolPicker.ts
+++ b/packages/policy/src/pool/poolPicker.ts
@@ -77,6 +77,16 @@
         }
     }
 
+    /**
+     * Longest time in ms that one attempt of a request may take: an idempotent request gives up a stalled server early
+     * enough to try another one, any other stays with its server until the deadline.
+     *
+     * @param remaining time in ms until the deadline
+     */
+    getAttemptTimeout(isIdempotent: boolean, remaining: Milliseconds): Milliseconds {
+        return isIdempotent ? Math.min(remaining, this.detector.stallLimitMs) : remaining;
+    }
+
     /** Requests that this entry host has at the server. */
     getOutstanding(server: ServerId): number {
         return this.servers.get(server)?.outstanding ?? 0;
@@ -124,11 +134,15 @@
         return [candidates[first]!, candidates[(first + offset) % candidates.length]!];
     }
 
+    /** The duration of a request that was given up stands for a latency of at least that. */
     private recordEnd(observed: ObservedServer, end: RequestEnd, now: Milliseconds): void {
         const { newestWeight, shedPauseMs, maxShedPauseMs } = this.settings;
-        if (end.kind === "answered") {
-            const mean = observed.latencyMs ?? end.durationMs;
+        const mean = observed.latencyMs ?? end.durationMs;
+        const isLatencyKnown = end.kind === "answered" || (end.kind === "unknown" && end.durationMs > mean);
+        if (isLatencyKnown) {
             observed.latencyMs = mean + newestWeight * (end.durationMs - mean);
+        }
+        if (end.kind === "answered") {
             observed.answers++;
             observed.failures = 0;
             observed.sheds = 0;
