Attestation rows as the decider reads them, and attestations of entry hosts

The rows that attestLoss wrote (attested/data-centre/..., the loss nested in the value) were not the rows that the ownership kernel reads (attested/dataCentre/..., flat), so an operator's word would have had no effect.

--- a/packages/configuration/src/attestation/attestLoss.ts
+++ b/packages/configuration/src/attestation/attestLoss.ts
@@ -20,7 +20,7 @@
     operationId: OperationId,
     ports: Ports,
 ): Promise<AttestOutcome> {
-    const attestation = { loss, by, attestedAt: ports.clock.wallTime(), operationId };
+    const attestation = { ...loss, by, attestedAt: ports.clock.wallTime(), operationId };
     let mayHaveRun = false;
     let reason = "";
     for (let attempt = 0; attempt <= ports.settings.attempts; attempt++) {
@@ -39,7 +39,7 @@
 }
 
 async function attest(attestation: Attestation, { table }: Ports, mayWrite: boolean): Promise<Step> {
-    const key = getAttestationKey(attestation.loss);
+    const key = getAttestationKey(attestation);
     const read = await table.read([key]);
     if (read.kind === "unavailable") {
         return { kind: "again", reason: read.reason, mayHaveRun: false };
--- a/packages/configuration/src/attestation/attestation.ts
+++ b/packages/configuration/src/attestation/attestation.ts
@@ -1,9 +1,7 @@
 import { z } from "zod";
 import { Loss } from "./loss.js";
 
-/** Value of a row that records an operator's word that something is lost and will not act again. */
-const Attestation = z.object({
-    loss: Loss,
+const record = z.object({
     /** Who said so. */
     by: z.string(),
     /** Wall-clock time in ms. */
@@ -11,6 +9,9 @@
     operationId: z.string(),
 });
 
+/** Value of a row that records an operator's word that something is lost and will not act again. */
+const Attestation = z.intersection(Loss, record);
+
 type Attestation = z.infer<typeof Attestation>;
 
 export { Attestation };
--- a/packages/configuration/src/attestation/getAttestationKey.ts
+++ b/packages/configuration/src/attestation/getAttestationKey.ts
@@ -2,11 +2,14 @@
 import { ATTESTATION_PREFIX } from "./attestationPrefix.js";
 import type { Loss } from "./loss.js";
 
-/** Key of the row that records a loss. Names are escaped, so that no name reaches into another row. */
+/** Key of the row that records a loss. Names hold no slash, so no two losses share a key. */
 export function getAttestationKey(loss: Loss): RowKey {
-    if (loss.kind === "dataCentre") {
-        return `${ATTESTATION_PREFIX}data-centre/${encodeURIComponent(loss.dataCentre)}` as RowKey;
+    switch (loss.kind) {
+        case "server":
+            return `${ATTESTATION_PREFIX}server/${loss.server}/${loss.incarnation}` as RowKey;
+        case "host":
+            return `${ATTESTATION_PREFIX}host/${loss.host}/${loss.incarnation}` as RowKey;
+        case "dataCentre":
+            return `${ATTESTATION_PREFIX}dataCentre/${loss.dataCentre}` as RowKey;
     }
-    const incarnation = encodeURIComponent(loss.incarnation);
-    return `${ATTESTATION_PREFIX}server/${encodeURIComponent(loss.server)}/${incarnation}` as RowKey;
 }
--- a/packages/configuration/src/attestation/loss.ts
+++ b/packages/configuration/src/attestation/loss.ts
@@ -1,13 +1,15 @@
 import { z } from "zod";
+import { nameSchema } from "../declaration/names.js";
 
-/** What an operator attests as lost: one run of a server, or a whole data centre. */
+const INCARNATION_PATTERN = /^\S{1,256}$/;
+
+const incarnation = z.string().regex(INCARNATION_PATTERN, "must be 1 to 256 characters without spaces");
+
+/** What an operator attests as lost: one run of a server, one run of an entry host, or a whole data centre. */
 const Loss = z.discriminatedUnion("kind", [
-    z.strictObject({
-        kind: z.literal("server"),
-        server: z.string().min(1).max(256),
-        incarnation: z.string().min(1).max(256),
-    }),
-    z.strictObject({ kind: z.literal("dataCentre"), dataCentre: z.string().min(1).max(256) }),
+    z.object({ kind: z.literal("server"), server: nameSchema, incarnation }),
+    z.object({ kind: z.literal("host"), host: nameSchema, incarnation }),
+    z.object({ kind: z.literal("dataCentre"), dataCentre: nameSchema }),
 ]);
 
 type Loss = z.infer<typeof Loss>;
--- a/packages/tool/src/commands/attestLostCommand.ts
+++ b/packages/tool/src/commands/attestLostCommand.ts
@@ -6,22 +6,27 @@
 import type { CommandContext } from "./commandContext.js";
 import { commands } from "./commands.js";
 import { failOnOperation } from "./failOnOperation.js";
+import { readLoss } from "./readLoss.js";
 
-/** Records the operator's word that a server's run or a data centre is lost and will not act again. */
+/** Records the operator's word that a run of a server or entry host, or a data centre, is lost and will not act again. */
 export class AttestLostCommand extends Command {
     override readonly name = "attest-lost";
     override readonly synopsis = "";
     override readonly description =
-        "Attest that a server's run or a data centre is lost and will not act again";
+        "Attest that a server, entry host or data centre is lost and will not act again";
     override readonly options = [
         { flag: "--server <name>", description: "The lost server" },
-        { flag: "--incarnation <id>", description: "Its lost run, as status shows it" },
+        { flag: "--entry-host <name>", description: "The lost entry host" },
+        {
+            flag: "--incarnation <id>",
+            description: "The lost run of the server or entry host, as status shows it",
+        },
         { flag: "--data-centre <name>", description: "The lost data centre" },
         { flag: "--by <name>", description: "Who attests it ($USER)" },
     ];
 
     override async run(context: CommandContext): Promise<ExitName> {
-        const loss = this.getLoss(context);
+        const loss = readLoss(context);
         const by = context.getText("by") ?? context.getVariable("USER");
         if (!by) {
             throw new InputError("--by is missing: the record needs a name");
@@ -36,29 +41,27 @@
         return this.report(context, result.outcome);
     }
 
-    private getLoss(context: CommandContext): Loss {
-        const server = context.getText("server");
-        const incarnation = context.getText("incarnation");
-        const dataCentre = context.getText("data-centre");
-        if (server && incarnation && !dataCentre) {
-            return { kind: "server", server, incarnation };
-        }
-        if (dataCentre && !server && !incarnation) {
-            return { kind: "dataCentre", dataCentre };
-        }
-        throw new InputError("give --server with --incarnation, or --data-centre alone");
-    }
-
     private report(context: CommandContext, outcome: AttestOutcome): ExitName {
         if (outcome.kind !== "recorded") {
             return context.fail("unknown", outcome, [outcome.reason]);
         }
-        const { attestedAt, by, loss } = outcome.attestation;
-        const subject = loss.kind === "server"
-            ? `server ${loss.server}, incarnation ${loss.incarnation}`
-            : `data centre ${loss.dataCentre}`;
+        const { attestation } = outcome;
+        const { attestedAt, by } = attestation;
         const time = new Date(attestedAt).toISOString();
-        return context.report(outcome, [`recorded as lost: ${subject}, attested by ${by} at ${time}`]);
+        return context.report(outcome, [
+            `recorded as lost: ${printLoss(attestation)}, attested by ${by} at ${time}`,
+        ]);
+    }
+}
+
+function printLoss(loss: Loss): string {
+    switch (loss.kind) {
+        case "server":
+            return `server ${loss.server}, incarnation ${loss.incarnation}`;
+        case "host":
+            return `entry host ${loss.host}, incarnation ${loss.incarnation}`;
+        case "dataCentre":
+            return `data centre ${loss.dataCentre}`;
     }
 }
 
--- a/packages/tool/tests/tool.test.ts
+++ b/packages/tool/tests/tool.test.ts
@@ -1,5 +1,5 @@
 import { type Declaration, printDeclaration } from "@arbutusdoor/configuration";
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
@@ -7,6 +7,7 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { newTestDeclaration } from "../../configuration/tests/newTestDeclaration.js";
 import { FakeOperatorContext } from "../../daemon/tests/operator/fakeOperatorContext.js";
+import { EXIT_CODES } from "../src/exitCodes.js";
 import { runTool } from "../src/runTool.js";
 import { ToolHarness } from "./toolHarness.js";
 
@@ -73,6 +74,7 @@
     await harness.run("status", "--timeout", "0");
     await harness.run("attest-lost", "--server", "board-1");
     await harness.run("attest-lost", "--server", "s", "--incarnation", "i", "--data-centre", "d");
+    await harness.run("attest-lost", "--entry-host", "Host", "--incarnation", "i");
     harness.token = undefined;
     await harness.run("status", "--host", ABSENT_ADDRESS);
     await matchGolden("usage");
@@ -85,6 +87,10 @@
     const text = print.mock.calls.flat().join("\n").replace(/ +$/gm, "");
     print.mockRestore();
     await expect(text).toMatchFileSnapshot("golden/help.txt");
+    const page = await readFile(new URL("../README.md", import.meta.url), "utf8");
+    for (const { code, text: meaning } of Object.values(EXIT_CODES)) {
+        expect(page).toContain(`| ${code}    | ${meaning}`);
+    }
 });
 
 test("a session of submissions, differences and drains", async () => {
@@ -141,6 +147,7 @@
     await harness.run("explain", "board", "beach", "--json");
     await harness.run("attest-lost", "--server", "board-1", "--incarnation", "007");
     await harness.run("attest-lost", "--data-centre=north", "--by", "warden", "--json");
+    await harness.run("attest-lost", "--entry-host", "host-b", "--incarnation", "host-b-1");
     const emitting = setInterval(
         () => context.emit({ at: 0, event: "moveBegun", fields: { slice: "s-1" } }),
         5,
