--- a/packages/bench/src/systems/pooledHost.ts
+++ b/packages/bench/src/systems/pooledHost.ts
@@ -37,8 +37,8 @@
     /** Most requests of one host at one server. */
     readonly limit: number;
     readonly retryMode: RetryMode;
-    /** Longest time that one attempt may take. */
-    readonly attemptTimeout: Milliseconds;
+    /** Longest time that one attempt may take; the picker says it when absent. */
+    readonly attemptTimeout: Milliseconds | undefined;
 };
 
 /** An entry host that sends requests of a pooled service straight to the servers, with the real decisions. */
@@ -113,13 +113,19 @@
         signal: AbortSignal,
     ): Promise<ServerEnd> {
         const startedAt = this.clock.now();
-        const wait = new CallerWait(this.clock, startedAt + this.settings.attemptTimeout);
+        const remaining = request.deadlineAt - startedAt;
+        const attemptTimeout = this.settings.attemptTimeout
+            ?? this.picker.getAttemptTimeout(request.profile.isIdempotent, remaining);
+        const wait = attemptTimeout < remaining
+            ? new CallerWait(this.clock, startedAt + attemptTimeout, signal)
+            : undefined;
         this.attempts++;
         this.picker.started(server);
-        const end = await this.links.get(server)!.send(request, AbortSignal.any([signal, wait.signal]));
-        wait.end();
+        const end = await this.links.get(server)!.send(request, wait?.signal ?? signal);
+        wait?.end();
         const now = this.clock.now();
-        this.picker.ended(server, { kind: end.kind, durationMs: now - startedAt }, now);
+        const isWithdrawn = end.kind === "notRun" && (end.cause === "cancelled" || end.cause === "deadline");
+        this.picker.ended(server, { kind: end.kind, durationMs: now - startedAt, isWithdrawn }, now);
         return end;
     }
 
--- a/packages/mesh/src/relay/relayClient.ts
+++ b/packages/mesh/src/relay/relayClient.ts
@@ -73,10 +73,9 @@
                 this.takeHead(link, relay, message);
                 return true;
             case "data":
-                return relay?.takeData(message.bytes) ?? true;
+                return relay?.takeData(message.offset, message.bytes) ?? true;
             case "end":
-                relay?.apply({ kind: "answerEnded" });
-                return true;
+                return relay?.takeEnd(message.length) ?? true;
             case "broken":
                 relay?.apply({ kind: "answerBroken" });
                 return true;
@@ -132,9 +131,11 @@
         body: Readable | undefined,
         signal: AbortSignal,
     ): Promise<RelayAnswer> {
+        const { clock, settings } = this.options;
         return new Promise(resolve => {
             const relay = new AskedRelay({
-                ...this.options,
+                clock,
+                settings,
                 link,
                 request,
                 body,
--- a/packages/policy/src/pool/outlierDetector.ts
+++ b/packages/policy/src/pool/outlierDetector.ts
@@ -14,6 +14,7 @@
 export class OutlierDetector {
     private readonly settings: PoolPickerSettings;
     private medianMs: Milliseconds | undefined;
+    private usualFailures = 0;
     private reviewedAt = -Infinity;
 
     constructor(settings: PoolPickerSettings) {
@@ -25,13 +26,20 @@
         return this.medianMs;
     }
 
+    /** Time without an answer after which a server with requests counts as stalled. */
+    get stallLimitMs(): Milliseconds {
+        const { stallMs, stallFactor } = this.settings;
+        return Math.max(stallMs, stallFactor * (this.medianMs ?? 0));
+    }
+
     /** Judges all servers of the pool, at most once in the review interval. */
     review(servers: readonly ObservedServer[], now: Milliseconds): void {
         if (now - this.reviewedAt < this.settings.reviewIntervalMs) {
             return;
         }
         this.reviewedAt = now;
-        this.medianMs = getMedian(servers);
+        this.medianMs = getMedian(servers.flatMap(({ latencyMs }) => latencyMs ?? []));
+        this.usualFailures = getMedian(servers.map(({ failures }) => failures)) ?? 0;
         const allowed = Math.floor(servers.length * this.settings.maxEjectedShare);
         let ejected = servers.filter(server => server.ejectedUntil !== undefined).length;
         for (const server of servers) {
@@ -91,7 +99,7 @@
 
     private isOutlier(server: ObservedServer, now: Milliseconds): boolean {
         const { maxFailures, minSamples } = this.settings;
-        if (server.failures >= maxFailures || this.isStalled(server, now)) {
+        if (server.failures >= maxFailures + 2 * this.usualFailures || this.isStalled(server, now)) {
             return true;
         }
         const isJudged = server.answers >= minSamples && server.latencyMs !== undefined;
@@ -102,9 +110,7 @@
     }
 
     private isStalled(server: ObservedServer, now: Milliseconds): boolean {
-        const { stallMs, stallFactor } = this.settings;
-        const limit = Math.max(stallMs, stallFactor * (this.medianMs ?? 0));
-        return server.outstanding > 0 && now - server.progressAt > limit;
+        return server.outstanding > 0 && now - server.progressAt > this.stallLimitMs;
     }
 
     private isSlow(latency: Milliseconds): boolean {
@@ -112,8 +118,8 @@
     }
 }
 
-/** Median latency of the servers that answered; `undefined` when fewer than two did. */
-function getMedian(servers: readonly ObservedServer[]): Milliseconds | undefined {
-    const latencies = servers.flatMap(({ latencyMs }) => latencyMs ?? []).sort((a, b) => a - b);
-    return latencies.length < 2 ? undefined : latencies[(latencies.length - 1) >> 1];
+/** The lower median; `undefined` of fewer than two values. */
+function getMedian(values: readonly number[]): number | undefined {
+    const sorted = [...values].sort((a, b) => a - b);
+    return sorted.length < 2 ? undefined : sorted[(sorted.length - 1) >> 1];
 }
