Mesh: a link that never opened at one end, limits counted, more failures brought about

A request handed over on a link that broke before the other host saw it open was reported as unknown; no request can have been received there, so it is now not run. Most open links is a setting; dials, refused connections and dropped addresses are counted.

--- a/packages/mesh/src/greeting/greeter.ts
+++ b/packages/mesh/src/greeting/greeter.ts
@@ -36,6 +36,11 @@
         this.own = options.host.newHello();
     }
 
+    /** This host's number of the connection, once the peer has proved who it is; requests can only follow on it if it opens. */
+    get provenSerial(): number | undefined {
+        return this.isProven ? this.own.serial : undefined;
+    }
+
     /** Begins the greeting. */
     start(): void {
         const { connection, clock, settings, isDialler } = this.options;
--- a/packages/mesh/src/link/dialler.ts
+++ b/packages/mesh/src/link/dialler.ts
@@ -1,4 +1,4 @@
-import type { Clock, HostId, Milliseconds, RandomSource, Timer } from "@arbutusdoor/common";
+import type { Clock, HostId, Metrics, Milliseconds, RandomSource, Timer } from "@arbutusdoor/common";
 import { getBackoff } from "../core/getBackoff.js";
 import type { GreetingResult } from "../greeting/greetingResult.js";
 import type { MeshSettings } from "../settings/meshSettings.js";
@@ -7,6 +7,7 @@
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly settings: MeshSettings;
+    readonly metrics: Metrics;
     /** Whether a link to the address, or to the host last met there, is open. */
     readonly isLinked: (address: string, host: HostId | undefined) => boolean;
     /** Connects and greets. */
@@ -44,9 +45,14 @@
     add(addresses: readonly string[], isKept: boolean): number {
         for (const address of addresses) {
             const hasRoom = this.seeds.size < this.options.settings.maxSeeds;
-            if (hasRoom && !this.seeds.has(address)) {
-                this.seeds.set(address, this.newSeed(address, isKept));
+            if (this.seeds.has(address)) {
+                continue;
             }
+            if (!hasRoom) {
+                this.options.metrics.count("arbutusdoor_mesh_seeds_dropped_total");
+                continue;
+            }
+            this.seeds.set(address, this.newSeed(address, isKept));
         }
         this.wake();
         return this.seeds.size;
--- a/packages/mesh/src/link/link.ts
+++ b/packages/mesh/src/link/link.ts
@@ -54,7 +54,11 @@
         this.nextStream = options.isDialler ? 1 : STREAM_STEP;
         const now = options.clock.now();
         this.heartbeat = { heardAt: now, sentAt: now, tickedAt: now };
-        this.outbox = new Outbox(options.connection, options.settings, bytes => this.noteSent(bytes));
+        this.outbox = new Outbox(
+            options.connection,
+            options.settings,
+            (bytes, messages) => this.noteSent(bytes, messages),
+        );
     }
 
     /** Who is at the other end. */
@@ -158,9 +162,9 @@
         this.lose("connection closed");
     }
 
-    private noteSent(bytes: number): void {
+    private noteSent(bytes: number, messages: number): void {
         this.heartbeat = { ...this.heartbeat, sentAt: this.options.clock.now() };
-        this.options.metrics.count("arbutusdoor_mesh_frames_sent_total");
+        this.options.metrics.record("arbutusdoor_mesh_frame_messages", {}, messages);
         this.options.metrics.count("arbutusdoor_mesh_sent_bytes_total", {}, bytes);
     }
 
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -184,7 +184,10 @@
     }
 
     private accept(connection: Connection): void {
-        if (this.isClosed || this.greeters.size >= this.options.settings.maxGreetings) {
+        const { maxGreetings, maxLinks } = this.options.settings;
+        const hasRoom = this.greeters.size < maxGreetings && this.links.list().length < maxLinks;
+        if (this.isClosed || !hasRoom) {
+            this.options.metrics.count("arbutusdoor_mesh_connections_refused_total");
             connection.terminate();
             return;
         }
@@ -193,6 +196,9 @@
 
     private async dial(address: string): Promise<GreetingResult> {
         const connection = await this.transport.dial(address, this.options.settings.frameLimitBytes);
+        this.options.metrics.count("arbutusdoor_mesh_dials_total", {
+            connected: String(Boolean(connection)),
+        });
         if (!connection) {
             return { kind: "lost" };
         }
@@ -219,6 +225,9 @@
             onEnd: result => {
                 this.greeters.delete(greeter);
                 this.noteGreeting(connection, isDialler, result);
+                if (result.kind !== "open" && greeter.provenSerial !== undefined) {
+                    this.server.noteUnopened(greeter.provenSerial);
+                }
                 onResult(result);
             },
         });
--- a/packages/mesh/src/relay/relayServer.ts
+++ b/packages/mesh/src/relay/relayServer.ts
@@ -86,6 +86,11 @@
         }
     }
 
+    /** A connection was given up before its link opened here: no request was or will be received on it. */
+    noteUnopened(serial: number): void {
+        this.links.remember(serial, 0);
+    }
+
     /** A link is gone: nobody waits for the answers of its requests. */
     noteLost(link: Link): void {
         this.links.remember(link.serial, link.lastStream);
--- a/packages/mesh/src/settings/meshSettings.ts
+++ b/packages/mesh/src/settings/meshSettings.ts
@@ -35,6 +35,8 @@
     maxRunning: z.int().min(1).max(1_048_576).default(16_384),
     /** Most control messages that wait to be sent on a link. */
     maxQueuedControl: z.int().min(1).max(1_048_576).default(1_024),
+    /** Most open links. */
+    maxLinks: z.int().min(1).max(65_536).default(1_024),
     /** Most hosts that are dialled or remembered. */
     maxSeeds: z.int().min(1).max(65_536).default(1_024),
     /** Time in ms after which an added address that never answers is dialled no more. */
--- a/packages/mesh/tests/relaySessions.test.ts
+++ b/packages/mesh/tests/relaySessions.test.ts
@@ -1,8 +1,10 @@
-import type { HostId } from "@arbutusdoor/common";
+import type { HostId, RequestId } from "@arbutusdoor/common";
 import { PassThrough, Readable } from "node:stream";
 import { expect, test } from "vitest";
+import { encodeMessage } from "../src/protocol/encodeMessage.js";
 import { describeFrame } from "./helpers/describeFrame.js";
 import { MeshSession } from "./helpers/meshSession.js";
+import { newRequest } from "./helpers/newRequest.js";
 
 /** A session with a linked to b. */
 async function startPair(settings = {}) {
@@ -167,6 +169,17 @@
     await expect(session.trace).toMatchFileSnapshot("golden/duplicateRequest.txt");
 });
 
+test("what follows in the frame on which a link is lost is not taken", async () => {
+    const { session, a } = await startPair();
+    const ask = encodeMessage({ kind: "ask", id: "a1-1" as RequestId, link: 1, stream: 1 });
+    const request = encodeMessage({ kind: "request", stream: 1, request: newRequest("a1-2") });
+    session.network.fault = () => [Buffer.concat([ask, request])];
+    a.mesh.broadcast("replaced by the frame above");
+    await session.advance(3);
+    expect(session.trace).toContain("b: log peerLost peer=a reason=the peer lost it");
+    expect(session.trace).not.toContain("runs a1-2");
+});
+
 test("a forgotten request is never reported as not received", async () => {
     const { session, a } = await startPair({ requestMemory: 1 });
     cutAt(session, "answer 1 a1-1");
@@ -185,6 +198,9 @@
     void session.relay(a, "b", "a1-2", { path: "/wait/50" });
     await session.advance(10);
     controller.abort();
+    const early = new AbortController();
+    void session.relay(a, "b", "a1-3", { signal: early.signal });
+    early.abort();
     await session.advance(60);
     await expect(session.trace).toMatchFileSnapshot("golden/cancel.txt");
 });
@@ -200,6 +216,53 @@
     await expect(session.trace).toMatchFileSnapshot("golden/gracefulClose.txt");
 });
 
+test("the judge of a link loses it before the other end sees it open: still certainly not received", async () => {
+    const session = new MeshSession();
+    const a = await session.start("a", { seeds: ["b:1"] });
+    await session.start("b");
+    cutAt(session, "open");
+    await session.advance(53);
+    void session.relay(a, "b", "a1-1");
+    await session.settle();
+    await session.advance(200);
+    await expect(session.trace).toMatchFileSnapshot("golden/breakBeforeOpen.txt");
+});
+
+test("a handler that does not read holds back only its own upload; control messages pass between", async () => {
+    const { session, a, b } = await startPair();
+    const produced = { bytes: 0 };
+    const done = new AbortController();
+    b.handler.answer = async (request, body) => {
+        if (request.path === "/upload") {
+            await new Promise(resolve => done.signal.addEventListener("abort", resolve));
+        }
+        const length = (await body?.toArray() ?? []).reduce(
+            (sum: number, piece: Buffer) => sum + piece.length,
+            0,
+        );
+        return {
+            kind: "answered",
+            status: 200,
+            headers: {},
+            body: Readable.from([Buffer.from(`read ${length}`)]),
+        };
+    };
+    void session.relay(a, "b", "a1-1", { path: "/upload", body: Readable.from(produce(produced)) });
+    await session.advance(20);
+    expect(produced.bytes).toBeLessThan(512 * 1_024);
+    void session.relay(a, "b", "a1-2", { body: Readable.from([Buffer.from("small")]) });
+    await session.advance(10);
+    expect(session.trace).toContain("caller of a1-2: answered 200 \"read 5\"");
+    done.abort();
+    await session.advance(2);
+    a.mesh.broadcast("between");
+    await session.advance(200);
+    expect(session.trace).toContain("caller of a1-1: answered 200 \"read 10000000\"");
+    expect(session.trace.indexOf("control \"between\"")).toBeLessThan(
+        session.trace.indexOf("end 1 length=10000000"),
+    );
+});
+
 test("a slow reader holds back only its own stream, within the window", async () => {
     const { session, a, b } = await startPair();
     const produced = { bytes: 0 };
@@ -209,7 +272,6 @@
         return { kind: "answered", status: 200, headers: {}, body };
     };
     const signal = new AbortController().signal;
-    const { newRequest } = await import("./helpers/newRequest.js");
     const large = await Promise.all([
         a.mesh.relay("b" as HostId, newRequest("a1-1", { path: "/large" }), undefined, signal),
         session.advance(50),
