--- a/packages/daemon/src/intents/intentRouter.ts
+++ b/packages/daemon/src/intents/intentRouter.ts
@@ -66,6 +66,10 @@
     }
 
     private async run(request: CallerRequest, intent: Intent): Promise<Answer> {
+        if (request.signal.aborted) {
+            await this.finish(intent, { kind: "notRun" });
+            return refuse("callerGone", "the caller left before the request was sent");
+        }
         const answer = await this.inner.route(request);
         if (answer.kind === "answered") {
             return this.record(intent, answer);
--- a/packages/daemon/tests/intents/intentRouter.test.ts
+++ b/packages/daemon/tests/intents/intentRouter.test.ts
@@ -23,8 +23,8 @@
         },
     };
     const router = new IntentRouter(session.clock, session.newKeeper("a"), session.settings, inner);
-    const send = async (id: string) => {
-        const routed = router.route(newRequest(id, session.clock.now() + 2_000));
+    const send = async (id: string, signal = new AbortController().signal) => {
+        const routed = router.route({ ...newRequest(id, session.clock.now() + 2_000), signal });
         await session.advance(10);
         const routedAnswer = await routed;
         if (routedAnswer.kind === "refusal") {
@@ -71,6 +71,12 @@
     expect([await send("a-1"), await send("a-2")]).toEqual(["noOwner", "201 paid"]);
 });
 
+test("a caller who leaves before the request is sent may repeat it", async () => {
+    const { send, countSent } = start(() => answerWith("paid"));
+    expect([await send("a-1", AbortSignal.abort()), countSent()]).toEqual(["callerGone", 0]);
+    expect([await send("a-2"), countSent()]).toEqual(["201 paid", 1]);
+});
+
 test("a large answer passes whole, and its repeat is refused truly", async () => {
     const large = "x".repeat(10_000);
     const { send, countSent } = start(() => answerWith(large, large, large));
