--- a/packages/ownership/src/actions/peerMessageAction.ts
+++ b/packages/ownership/src/actions/peerMessageAction.ts
@@ -8,6 +8,8 @@
 import { takeBarAnswer } from "../messages/takeBarAnswer.js";
 import { takeDeciderHere } from "../messages/takeDeciderHere.js";
 import { takeHostStatus } from "../messages/takeHostStatus.js";
+import { takePromised } from "../messages/takePromised.js";
+import { takePromisesWanted } from "../messages/takePromisesWanted.js";
 import { takeReport } from "../messages/takeReport.js";
 import { takeRetired } from "../messages/takeRetired.js";
 import { takeSliceStopped } from "../messages/takeSliceStopped.js";
@@ -39,6 +41,10 @@
                 return takeBarAnswer(state, from, message, now);
             case "unbar":
                 return takeUnbar(state, from, message, now);
+            case "promisesWanted":
+                return takePromisesWanted(state, from, message, now);
+            case "promised":
+                return takePromised(state, from, message);
             case "sliceStopped":
                 return takeSliceStopped(state, from, message);
             case "retired":
--- a/packages/ownership/src/decider/createServers.ts
+++ b/packages/ownership/src/decider/createServers.ts
@@ -8,6 +8,7 @@
 import { canWrite } from "../table/canWrite.js";
 import { startTransaction } from "../table/startTransaction.js";
 import { chooseGrantors } from "./chooseGrantors.js";
+import { newGrantorList } from "./newGrantorList.js";
 
 /** Writes the rows of declared servers that answered a probe and have none. */
 export function createServers(state: HostState, now: Milliseconds): Step {
@@ -26,14 +27,14 @@
     if (grantors.length === 0) {
         return { state, effects: [] };
     }
-    const value = newServerRow(server, incarnation, grantors);
+    const value = newServerRow(server, incarnation, newGrantorList(state.settings, 1, grantors));
     return startTransaction(state, [{ key, expectedVersion: 0, value }], now);
 }
 
 function newServerRow(
     server: Server,
     incarnation: ServerIncarnation,
-    grantors: ServerRow["list"]["grantors"],
+    list: ServerRow["list"],
 ): ServerRow {
     return {
         server: server.name as ServerId,
@@ -44,7 +45,7 @@
         incarnation,
         epoch: 1,
         attestations: [],
-        list: { listVersion: 1, grantors },
+        list,
         operationId: "",
     };
 }
--- a/packages/ownership/src/decider/isTakeoverWanted.ts
+++ b/packages/ownership/src/decider/isTakeoverWanted.ts
@@ -5,9 +5,14 @@
 import { getReports } from "./getReports.js";
 import { hasHoldings } from "./hasHoldings.js";
 
-/** Whether a server's grantors are to be barred: it is suspect, holds anything, and its service's objective does not ask to wait longer. */
+/** Whether a server's grantors are to be barred: every grantor that is up suspects it, it holds anything, and its service's objective does not ask to wait longer. */
 export function isTakeoverWanted(state: HostState, row: ServerRow, now: Milliseconds): boolean {
-    const suspicions = getReports(state, row).filter(({ report }) => report.isSuspect);
+    const reports = getReports(state, row);
+    const suspicions = reports.filter(({ report }) => report.isSuspect);
+    const isAnswering = reports.some(heard => !heard.report.isSuspect && isLinked(state, heard));
+    if (isAnswering) {
+        return false;
+    }
     if (suspicions.some(({ report }) => report.otherIncarnation !== undefined)) {
         return true;
     }
@@ -23,3 +28,10 @@
     const getSilence = ({ report, heardAt }: HeardReport) => report.silence + now - heardAt;
     return suspicions.every(heard => getSilence(heard) >= wait);
 }
+
+/** Whether the host of a report is this one or has a link to it. */
+function isLinked(state: HostState, { from }: HeardReport): boolean {
+    const peer = state.peers[from.host];
+    return from.host === state.self.host
+        || (peer?.isUp === true && peer.identity.incarnation === from.incarnation);
+}
--- a/packages/ownership/src/decider/planServer.ts
+++ b/packages/ownership/src/decider/planServer.ts
@@ -2,12 +2,14 @@
 import { isGrantorOf } from "../grantor/isGrantorOf.js";
 import type { GrantorList } from "../rows/grantorList.js";
 import type { ServerRow } from "../rows/serverRow.js";
+import { getRunName } from "../state/getRunName.js";
 import type { HostState } from "../state/hostState.js";
 import { chooseGrantors } from "./chooseGrantors.js";
 import { getReports } from "./getReports.js";
 import { hasHoldings } from "./hasHoldings.js";
 import { isHostAttested } from "./isHostAttested.js";
 import { isIsolated } from "./isIsolated.js";
+import { newGrantorList } from "./newGrantorList.js";
 
 /** The next value of a server's row apart from takeovers, or `undefined` when there is nothing to decide. */
 export function planServer(state: HostState, row: ServerRow, now: Milliseconds): ServerRow | undefined {
@@ -33,7 +35,7 @@
     if (grantors.length === 0 || isSame) {
         return undefined;
     }
-    return { ...row, change: { listVersion: row.list.listVersion + 1, grantors } };
+    return { ...row, change: newGrantorList(state.settings, row.list.listVersion + 1, grantors) };
 }
 
 /** The row as the declaration wants it; a server changes its service only when it holds nothing. */
@@ -62,7 +64,7 @@
     const dropped = row.list.grantors.filter(grantor => !hasGrantor(change, grantor));
     const retired = state.decider.retired[row.server] ?? {};
     return dropped.every(grantor =>
-        (retired[grantor.host] ?? 0) >= change.listVersion || isHostAttested(state, grantor)
+        (retired[getRunName(grantor)] ?? 0) >= change.listVersion || isHostAttested(state, grantor)
     );
 }
 
@@ -85,8 +87,12 @@
     ];
     return {
         ...row,
-        list: { listVersion: change.listVersion, grantors: joined },
-        change: { listVersion: change.listVersion + 1, grantors },
+        list: {
+            listVersion: change.listVersion,
+            grantors: joined,
+            promises: Math.min(row.list.promises, change.promises),
+        },
+        change: newGrantorList(state.settings, change.listVersion + 1, grantors),
     };
 }
 
--- a/packages/ownership/src/decider/planServers.ts
+++ b/packages/ownership/src/decider/planServers.ts
@@ -2,6 +2,7 @@
 import { sequence } from "../kernel/sequence.js";
 import type { Step } from "../kernel/step.js";
 import { ROW_KEYS } from "../rows/rowKeys.js";
+import { getRunName } from "../state/getRunName.js";
 import type { HostState } from "../state/hostState.js";
 import { canWrite } from "../table/canWrite.js";
 import { startTransaction } from "../table/startTransaction.js";
@@ -9,6 +10,7 @@
 import { getMembers } from "./getMembers.js";
 import { getResponsibilities } from "./getResponsibilities.js";
 import { isHostAttested } from "./isHostAttested.js";
+import { isPassedOver } from "./isPassedOver.js";
 import { isTouchDue } from "./isTouchDue.js";
 import { planServer } from "./planServer.js";
 import { takeOver } from "./takeOver.js";
@@ -48,6 +50,8 @@
         return false;
     }
     return getMembers(row.value).every(member =>
-        round.confirmed.includes(member.host) || isHostAttested(state, member)
+        round.confirmed.includes(getRunName(member))
+        || isHostAttested(state, member)
+        || isPassedOver(row.value, round, member)
     );
 }
--- a/packages/ownership/src/decider/runRounds.ts
+++ b/packages/ownership/src/decider/runRounds.ts
@@ -3,8 +3,10 @@
 import { sendTo } from "../kernel/sendTo.js";
 import { sequence } from "../kernel/sequence.js";
 import type { Step } from "../kernel/step.js";
+import { ROW_KEYS } from "../rows/rowKeys.js";
 import type { ServerRow } from "../rows/serverRow.js";
 import type { Versioned } from "../rows/versioned.js";
+import { getRunName } from "../state/getRunName.js";
 import type { HostState } from "../state/hostState.js";
 import type { Round } from "../state/round.js";
 import { getMembers } from "./getMembers.js";
@@ -40,6 +42,7 @@
         basisVersion: row.version,
         incarnation: row.value.incarnation,
         confirmed: [],
+        denials: {},
         operations: [],
         isAbandoned: false,
         sentAt: now,
@@ -51,16 +54,18 @@
     };
 }
 
-function sendBars(state: HostState, row: ServerRow, round: Round, now: Milliseconds): Step {
-    const { server } = row;
+function sendBars(state: HostState, value: ServerRow, round: Round, now: Milliseconds): Step {
+    const { server } = value;
     const rounds = { ...state.decider.rounds, [server]: round };
     const noted = { ...state, decider: { ...state.decider, rounds } };
     const { barId, basisVersion, incarnation } = round;
-    const missing = getMembers(row).filter(member => !round.confirmed.includes(member.host));
+    const row = { key: ROW_KEYS.server(server), version: basisVersion, value };
+    const isAnswered = (name: string) => value.list.promises <= 1 && round.confirmed.includes(name);
+    const asked = getMembers(value).filter(member => !isAnswered(getRunName(member)));
     return sequence(
         noted,
-        ...missing.map(member => (current: HostState) =>
-            sendTo(current, member.host, { kind: "bar", server, incarnation, barId, basisVersion }, now)
+        ...asked.map(member => (current: HostState) =>
+            sendTo(current, member.host, { kind: "bar", server, incarnation, barId, basisVersion, row }, now)
         ),
     );
 }
--- /dev/null
+++ b/packages/ownership/src/grantor/askPromises.ts
@@ -0,0 +1,33 @@
+import type { HostId, Milliseconds } from "@arbutusdoor/common";
+import type { Step } from "../kernel/step.js";
+import { isBarred } from "../lookups/isBarred.js";
+import type { OwnershipMessage } from "../messages/ownershipMessage.js";
+import type { HostState } from "../state/hostState.js";
+import { getOwnList } from "./getOwnList.js";
+
+type Asked = Extract<OwnershipMessage, { kind: "promisesWanted"; }>["servers"];
+
+/** Asks the other members of the lists under which this host acts for promises, with one message to each host. */
+export function askPromises(state: HostState, now: Milliseconds): Step {
+    if (now < state.nextPromiseAt) {
+        return { state, effects: [] };
+    }
+    const asked = new Map<HostId, Asked>();
+    for (const grant of Object.values(state.grants)) {
+        const row = state.servers[grant.server]!;
+        const list = getOwnList(row.value, state.self);
+        const isNeeded = list.promises > 1 && !isBarred(state, grant.server);
+        const others = list.grantors.filter(grantor => grantor.host !== state.self.host);
+        for (const { host } of isNeeded ? others : []) {
+            asked.set(host, [...asked.get(host) ?? [], { server: grant.server, rowVersion: row.version }]);
+        }
+    }
+    return {
+        state: { ...state, nextPromiseAt: now + state.settings.promiseIntervalMs },
+        effects: [...asked].map(([to, servers]) => ({
+            kind: "sendPeer",
+            to,
+            message: { kind: "promisesWanted", askedAt: now, servers },
+        })),
+    };
+}
--- a/packages/ownership/src/grantor/newOrder.ts
+++ b/packages/ownership/src/grantor/newOrder.ts
@@ -6,17 +6,17 @@
 import type { Grant } from "../state/grant.js";
 import type { HostState } from "../state/hostState.js";
 import { getFences } from "./getFences.js";
+import { getOwnList } from "./getOwnList.js";
 import { getTakes } from "./getTakes.js";
-import { isGrantorOf } from "./isGrantorOf.js";
+import { hasStanding } from "./hasStanding.js";
 
 /**
  * The order that a grantor sends now. It renews the lease only up to the server's own newest clock reading and the lease time:
  * an order that is delayed for longer than that is already lapsed when the server reads it.
- * A barred grantor, or one without a reading, only probes.
+ * A barred grantor, or one without a reading or without the promises that its list asks for, only probes.
  */
-export function newOrder(state: HostState, grant: Grant, row: ServerRow): Order {
-    const isChanging = isGrantorOf(row.change, state.self);
-    const list = isChanging && row.change ? row.change : row.list;
+export function newOrder(state: HostState, grant: Grant, row: ServerRow, now: Milliseconds): Order {
+    const list = getOwnList(row, state.self);
     const { host, incarnation } = state.self;
     const base: Order = {
         server: row.server,
@@ -27,10 +27,10 @@
         fence: [],
     };
     const reading = grant.readings[0];
-    if (!reading || isBarred(state, row.server)) {
+    if (!reading || isBarred(state, row.server) || !hasStanding(state, grant, list, now)) {
         return base;
     }
-    const isRetiring = row.change !== undefined && !isChanging;
+    const isRetiring = row.change !== undefined && list !== row.change;
     const mayTake = isGrantReady(state, grant) && !isRetiring;
     return {
         ...base,
--- a/packages/ownership/src/grantor/sendOrders.ts
+++ b/packages/ownership/src/grantor/sendOrders.ts
@@ -28,7 +28,7 @@
 
 function sendOrder(state: HostState, grant: Grant, now: Milliseconds): Step {
     const row = state.servers[grant.server]!.value;
-    const order = newOrder(state, grant, row);
+    const order = newOrder(state, grant, row, now);
     const { renewIntervalMs, orderTimeoutMs } = state.settings;
     const isFencing = order.fence.length > 0;
     const interval = isFencing ? renewIntervalMs / FENCE_POLLS_PER_RENEWAL : renewIntervalMs;
--- a/packages/ownership/src/grantor/sendReports.ts
+++ b/packages/ownership/src/grantor/sendReports.ts
@@ -47,7 +47,8 @@
 function sendRetired(state: HostState, row: ServerRow, decider: HostId, now: Milliseconds): Step {
     const isRetiring = row.change !== undefined && !isGrantorOf(row.change, state.self);
     const isIdle = Object.values(state.inFlight[row.server] ?? {}).every(count => count === 0);
-    if (!row.change || !isRetiring || !isIdle) {
+    const isBound = Object.values(state.promisesGiven[row.server] ?? {}).some(until => until >= now);
+    if (!row.change || !isRetiring || !isIdle || isBound) {
         return { state, effects: [] };
     }
     const { listVersion } = row.change;
--- a/packages/ownership/src/grantor/settleBars.ts
+++ b/packages/ownership/src/grantor/settleBars.ts
@@ -4,6 +4,7 @@
 import type { Step } from "../kernel/step.js";
 import type { Bar } from "../state/bar.js";
 import type { HostState } from "../state/hostState.js";
+import { getDenied } from "./getDenied.js";
 
 /**
  * Answers the bars that wait: refuses when the server has answered this host since, and confirms once the latest lease that this
@@ -34,7 +35,9 @@
         return { state, effects: [] };
     }
     const confirmed = setBar(state, server, { ...bar, state: "confirmed" });
-    const step = sendTo(confirmed, decider.host, { kind: "barConfirmed", server, barId, basisVersion }, now);
+    const denied = getDenied(confirmed, server, basisVersion, now);
+    const answer = { kind: "barConfirmed", server, barId, basisVersion, denied } as const;
+    const step = sendTo(confirmed, decider.host, answer, now);
     return {
         state: step.state,
         effects: [...step.effects, { kind: "log", event: "serverBarred", fields: { server, barId } }],
--- a/packages/ownership/src/grantor/syncGrant.ts
+++ b/packages/ownership/src/grantor/syncGrant.ts
@@ -18,8 +18,9 @@
     }
     const versionsBefore = before ? getListVersions(state, before) : [];
     const isContinuous = versions.some(version => versionsBefore.includes(version));
+    const isSameList = before?.list.listVersion === row.list.listVersion;
     const grant = known && isContinuous
-        ? updateGrant(known, row, now)
+        ? { ...updateGrant(known, row, now), listLearntAt: isSameList ? known.listLearntAt : now }
         : newGrant(state, row, now, known?.boundUntil ?? 0);
     return { ...state, grants: { ...others, [row.server]: grant } };
 }
@@ -53,6 +54,8 @@
         nextOrderAt: now,
         nextReportAt: now,
         isReportedSuspect: false,
+        listLearntAt: now,
+        promises: {},
     };
 }
 
--- a/packages/ownership/src/lookups/mayServe.ts
+++ b/packages/ownership/src/lookups/mayServe.ts
@@ -6,6 +6,7 @@
     type ServiceId,
     type SliceId,
 } from "@arbutusdoor/common";
+import { isGrantorOf } from "../grantor/isGrantorOf.js";
 import type { Slice } from "../rows/slice.js";
 import type { HostState } from "../state/hostState.js";
 import { getSlicePath } from "./getSlicePath.js";
@@ -55,5 +56,5 @@
 
 function isRetiring(state: HostState, server: ServerId): boolean {
     const change = state.servers[server]?.value.change;
-    return change !== undefined && !change.grantors.some(grantor => grantor.host === state.self.host);
+    return change !== undefined && !isGrantorOf(change, state.self);
 }
--- a/packages/ownership/src/messages/ownershipMessage.ts
+++ b/packages/ownership/src/messages/ownershipMessage.ts
@@ -1,4 +1,11 @@
-import type { DataCentreId, ServerId, ServerIncarnation, ServiceId, SliceId } from "@arbutusdoor/common";
+import type {
+    DataCentreId,
+    Milliseconds,
+    ServerId,
+    ServerIncarnation,
+    ServiceId,
+    SliceId,
+} from "@arbutusdoor/common";
 import type { Row } from "@arbutusdoor/platform";
 import type { ServerReport } from "./serverReport.js";
 
@@ -24,6 +31,8 @@
         readonly incarnation: ServerIncarnation;
         readonly barId: number;
         readonly basisVersion: number;
+        /** The server's row at that version. */
+        readonly row: Row;
     }
     /** The promise: given only after the latest lease that the sender could have renewed has ended. */
     | {
@@ -31,7 +40,17 @@
         readonly server: ServerId;
         readonly barId: number;
         readonly basisVersion: number;
+        /** Runs of other grantors to which no promise of the sender counts any more. */
+        readonly denied: readonly string[];
     }
+    /** A grantor asks another one for promises about servers; it names its row version of each, and its own time. */
+    | {
+        readonly kind: "promisesWanted";
+        readonly askedAt: Milliseconds;
+        readonly servers: readonly { readonly server: ServerId; readonly rowVersion: number; }[];
+    }
+    /** Promises not to count the receiver barred for a while from the time at which it asked. */
+    | { readonly kind: "promised"; readonly askedAt: Milliseconds; readonly servers: readonly ServerId[]; }
     /** No promise: the server answers the sender. */
     | { readonly kind: "barRefused"; readonly server: ServerId; readonly barId: number; }
     /** Gives a promise back; lifts no later bar of the same decider. */
--- a/packages/ownership/src/messages/takeBar.ts
+++ b/packages/ownership/src/messages/takeBar.ts
@@ -1,9 +1,13 @@
 import type { Milliseconds } from "@arbutusdoor/common";
+import { getDenied } from "../grantor/getDenied.js";
+import { sendTo } from "../kernel/sendTo.js";
+import { sequence } from "../kernel/sequence.js";
 import type { Step } from "../kernel/step.js";
 import { ROW_KEYS } from "../rows/rowKeys.js";
 import type { Bar } from "../state/bar.js";
 import type { HostIdentity } from "../state/hostIdentity.js";
 import type { HostState } from "../state/hostState.js";
+import { adoptRows } from "../table/adoptRows.js";
 import type { OwnershipMessage } from "./ownershipMessage.js";
 
 const BARS_PER_SERVER = 16;
@@ -14,6 +18,19 @@
     from: HostIdentity,
     message: Extract<OwnershipMessage, { kind: "bar"; }>,
     now: Milliseconds,
+): Step {
+    return sequence(
+        state,
+        current => adoptRows(current, [message.row], now),
+        current => noteBar(current, from, message, now),
+    );
+}
+
+function noteBar(
+    state: HostState,
+    from: HostIdentity,
+    message: Extract<OwnershipMessage, { kind: "bar"; }>,
+    now: Milliseconds,
 ): Step {
     const { server, incarnation, barId, basisVersion } = message;
     const row = state.servers[server];
@@ -38,16 +55,8 @@
     }
     const bar: Bar = { decider: from, barId, basisVersion, incarnation, receivedAt: now, state: "pending" };
     if (known?.barId === barId) {
-        return { state, effects: [confirm(from, message)] };
+        const denied = getDenied(state, server, basisVersion, now);
+        return sendTo(state, from.host, { kind: "barConfirmed", server, barId, basisVersion, denied }, now);
     }
     return { state: { ...state, bars: { ...state.bars, [server]: [...others, bar] } }, effects: [] };
 }
-
-function confirm(from: HostIdentity, message: Extract<OwnershipMessage, { kind: "bar"; }>) {
-    const { server, barId, basisVersion } = message;
-    return {
-        kind: "sendPeer",
-        to: from.host,
-        message: { kind: "barConfirmed", server, barId, basisVersion },
-    } as const;
-}
--- a/packages/ownership/src/messages/takeBarAnswer.ts
+++ b/packages/ownership/src/messages/takeBarAnswer.ts
@@ -2,6 +2,7 @@
 import { abandonRound } from "../decider/abandonRound.js";
 import { getMembers } from "../decider/getMembers.js";
 import type { Step } from "../kernel/step.js";
+import { getRunName } from "../state/getRunName.js";
 import type { HostIdentity } from "../state/hostIdentity.js";
 import type { HostState } from "../state/hostState.js";
 import type { OwnershipMessage } from "./ownershipMessage.js";
@@ -25,11 +26,15 @@
     const isMember = getMembers(row).some(member =>
         member.host === from.host && member.incarnation === from.incarnation
     );
-    const isKnown = round.confirmed.includes(from.host);
-    if (!isMember || isKnown || message.basisVersion !== round.basisVersion) {
+    if (!isMember || message.basisVersion !== round.basisVersion) {
         return { state, effects: [] };
     }
-    const confirmed = [...round.confirmed, from.host];
-    const rounds = { ...state.decider.rounds, [server]: { ...round, confirmed } };
+    const name = getRunName(from);
+    const noted = {
+        ...round,
+        confirmed: round.confirmed.includes(name) ? round.confirmed : [...round.confirmed, name],
+        denials: { ...round.denials, [name]: message.denied },
+    };
+    const rounds = { ...state.decider.rounds, [server]: noted };
     return { state: { ...state, isPlanDue: true, decider: { ...state.decider, rounds } }, effects: [] };
 }
--- /dev/null
+++ b/packages/ownership/src/messages/takePromised.ts
@@ -0,0 +1,27 @@
+import type { Step } from "../kernel/step.js";
+import { getRunName } from "../state/getRunName.js";
+import type { HostIdentity } from "../state/hostIdentity.js";
+import type { HostState } from "../state/hostState.js";
+import type { OwnershipMessage } from "./ownershipMessage.js";
+
+const PARTS_PER_MILLION = 1_000_000;
+
+/** Notes promises to this host. They count from the time at which it asked. */
+export function takePromised(
+    state: HostState,
+    from: HostIdentity,
+    message: Extract<OwnershipMessage, { kind: "promised"; }>,
+): Step {
+    const { promiseMs, clockDriftPpm } = state.settings;
+    const until = message.askedAt + promiseMs * (1 - clockDriftPpm / PARTS_PER_MILLION);
+    const name = getRunName(from);
+    const grants = { ...state.grants };
+    for (const server of message.servers) {
+        const grant = grants[server];
+        if (grant) {
+            const promises = { ...grant.promises, [name]: Math.max(until, grant.promises[name] ?? 0) };
+            grants[server] = { ...grant, promises };
+        }
+    }
+    return { state: { ...state, grants }, effects: [] };
+}
--- a/packages/ownership/src/messages/takeRetired.ts
+++ b/packages/ownership/src/messages/takeRetired.ts
@@ -1,5 +1,6 @@
 import { getMembers } from "../decider/getMembers.js";
 import type { Step } from "../kernel/step.js";
+import { getRunName } from "../state/getRunName.js";
 import type { HostIdentity } from "../state/hostIdentity.js";
 import type { HostState } from "../state/hostState.js";
 import type { OwnershipMessage } from "./ownershipMessage.js";
@@ -20,6 +21,6 @@
         return { state, effects: [] };
     }
     const known = state.decider.retired[server] ?? {};
-    const retired = { ...state.decider.retired, [server]: { ...known, [from.host]: listVersion } };
+    const retired = { ...state.decider.retired, [server]: { ...known, [getRunName(from)]: listVersion } };
     return { state: { ...state, isPlanDue: true, decider: { ...state.decider, retired } }, effects: [] };
 }
--- a/packages/ownership/src/rows/grantorList.ts
+++ b/packages/ownership/src/rows/grantorList.ts
@@ -4,6 +4,8 @@
 /** Entry hosts that may renew a server's lease, under a version that only grows. */
 const GrantorList = z.object({
     listVersion: z.int(),
+    /** Promises that a grantor must hold to renew, its own counted: 1 asks nobody. */
+    promises: z.int(),
     grantors: z.array(z.object({
         host: z.string().transform(name => name as HostId),
         incarnation: z.string().transform(name => name as HostIncarnation),
--- a/packages/ownership/src/settings/ownershipSettings.ts
+++ b/packages/ownership/src/settings/ownershipSettings.ts
@@ -14,6 +14,16 @@
     clockDriftPpm: z.int().min(0).max(100_000).default(1000),
     /** Entry hosts that may renew one server's lease. */
     grantorsPerServer: z.int().min(1).max(7).default(3),
+    /**
+     * Promises that a grantor of three or more needs to renew, its own counted. With 1, a server that is lost together with one of its
+     * grantors waits for an operator. With 2 it does not, but a server that lives through the loss of all its grantors but one is
+     * without a lease until the list has changed, and no entry host's monotonic clock may stand still while it is paused.
+     */
+    promisesPerGrantor: z.int().min(1).max(2).default(1),
+    /** Validity of such a promise. */
+    promiseMs: z.int().min(50).max(600_000).default(400),
+    /** Time between two requests for promises. */
+    promiseIntervalMs: z.int().min(10).max(60_000).default(120),
     /** Time after the loss of a peer link before the peer is replaced as grantor. */
     grantorLossMs: z.int().min(0).max(600_000).default(500),
     /** Time between a grantor's reports about a server to the decider. */
@@ -25,7 +35,7 @@
     /** Time between two announcements of the decider to its peers. */
     beatIntervalMs: z.int().min(10).max(60_000).default(200),
     /** Time between two repeats of an unanswered bar. */
-    barRepeatMs: z.int().min(10).max(60_000).default(100),
+    barRepeatMs: z.int().min(10).max(60_000).default(50),
     /** Mean time between two scans of all rows by one host. */
     tableReadIntervalMs: z.int().min(100).max(3_600_000).default(5000),
     /** Time after which a table call without a result counts as unknown. */
--- a/packages/ownership/src/state/deciderRole.ts
+++ b/packages/ownership/src/state/deciderRole.ts
@@ -28,8 +28,8 @@
     readonly roundsAfter: Readonly<Record<ServerId, Milliseconds>>;
     /** Hosts that gave a stop proof (the server's own word is kept under its grantor's name), by stop path. */
     readonly stops: Readonly<Record<string, readonly string[]>>;
-    /** Newest list version from which each host has retired, by server. */
-    readonly retired: Readonly<Record<ServerId, Readonly<Record<HostId, number>>>>;
+    /** Newest list version from which each run of a host has retired, by server. */
+    readonly retired: Readonly<Record<ServerId, Readonly<Record<string, number>>>>;
     readonly probes: Readonly<Record<ServerId, Probe>>;
     readonly attested: Readonly<Record<RowKey, Versioned<AttestedRow>>>;
     readonly wanted: readonly WantedChange[];
--- a/packages/ownership/src/state/grant.ts
+++ b/packages/ownership/src/state/grant.ts
@@ -21,6 +21,10 @@
     /** Grantor list version and epoch that the run last acknowledged; 0 when unknown. */
     readonly listVersion: number;
     readonly acknowledgedEpoch: number;
+    /** When this host learnt the version of the committed list. */
+    readonly listLearntAt: Milliseconds;
+    /** Time until which promises of other hosts to this one count, by run. */
+    readonly promises: Readonly<Record<string, Milliseconds>>;
     /** Generations that the server said it holds, by slice path. */
     readonly taken: Readonly<Record<string, number>>;
     /** Fences that the server acknowledged, by slice path. */
--- a/packages/ownership/src/state/hostState.ts
+++ b/packages/ownership/src/state/hostState.ts
@@ -26,6 +26,9 @@
     /** Servers whose lease this host renews. */
     readonly grants: Readonly<Record<ServerId, Grant>>;
     readonly bars: Readonly<Record<ServerId, readonly Bar[]>>;
+    /** Time until which each run of a host may be protected by this host's promises, leases included; by server and run. */
+    readonly promisesGiven: Readonly<Record<ServerId, Readonly<Record<string, Milliseconds>>>>;
+    readonly nextPromiseAt: Milliseconds;
     /** Requests that this host has under way as grantor, by server and slice path. */
     readonly inFlight: Readonly<Record<ServerId, Readonly<Record<string, number>>>>;
     readonly deciders: Readonly<Record<DataCentreId, SeenDecider>>;
--- a/packages/ownership/src/state/newHostState.ts
+++ b/packages/ownership/src/state/newHostState.ts
@@ -46,6 +46,8 @@
         slices: {},
         grants: {},
         bars: {},
+        promisesGiven: {},
+        nextPromiseAt: 0,
         inFlight: {},
         deciders: {},
         decider: NEW_DECIDER_ROLE,
--- a/packages/ownership/tests/observer.test.ts
+++ b/packages/ownership/tests/observer.test.ts
@@ -71,7 +71,8 @@
                 const rounds = Object.entries(state.decider.rounds).map(([server, round]) => {
                     const since = begun.get(round.barId) ?? now;
                     begun.set(round.barId, since);
-                    return [server, now - since > 700 ? { ...round, confirmed: GRANTORS } : round];
+                    const confirmed = GRANTORS.map(name => `${name}/${name}#1`);
+                    return [server, now - since > 700 ? { ...round, confirmed } : round];
                 });
                 const decider = {
                     ...state.decider,
@@ -97,7 +98,8 @@
                     return { ...after, effects: after.effects.filter(effect => !isHealthyReport(effect)) };
                 }
                 const { server, barId, basisVersion } = message;
-                const confirmed = { kind: "barConfirmed", server, barId, basisVersion } as const;
+                const denied: string[] = [];
+                const confirmed = { kind: "barConfirmed", server, barId, basisVersion, denied } as const;
                 return {
                     state: before,
                     effects: [{ kind: "sendPeer", to: input.from.host, message: confirmed }],
