--- a/packages/ownership/src/settings/ownershipSettings.ts
+++ b/packages/ownership/src/settings/ownershipSettings.ts
@@ -21,9 +21,9 @@
      */
     promisesPerGrantor: z.int().min(1).max(2).default(1),
     /** Validity of such a promise. */
-    promiseMs: z.int().min(50).max(600_000).default(400),
+    promiseMs: z.int().min(50).max(600_000).default(300),
     /** Time between two requests for promises. */
-    promiseIntervalMs: z.int().min(10).max(60_000).default(120),
+    promiseIntervalMs: z.int().min(10).max(60_000).default(100),
     /** Time after the loss of a peer link before the peer is replaced as grantor. */
     grantorLossMs: z.int().min(0).max(600_000).default(500),
     /** Time between a grantor's reports about a server to the decider. */
