--- a/packages/daemon/src/operator/operatorServer.ts
+++ b/packages/daemon/src/operator/operatorServer.ts
@@ -29,6 +29,7 @@
     private readonly tokenCheck: TokenCheck;
     private readonly watchers = new Map<WatchStream, () => void>();
     private readonly server: Server;
+    private isClosing = false;
 
     /** Throws InputError when the token is shorter than 16 characters. */
     constructor(options: OperatorServerOptions) {
@@ -68,6 +69,7 @@
 
     /** Ends watch streams with a word, takes no new calls and resolves when those in flight have their answers. */
     close(): Promise<void> {
+        this.isClosing = true;
         for (const watcher of [...this.watchers.keys()]) {
             watcher.end("hostStopping");
         }
@@ -98,7 +100,7 @@
         const reply = await this.getReply(action, request);
         const result = reply.kind === "answer" ? "ok" : String(reply.status);
         this.metrics.count("arbutusdoor_operator_calls_total", { action: action.name, result });
-        if (!request.complete) {
+        if (!request.complete || this.isClosing) {
             response.setHeader("connection", "close");
         }
         sendReply(response, reply);
--- a/packages/daemon/tests/operator/operatorServer.test.ts
+++ b/packages/daemon/tests/operator/operatorServer.test.ts
@@ -2,7 +2,7 @@
 import { newConfigurationVersion, printDeclaration } from "@arbutusdoor/configuration";
 import { get, type IncomingMessage } from "node:http";
 import { request } from "undici";
-import { afterEach, expect, test } from "vitest";
+import { afterEach, expect, test, vi } from "vitest";
 import { LogRecorder } from "../../../configuration/tests/logRecorder.js";
 import { newTestDeclaration } from "../../../configuration/tests/newTestDeclaration.js";
 import { OperatorServer } from "../../src/operator/operatorServer.js";
@@ -167,6 +167,25 @@
     expect(context.watcherCount).toBe(0);
 });
 
+test("a closing port answers the call in flight and ends its connection", async () => {
+    const { context, url } = await start();
+    let refuse!: () => void;
+    context.onSubmit = () =>
+        new Promise(resolve => {
+            refuse = () => resolve({ kind: "notRun", reason: "stopping" });
+        });
+    const body = JSON.stringify({ base: 0, operationId: "o", declaration: {} });
+    const headers = { authorization: `Bearer ${TOKEN}` };
+    const calling = request(`${url}/v1/configuration`, { method: "POST", headers, body });
+    await vi.waitUntil(() => refuse !== undefined);
+    const closing = closers.pop()!();
+    refuse();
+    const answer = await calling;
+    expect(answer.headers.connection).toBe("close");
+    expect(await answer.body.json()).toMatchObject({ kind: "notRun", reason: "stopping" });
+    await closing;
+});
+
 function watch(url: string): Promise<IncomingMessage> {
     return new Promise((resolve, reject) => {
         const headers = { authorization: `Bearer ${TOKEN}` };
