Load policy: one margin, asked for when a job that waited starts

Cause: a margin of four deviations at admission refused feasible jobs where a job takes a fifth of its deadline: on a hot server below saturation 95.2 % of the reads were in time instead of 96.2 %.

--- a/packages/bench/src/experiments/runKeyed.ts
+++ b/packages/bench/src/experiments/runKeyed.ts
@@ -1,4 +1,5 @@
 import { type HostId, RandomSource } from "@arbutusdoor/common";
+import type { ServerQueueSettings } from "@arbutusdoor/policy";
 import type { Fault } from "../simulation/fault.js";
 import { newServers } from "../simulation/newServers.js";
 import { runUntil } from "../simulation/runUntil.js";
@@ -30,6 +31,7 @@
     readonly limit: number;
     readonly queueMode: QueueMode;
     readonly faults?: readonly Fault[];
+    readonly queue?: Partial<ServerQueueSettings>;
 };
 
 /** Outcomes of a run of a keyed service. */
--- a/packages/policy/src/queue/serverQueue.ts
+++ b/packages/policy/src/queue/serverQueue.ts
@@ -111,20 +111,13 @@
         if (timely || this.hasFreeSlot()) {
             return timely;
         }
-        const { waitDeviations } = this.settings;
-        const wait = this.estimateRankWait(entry.rank);
-        return this.getHopelessRefusal(entry, wait, waitDeviations) ?? this.makeRoom(entry);
-    }
-
-    /** Refuses a job that would most likely still run at its deadline if it started after `wait`. */
-    private getHopelessRefusal(
-        { job }: QueueEntry<unknown>,
-        wait: Milliseconds,
-        deviations: number,
-    ): Refusal | undefined {
-        const remaining = job.deadlineAt - this.clock.now();
-        const needed = wait + this.serviceTimes.getBound(job.classId, deviations);
-        return needed > remaining
+        const needed = this.estimateRankWait(entry.rank) + entry.expected;
+        return this.getHopelessRefusal(entry, needed) ?? this.makeRoom(entry);
+    }
+
+    /** Refuses a job that needs longer than is left until its deadline. */
+    private getHopelessRefusal({ job }: QueueEntry<unknown>, needed: Milliseconds): Refusal | undefined {
+        return needed > job.deadlineAt - this.clock.now()
             ? newRefusal("shed", "The server has too much work to answer within the deadline.")
             : undefined;
     }
@@ -238,9 +231,12 @@
     private getStartRefusal(entry: QueueEntry<unknown>): Refusal | undefined {
         const late = this.getLateRefusal(entry);
         const hasWaited = entry.withdrawal !== undefined;
-        return late || !hasWaited || this.running.size === 0
-            ? late
-            : this.getHopelessRefusal(entry, 0, this.settings.startDeviations);
+        if (late || !hasWaited || this.running.size === 0) {
+            return late;
+        }
+        const { classId } = entry.job;
+        const needed = this.serviceTimes.getBound(classId, this.settings.startDeviations);
+        return this.getHopelessRefusal(entry, needed);
     }
 
     private record(name: string, entry: QueueEntry<unknown>, duration: Milliseconds): void {
--- a/packages/policy/src/queue/serverQueueSettings.ts
+++ b/packages/policy/src/queue/serverQueueSettings.ts
@@ -8,10 +8,8 @@
     initialServiceMs: z.number().min(0).max(3_600_000).default(10),
     /** Weight of the newest service time in the running mean. */
     newestWeight: z.number().gt(0).max(1).default(0.1),
-    /** Mean deviations beyond the mean service time that have to fit before the deadline for a job to wait. */
-    waitDeviations: z.number().min(0).max(100).default(4),
-    /** The same for a job that has waited to start. */
-    startDeviations: z.number().min(0).max(100).default(2),
+    /** Mean deviations beyond the mean service time that have to fit before the deadline of a job that waited. */
+    startDeviations: z.number().min(0).max(100).default(3),
     /** Classes whose service times are kept apart; further ones share one mean. */
     maxClasses: z.int().min(1).max(10_000).default(64),
 });
