Load policy: a job may be expected to wait for half of its deadline

Cause: the line before an overloaded server was filled up to the deadline, so the 99th percentile of timely reads was 494 of 500 ms.

--- a/packages/policy/src/queue/serverQueue.ts
+++ b/packages/policy/src/queue/serverQueue.ts
@@ -111,7 +111,8 @@
         if (timely || this.hasFreeSlot()) {
             return timely;
         }
-        const needed = this.estimateRankWait(entry.rank) + entry.expected;
+        const wait = this.estimateRankWait(entry.rank);
+        const needed = Math.max(wait + entry.expected, wait / this.settings.maxWaitShare);
         return this.getHopelessRefusal(entry, needed) ?? this.makeRoom(entry);
     }
 
--- a/packages/policy/src/queue/serverQueueSettings.ts
+++ b/packages/policy/src/queue/serverQueueSettings.ts
@@ -10,6 +10,8 @@
     newestWeight: z.number().gt(0).max(1).default(0.1),
     /** Mean deviations beyond the mean service time that have to fit before the deadline of a job that waited. */
     startDeviations: z.number().min(0).max(100).default(3),
+    /** Largest share of the time until its deadline that a job may be expected to wait. */
+    maxWaitShare: z.number().gt(0).max(1).default(0.5),
     /** Classes whose service times are kept apart; further ones share one mean. */
     maxClasses: z.int().min(1).max(10_000).default(64),
 });
