--- a/packages/bench/src/experiments/rebalancing.ts
+++ b/packages/bench/src/experiments/rebalancing.ts
@@ -16,7 +16,13 @@
 const WORK_FACTOR = 5;
 
 const OBJECTIVES = {
-    aqaba: Objective.parse({ imbalance: 0.8, churn: 0.1, unavailability: 0.1, restMs: 20_000 }),
+    aqaba: Objective.parse({
+        imbalance: 0.8,
+        churn: 0.1,
+        unavailability: 0.1,
+        restMs: 20_000,
+        movesPerMinute: 30,
+    }),
     lima: Objective.parse({ imbalance: 0.2, churn: 0.4, unavailability: 0.4, restMs: 60_000 }),
 };
 
--- a/packages/bench/src/systems/pooledHost.ts
+++ b/packages/bench/src/systems/pooledHost.ts
@@ -37,7 +37,7 @@
     /** Most requests of one host at one server. */
     readonly limit: number;
     readonly retryMode: RetryMode;
-    /** Longest time that one attempt may take; the picker says it when absent. */
+    /** Longest time that one attempt of an idempotent request may take; the picker says it when absent. */
     readonly attemptTimeout: Milliseconds | undefined;
 };
 
@@ -114,8 +114,9 @@
     ): Promise<ServerEnd> {
         const startedAt = this.clock.now();
         const remaining = request.deadlineAt - startedAt;
-        const attemptTimeout = this.settings.attemptTimeout
-            ?? this.picker.getAttemptTimeout(request.profile.isIdempotent, remaining);
+        const { isIdempotent } = request.profile;
+        const fixed = isIdempotent ? this.settings.attemptTimeout : undefined;
+        const attemptTimeout = fixed ?? this.picker.getAttemptTimeout(isIdempotent, remaining);
         const wait = attemptTimeout < remaining
             ? new CallerWait(this.clock, startedAt + attemptTimeout, signal)
             : undefined;
--- a/packages/policy/src/balance/movePlanSettings.ts
+++ b/packages/policy/src/balance/movePlanSettings.ts
@@ -3,11 +3,11 @@
 /** Prices and limits in the planning of moves. Loads are in units of a server's fair share. */
 const MovePlanSettings = z.strictObject({
     /** Load of a server, in fair shares, up to which nothing is moved off it for balance. */
-    tolerance: z.number().min(1).max(100).default(1.15),
+    tolerance: z.number().min(1).max(100).default(1.3),
     /** Mean use of the slots below which balance isn't worth a move. */
     minUtilization: z.number().min(0).max(1).default(0.02),
     /** Cost of moving the fair key share of one server. */
-    churnPrice: z.number().min(0).max(1_000).default(0.2),
+    churnPrice: z.number().min(0).max(1_000).default(2),
     /** Cost of one fair load share being unavailable for a second. */
     unavailabilityPrice: z.number().min(0).max(1_000).default(1),
     /** Time in ms that a slice is expected to be unavailable while it moves. */
