--- /dev/null
+++ b/packages/configuration/src/attestation/attestation.ts
@@ -0,0 +1,17 @@
+import { z } from "zod";
+import { Loss } from "./loss.js";
+
+const record = z.object({
+    /** Who said so. */
+    by: z.string(),
+    /** Wall-clock time in ms. */
+    attestedAt: z.number(),
+    operationId: z.string(),
+});
+
+/** Value of a row that records an operator's word that something is lost and will not act again. */
+const Attestation = z.intersection(Loss, record);
+
+type Attestation = z.infer<typeof Attestation>;
+
+export { Attestation };
