--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,14 +1,7 @@
 import { cac } from "cac";
 import { writeFileSync } from "node:fs";
-import { EXPERIMENTS } from "./experiments/experiments.js";
-import "./experiments/keyedPaths.js";
-import "./experiments/overload.js";
-import "./experiments/pooledLimits.js";
-import "./experiments/pooledPickers.js";
-import "./experiments/rebalancing.js";
-import "./experiments/retries.js";
-import type { ExperimentResult } from "./experiments/experimentResult.js";
-import { formatTable } from "./report/formatTable.js";
+import { formatReport } from "./report/formatReport.js";
+import { runBench } from "./runBench.js";
 
 const LONG_SCALE = 5;
 const MS_IN_SECOND = 1_000;
@@ -22,24 +15,20 @@
     .option("--long", "Five times the simulated time")
     .option("--only <name>", "One experiment")
     .option("--json <file>", "Writes all rows as JSON")
+    .option("--report <file>", "Writes all rows and plots as a page")
     .action(run);
 program.help();
 program.parse();
 
 async function run(flags: Flags): Promise<void> {
-    const results: ExperimentResult[] = [];
-    for (const experiment of EXPERIMENTS.list()) {
-        if (flags.only !== undefined && flags.only !== experiment.name) {
-            continue;
-        }
-        const startedAt = performance.now();
-        const result = await experiment.run({ seed: flags.seed, scale: flags.long ? LONG_SCALE : 1 });
-        const seconds = (performance.now() - startedAt) / MS_IN_SECOND;
-        results.push(result);
-        console.log(`## ${experiment.name}\n\n${experiment.question}\n\n${formatTable(result)}\n`);
-        console.log(`(${seconds.toFixed(1)} s)\n`);
-    }
+    const options = { seed: flags.seed, scale: flags.long ? LONG_SCALE : 1 };
+    const startedAt = performance.now();
+    const results = await runBench(options, flags.only, console.log);
+    console.log(`${((performance.now() - startedAt) / MS_IN_SECOND).toFixed(1)} s`);
     if (flags.json !== undefined) {
         writeFileSync(flags.json, JSON.stringify(results, undefined, 4));
     }
+    if (flags.report !== undefined) {
+        writeFileSync(flags.report, formatReport(results, flags.seed));
+    }
 }
