--- a/scripts/localSystem.ts
+++ b/scripts/localSystem.ts
@@ -15,6 +15,7 @@
     readonly operators: string;
     readonly monitor: string;
     readonly peers: string;
+    readonly seeds: readonly string[];
 };
 
 /** A backend server of a local system. */
@@ -22,6 +23,9 @@
     readonly name: string;
     readonly program: ChildProgram;
     readonly address: string;
+    /** IP number and port where faults are set and the journal is read, also while the server is frozen or down. */
+    readonly control: string;
+    readonly flags: readonly string[];
 };
 
 /** Stand-ins, daemons and backend servers as processes on the loopback address, for the demo and the process tests. */
@@ -47,7 +51,8 @@
     /** Starts a backend server on a free or a given port. */
     async startServer(name: string, flags: readonly string[], port = 0): Promise<LocalServer> {
         const all = ["--server", name, ...flags];
-        const server = await this.startStandIn(name, "backendServerMain.js", all, port);
+        const started = await this.startStandIn(name, "backendServerMain.js", all, port);
+        const server = { ...started, flags };
         this.servers.set(name, server);
         return server;
     }
@@ -76,6 +81,21 @@
         return daemon;
     }
 
+    /** Starts a daemon that has ended again, at its ports, and waits until it listens. */
+    async restartDaemon(name: string): Promise<LocalDaemon> {
+        const { dataCentre, callers, operators, peers, monitor, seeds } = this.daemons.get(name)!;
+        const ports = [callers, operators, peers, monitor].map(address => Number(address.split(":")[1]));
+        const daemon = this.startDaemon(name, dataCentre, ports, seeds);
+        await daemon.program.waitForLine(/"number":100,/);
+        return daemon;
+    }
+
+    /** Starts a backend server that has ended again, at its port. */
+    async restartServer(name: string): Promise<LocalServer> {
+        const { address, flags } = this.servers.get(name)!;
+        return await this.startServer(name, flags, Number(address.split(":")[1]));
+    }
+
     /** Address of a part of the platform. */
     getPlatformAddress(name: string): string {
         return this.platform.get(name)!.address;
@@ -123,6 +143,7 @@
             operators: at(operators),
             peers: at(peers),
             monitor: at(monitor),
+            seeds,
         };
         this.daemons.set(name, daemon);
         return daemon;
@@ -137,7 +158,7 @@
         const place = ["--host", "127.0.0.1", "--port", String(port)];
         const program = new ChildProgram(name, `${DIST}standins/dist/${file}`, [...place, ...flags]);
         const line = await program.waitForLine(/"address"/);
-        const { address } = JSON.parse(line) as { address: string; };
-        return { name, program, address };
+        const { address, controlAddress } = JSON.parse(line) as { address: string; controlAddress: string; };
+        return { name, program, address, control: controlAddress, flags };
     }
 }
