Process tests: planned stops, drain, two operators at once

Rolling restart of all entry hosts with slow uploads in flight, SIGTERM of keyed and pooled backend servers, drain and its end, two submissions on one base. The test of a pooled server that stops fails at this commit: it is sent new uploads until it refuses them itself, 3 s after it said that it leaves, because nobody asks a pooled server whether it is leaving.

--- a/packages/daemon/tests/process/entryHostLoss.test.ts
+++ b/packages/daemon/tests/process/entryHostLoss.test.ts
@@ -50,11 +50,7 @@
         sendFilings(`relayed-${role}`, others[1]!.callers, 2),
     ]);
     await run.waitUntilServed();
-    await run.system.restartDaemon(name);
-    await run.waitFor("the configuration on the restarted host", async () => {
-        const response = await fetch(`http://${run.system.daemons.get(name)!.monitor}/readyz`);
-        return response.ok || undefined;
-    });
+    await run.restartHost(name);
     await run.waitUntilServed();
     await load.stop();
     expect((await run.judge()).findings).toEqual([]);
--- /dev/null
+++ b/packages/daemon/tests/process/plannedStops.test.ts
@@ -0,0 +1,92 @@
+import type { ServerJournal } from "@arbutusdoor/standins";
+import { afterAll, beforeAll, expect, test } from "vitest";
+import { FailureRun } from "../../../../scripts/failureRun.js";
+import { listCut } from "./support/listCut.js";
+import { uploadSlowly } from "./support/uploadSlowly.js";
+
+const run = new FailureRun();
+const NO_NEW_WORK_MS = 2_000;
+const SLOW_UPLOAD = { pieces: 25, pieceBytes: 20_000, pauseMs: 120 };
+const SLOW_UPLOADS = 4;
+
+beforeAll(() => run.start());
+afterAll(async () => {
+    await run.stop();
+    const codes = [...run.system.daemons.values()].map(host => host.program.exitCode);
+    expect(codes).toEqual([0, 0, 0]);
+});
+
+test("entry hosts are restarted one by one under load, with slow uploads in flight, and nothing is cut off", async () => {
+    for (const name of [...run.system.daemons.keys()]) {
+        const { callers } = run.system.daemons.get(name)!;
+        const others = run.listLiveHosts().filter(host => host.name !== name);
+        const beside = run.startLoad({ entryHosts: others.map(host => host.callers) });
+        const through = run.startLoad({ entryHosts: [callers] });
+        const uploads = startUploads(callers, name);
+        await run.clock.sleep(500);
+        expect(await run.stopHost(name, through.stop)).toBe(0);
+        expect(await uploads).toEqual(Array(SLOW_UPLOADS).fill("answered"));
+        await run.restartHost(name);
+        await run.waitUntilServed();
+        await beside.stop();
+    }
+    expect(listCut(run.calls)).toEqual([]);
+    expect((await run.judge()).findings).toEqual([]);
+});
+
+test("a keyed backend server that stops gets no new work after 2 s, and its keys are never without an owner", async () => {
+    const load = run.startLoad();
+    const { server = "" } = (await run.explain("gustboard", "key-0"))!;
+    await run.clock.sleep(500);
+    const stoppedAt = run.clock.wallTime();
+    expect(listLateRuns(await run.stopServer(server), stoppedAt)).toEqual([]);
+    await run.waitUntilServed();
+    const entries = await load.stop();
+    expect(entries.filter(entry => entry.kind === "read" && entry.outcome !== "answered")).toEqual([]);
+    expect(listCut(entries)).toEqual([]);
+    await run.system.restartServer(server);
+    expect((await run.judge()).findings).toEqual([]);
+});
+
+test("a pooled backend server that stops finishes its uploads and gets no new ones", async () => {
+    const host = run.listLiveHosts()[0]!;
+    const load = run.startLoad();
+    const uploads = startUploads(host.callers, "pooled");
+    await run.clock.sleep(500);
+    const stoppedAt = run.clock.wallTime();
+    const journal = await run.stopServer("loghold-1");
+    expect(await uploads).toEqual(Array(SLOW_UPLOADS).fill("answered"));
+    expect(listLateRuns(journal, stoppedAt)).toEqual([]);
+    expect(listCut(await load.stop())).toEqual([]);
+    await run.system.restartServer("loghold-1");
+    await run.waitUntilServed();
+    expect((await run.judge()).findings).toEqual([]);
+});
+
+test("a drained backend server gets no new work after 2 s and comes back with the next version", async () => {
+    const load = run.startLoad();
+    const { server = "" } = (await run.explain("agenda", "key-0"))!;
+    const drained = await run.runTool(["drain", server]);
+    expect([drained.exitCode, drained.lines]).toEqual([0, [expect.stringContaining("version 2")]]);
+    const drainedAt = run.clock.wallTime();
+    await run.clock.sleep(2 * NO_NEW_WORK_MS);
+    expect(listLateRuns(await run.readServerJournal(server), drainedAt)).toEqual([]);
+    expect((await run.submit(2)).exitCode).toBe(0);
+    await run.waitUntilServed();
+    const entries = await load.stop();
+    expect(entries.filter(entry => entry.kind === "read" && entry.outcome !== "answered")).toEqual([]);
+    expect(listCut(entries)).toEqual([]);
+    expect((await run.judge()).findings).toEqual([]);
+});
+
+function startUploads(entryHost: string, name: string): Promise<string[]> {
+    const indices = Array.from({ length: SLOW_UPLOADS }, (_, index) => index);
+    return Promise.all(
+        indices.map(index => uploadSlowly(entryHost, `/loghold/slow-${name}-${index}`, SLOW_UPLOAD)),
+    );
+}
+
+/** Work that a server began later than it may after it was asked to stop. */
+function listLateRuns(journal: ServerJournal, askedAt: number) {
+    return journal.entries.filter(entry => entry.kind === "run" && entry.started > askedAt + NO_NEW_WORK_MS);
+}
--- a/scripts/failureRun.ts
+++ b/scripts/failureRun.ts
@@ -143,11 +143,49 @@
         this.journals.push(endAt(journal, this.clock.wallTime()));
     }
 
-    /** Keeps the journal of a backend server that is about to stop by itself. */
-    async keepJournal(name: string): Promise<void> {
-        const journal = await this.readJournal(this.system.servers.get(name)!.control);
+    /** Asks a backend server to stop, and resolves with its last journal once its process has ended. */
+    async stopServer(name: string): Promise<ServerJournal> {
+        const server = this.system.servers.get(name)!;
+        let journal = await this.readJournal(server.control);
+        server.program.signal("SIGTERM");
+        while (!server.program.hasEnded) {
+            journal = await this.readJournal(server.control).catch(() => journal);
+            await this.clock.sleep(POLL_MS / 2);
+        }
         this.lost.push(name);
         this.journals.push(journal);
+        return journal;
+    }
+
+    /** What a backend server that runs has recorded so far. */
+    readServerJournal(name: string): Promise<ServerJournal> {
+        return this.readJournal(this.system.servers.get(name)!.control);
+    }
+
+    /** Asks an entry host to stop, and resolves with its exit code; `onNotReady` runs once it says that it is not ready. */
+    async stopHost(name: string, onNotReady: () => Promise<unknown>): Promise<number | undefined> {
+        const { program } = this.system.daemons.get(name)!;
+        program.signal("SIGTERM");
+        await this.waitFor(
+            `${name} to be not ready`,
+            async () => await this.isReady(name) ? undefined : true,
+        );
+        await onNotReady();
+        await program.waitForEnd();
+        return program.exitCode;
+    }
+
+    /** Starts an entry host again at its ports, and resolves once it is ready. */
+    async restartHost(name: string): Promise<void> {
+        await this.system.restartDaemon(name);
+        await this.waitFor(`${name} to be ready`, async () => await this.isReady(name) || undefined);
+    }
+
+    /** Whether the balancer would send callers to an entry host. */
+    async isReady(name: string): Promise<boolean> {
+        const response = await fetch(`http://${this.system.daemons.get(name)!.monitor}/readyz`);
+        await response.text();
+        return response.ok;
     }
 
     /** The observer's verdict over everything that has happened in this run. Every load must have been stopped. */
