Ask pooled servers whether they are leaving

Cause: only grantors learn from an order's reply that a server is leaving, and a pooled server has no grantors; the platform's list lags.

Each entry host now sends each pooled server a probe (an order without an incarnation, which changes nothing) at each interval of the poll, one at a time a server; a server that does not reply stays what it was.

--- /dev/null
+++ b/packages/daemon/src/hosts/leavingProbes.ts
@@ -0,0 +1,83 @@
+import type { Clock, Milliseconds, ServerId, Timer } from "@arbutusdoor/common";
+import type { Declaration, Server } from "@arbutusdoor/configuration";
+import type { Grantor, ServerOrders } from "@arbutusdoor/platform";
+
+/** What the probes work with. */
+type LeavingProbeParts = {
+    readonly clock: Clock;
+    readonly orders: ServerOrders;
+    readonly self: Grantor;
+    readonly getDeclaration: () => Declaration | undefined;
+    /** Time in ms between two probes of a server; also the longest wait for its reply. */
+    readonly interval: Milliseconds;
+};
+
+/**
+ * Asks the servers of pooled services whether they are leaving: nobody grants to them, so no order's reply tells it, and
+ * the platform's list lags. A probe is an order without an incarnation, which changes nothing. One at a time a server.
+ */
+export class LeavingProbes {
+    private readonly parts: LeavingProbeParts;
+    private readonly leaving = new Set<ServerId>();
+    private timer: Timer | undefined;
+    private isStopped = false;
+
+    constructor(parts: LeavingProbeParts) {
+        this.parts = parts;
+    }
+
+    /** Whether a server said in its last reply that it is leaving. */
+    isLeaving(server: ServerId): boolean {
+        return this.leaving.has(server);
+    }
+
+    /** Asks every server now and then at each interval, until it is stopped. */
+    async run(): Promise<void> {
+        const { clock, interval } = this.parts;
+        const beganAt = clock.now();
+        const servers = listPooled(this.parts.getDeclaration());
+        this.retain(new Set(servers.map(server => server.name)));
+        await Promise.all(servers.map(server => this.ask(server)));
+        if (!this.isStopped) {
+            const left = Math.max(0, interval - (clock.now() - beganAt));
+            this.timer = clock.schedule(left, () => void this.run());
+        }
+    }
+
+    /** Asks no more. */
+    stop(): void {
+        this.isStopped = true;
+        this.timer?.cancel();
+    }
+
+    /** A server that does not reply stays what it was. */
+    private async ask({ name, address }: Server): Promise<void> {
+        const server = name as ServerId;
+        const { orders, self, interval } = this.parts;
+        const order = { server, from: self, listVersion: 0, epoch: 0, take: [], fence: [] };
+        const outcome = await orders.send(address, order, interval);
+        if (outcome.kind !== "reply") {
+            return;
+        }
+        if (outcome.reply.isLeaving) {
+            this.leaving.add(server);
+        }
+        else {
+            this.leaving.delete(server);
+        }
+    }
+
+    private retain(servers: ReadonlySet<string>): void {
+        for (const server of this.leaving) {
+            if (!servers.has(server)) {
+                this.leaving.delete(server);
+            }
+        }
+    }
+}
+
+function listPooled(declaration: Declaration | undefined): readonly Server[] {
+    const { services = [], servers = [] } = declaration ?? {};
+    const pooled = new Set(services.filter(service => service.kind === "pooled").map(({ name }) => name));
+    return servers.filter(server => pooled.has(server.service));
+}
--- a/packages/daemon/src/routing/hostPoolView.ts
+++ b/packages/daemon/src/routing/hostPoolView.ts
@@ -1,6 +1,7 @@
 import type { ServerId } from "@arbutusdoor/common";
 import type { Declaration } from "@arbutusdoor/configuration";
 import type { ConfigurationSpread } from "../configuration/configurationSpread.js";
+import type { LeavingProbes } from "../hosts/leavingProbes.js";
 import type { ListedHosts } from "../hosts/listedHosts.js";
 import type { Peers } from "../peers/peers.js";
 import { PoolView } from "./poolView.js";
@@ -10,13 +11,20 @@
     override readonly dataCentre: string;
     private readonly configuration: ConfigurationSpread;
     private readonly listed: ListedHosts;
+    private readonly probes: LeavingProbes;
     private readonly peers: Peers;
 
-    constructor(configuration: ConfigurationSpread, listed: ListedHosts, peers: Peers) {
+    constructor(
+        configuration: ConfigurationSpread,
+        listed: ListedHosts,
+        probes: LeavingProbes,
+        peers: Peers,
+    ) {
         super();
         this.dataCentre = peers.self.dataCentre;
         this.configuration = configuration;
         this.listed = listed;
+        this.probes = probes;
         this.peers = peers;
     }
 
@@ -33,6 +41,6 @@
     }
 
     override isLeaving(server: ServerId): boolean {
-        return this.listed.isLeaving(server);
+        return this.listed.isLeaving(server) || this.probes.isLeaving(server);
     }
 }
--- a/packages/daemon/src/routing/poolView.ts
+++ b/packages/daemon/src/routing/poolView.ts
@@ -12,6 +12,6 @@
     /** Number of entry hosts that share the pooled servers, and the place of this one among them. */
     abstract getShare(): { readonly hosts: number; readonly position: number; };
 
-    /** Whether the platform says that a server leaves. */
+    /** Whether the platform or the server itself says that it leaves. */
     abstract isLeaving(server: ServerId): boolean;
 }
--- a/packages/daemon/src/serving/servingPlugin.ts
+++ b/packages/daemon/src/serving/servingPlugin.ts
@@ -2,6 +2,7 @@
 import { LOAD_BOOK } from "../balance/loadBookService.js";
 import { CONFIGURATION } from "../configuration/configurationService.js";
 import { LISTED_HOSTS } from "../hosts/hostsService.js";
+import { LEAVING_PROBES } from "../hosts/leavingProbesService.js";
 import type { Kernel } from "../kernel/kernel.js";
 import { Plugin } from "../kernel/plugin.js";
 import { plugins } from "../kernel/plugins.js";
@@ -53,7 +54,12 @@
             random,
             sender,
             retryRules,
-            view: new HostPoolView(configuration, kernel.get(LISTED_HOSTS), peers),
+            view: new HostPoolView(
+                configuration,
+                kernel.get(LISTED_HOSTS),
+                kernel.get(LEAVING_PROBES),
+                peers,
+            ),
             pickerSettings: groups.pool,
             queueSettings: groups.queue,
         });
--- /dev/null
+++ b/packages/daemon/tests/process/hardCallers.test.ts
@@ -0,0 +1,65 @@
+import { once } from "node:events";
+import { get, type IncomingMessage } from "node:http";
+import { afterAll, beforeAll, expect, test } from "vitest";
+import { FailureRun } from "../../../../scripts/failureRun.js";
+import { listCut } from "./support/listCut.js";
+import { uploadSlowly } from "./support/uploadSlowly.js";
+
+const run = new FailureRun();
+const LONG_ANSWER_BYTES = 60_000_000;
+const UPLOADS = 50;
+const UPLOAD = { pieces: 20, pieceBytes: 1_000_000, pauseMs: 10 };
+const HELD_MEMORY_BYTES = 300_000_000;
+const PAUSE_MS = 2_000;
+const SAMPLE_MS = 100;
+
+beforeAll(() => run.start());
+afterAll(() => run.stop());
+
+test("a slow reader of a long answer gets all of it, is not buffered for, and doesn't hold up others", async () => {
+    const { callers, name } = run.listLiveHosts()[0]!;
+    const before = await getMemory(name);
+    const load = run.startLoad();
+    const path = `/gustboard/key-0/read?bytes=${LONG_ANSWER_BYTES}`;
+    const request = get(`http://${callers}${path}`);
+    const [answer] = await once(request, "response") as [IncomingMessage];
+    answer.pause();
+    await run.clock.sleep(PAUSE_MS);
+    const held = await getMemory(name) - before;
+    let bytes = 0;
+    for await (const chunk of answer) {
+        bytes += (chunk as Buffer).length;
+    }
+    expect([answer.headers["arbutusdoor-outcome"], bytes]).toEqual(["answered", LONG_ANSWER_BYTES]);
+    expect(held).toBeLessThan(LONG_ANSWER_BYTES);
+    expect(listCut(await load.stop())).toEqual([]);
+    expect((await run.judge()).findings).toEqual([]);
+});
+
+test("fifty uploads of 20 MB at once through one entry host keep its memory bounded and reads answered", async () => {
+    const { callers, name } = run.listLiveHosts()[0]!;
+    const before = await getMemory(name);
+    const load = run.startLoad({ uploads: [], filings: [] });
+    const uploads = Promise.all(
+        Array.from({ length: UPLOADS }, (_, index) => uploadSlowly(callers, `/loghold/big-${index}`, UPLOAD)),
+    );
+    let isOver = false;
+    void uploads.finally(() => {
+        isOver = true;
+    });
+    let highest = before;
+    while (!isOver) {
+        highest = Math.max(highest, await getMemory(name));
+        await run.clock.sleep(SAMPLE_MS);
+    }
+    expect(await uploads).toEqual(Array(UPLOADS).fill("answered"));
+    expect(highest - before).toBeLessThan(HELD_MEMORY_BYTES);
+    const entries = await load.stop();
+    expect(entries.length).toBeGreaterThan(0);
+    expect(entries.filter(entry => entry.outcome !== "answered")).toEqual([]);
+    expect((await run.judge()).findings).toEqual([]);
+});
+
+function getMemory(host: string): Promise<number> {
+    return run.getMetric(host, "arbutusdoor_resident_memory_bytes");
+}
--- /dev/null
+++ b/packages/daemon/tests/process/twoFailures.test.ts
@@ -0,0 +1,54 @@
+import { afterAll, beforeAll, expect, test } from "vitest";
+import { FailureRun } from "../../../../scripts/failureRun.js";
+
+const run = new FailureRun();
+const OUTAGE_MS = 2_000;
+
+beforeAll(() => run.start());
+afterAll(() => run.stop());
+
+test("a backend server that is killed while the table is out: its keys are refused truly until the table is back", async () => {
+    const load = run.startLoad();
+    const { server = "" } = (await run.explain("gustboard", "key-0"))!;
+    const table = run.system.platform.get("tableService")!;
+    await run.system.setFaults(table.control, { down: "refused" });
+    await run.clock.sleep(OUTAGE_MS / 2);
+    await run.killServer(server);
+    await run.clock.sleep(OUTAGE_MS);
+    await run.system.setFaults(table.control, {});
+    await run.waitUntilServed();
+    await run.system.restartServer(server);
+    await run.waitUntilServed();
+    await load.stop();
+    expect((await run.judge()).findings).toEqual([]);
+});
+
+test("a grantor that is paused while its backend server is killed and started again", async () => {
+    const load = run.startLoad();
+    const { server = "", grantors } = (await run.explain("gustboard", "key-0"))!;
+    const { program } = run.system.daemons.get(grantors[0]!)!;
+    program.signal("SIGSTOP");
+    await run.clock.sleep(OUTAGE_MS / 2);
+    await run.killServer(server);
+    await run.system.restartServer(server);
+    await run.clock.sleep(OUTAGE_MS);
+    program.signal("SIGCONT");
+    await run.waitUntilServed();
+    await load.stop();
+    expect((await run.judge()).findings).toEqual([]);
+});
+
+test("an entry host and the backend server that it grants, killed together: true refusals until the operator attests", async () => {
+    const load = run.startLoad();
+    const { deciders } = await run.getStatus();
+    const host = deciders[0]!.host!;
+    const { server = "", incarnation = "" } = (await run.explain("agenda", "key-0"))!;
+    await Promise.all([run.system.daemons.get(host)!.program.kill(), run.killServer(server)]);
+    await run.restartHost(host);
+    await run.clock.sleep(OUTAGE_MS);
+    const words = ["attest-lost", "--server", server, "--incarnation", incarnation];
+    expect((await run.runTool(words)).exitCode).toBe(0);
+    await run.waitUntilServed();
+    await load.stop();
+    expect((await run.judge()).findings).toEqual([]);
+});
