Count waiting requests of a server without walking its connections

Each request read all six sums of the pool's statistics, which walk over its connections, and copied headers through a set of names. The waiting line now counts requests without the head of their answer, and has a test.

--- a/packages/platform/src/backend/backendTrafficSettings.ts
+++ b/packages/platform/src/backend/backendTrafficSettings.ts
@@ -15,7 +15,7 @@
     connectTimeoutMs: z.int().min(1).max(60_000).default(DEFAULT_CONNECT_TIMEOUT_MS),
     /** Time in ms that an unused connection is kept; must be shorter than the servers keep theirs. */
     idleTimeoutMs: z.int().min(1).max(600_000).default(DEFAULT_IDLE_TIMEOUT_MS),
-    /** Requests to one server that wait for a connection; those beyond it are not run. */
+    /** Requests to one server that wait for a connection or for the head of their answer; those beyond it are not run. */
     waitingLimit: z.int().min(1).max(1_000_000).default(DEFAULT_WAITING_LIMIT),
     /** Servers that connections are kept for at a time, if more are not in use. */
     addressLimit: z.int().min(1).max(1_000_000).default(DEFAULT_ADDRESS_LIMIT),
--- a/packages/platform/src/backend/httpBackendTraffic.ts
+++ b/packages/platform/src/backend/httpBackendTraffic.ts
@@ -10,6 +10,13 @@
 
 const REFUSED_STATUS = 503;
 const REFUSAL_HEADER = "arbutusdoor-not-run";
+const OWN_FIELDS = new Set([
+    "arbutusdoor-request-id",
+    "arbutusdoor-slice",
+    "arbutusdoor-generation",
+    "arbutusdoor-deadline-ms",
+    "arbutusdoor-host",
+]);
 const REFUSAL_DRAIN_MS = 1_000;
 
 /**
@@ -27,6 +34,8 @@
     private readonly clock: Clock;
     private readonly settings: BackendTrafficSettings;
     private readonly pools: HttpPools;
+    /** Requests to each address that have no head of an answer yet. */
+    private readonly waiting = new Map<string, number>();
 
     constructor(parts: { readonly clock: Clock; readonly settings: BackendTrafficSettings; }) {
         super();
@@ -36,22 +45,14 @@
     }
 
     override async send(request: BackendRequest): Promise<BackendAnswer> {
-        const pool = this.pools.get(request.address);
-        if (pool.stats.pending >= this.settings.waitingLimit) {
-            return {
-                kind: "notRun",
-                cause: "unreachable",
-                detail: "too many requests wait for a connection",
-            };
+        const { address } = request;
+        const waiting = this.waiting.get(address) ?? 0;
+        if (waiting >= this.settings.waitingLimit) {
+            return { kind: "notRun", cause: "unreachable", detail: "too many requests wait for this server" };
         }
-        const outcome = await HttpExchange.send(pool, {
-            method: request.method,
-            path: request.path,
-            headers: this.getRequestHeaders(request),
-            body: request.body,
-            headTimeout: request.deadline,
-            signal: request.signal,
-        }, this.clock);
+        this.waiting.set(address, waiting + 1);
+        const outcome = await this.exchange(request);
+        this.countDown(address);
         return this.getAnswer(outcome);
     }
 
@@ -68,13 +69,32 @@
         await this.pools.close();
     }
 
+    private exchange(request: BackendRequest): Promise<HttpOutcome> {
+        const { method, path, body, deadline, signal } = request;
+        const headers = this.getRequestHeaders(request);
+        const pool = this.pools.get(request.address);
+        return HttpExchange.send(
+            pool,
+            { method, path, headers, body, headTimeout: deadline, signal },
+            this.clock,
+        );
+    }
+
+    private countDown(address: string): void {
+        const waiting = this.waiting.get(address) ?? 0;
+        if (waiting > 1) {
+            this.waiting.set(address, waiting - 1);
+        }
+        else {
+            this.waiting.delete(address);
+        }
+    }
+
     private getRequestHeaders(request: BackendRequest): Record<string, string> {
-        const headers = getHeaders(request.headers);
+        const headers = getHeaders(request.headers, OWN_FIELDS);
         headers["arbutusdoor-request-id"] = request.id;
         headers["arbutusdoor-deadline-ms"] = toWholeMilliseconds(request.deadline);
         headers["arbutusdoor-host"] = this.settings.host;
-        delete headers["arbutusdoor-slice"];
-        delete headers["arbutusdoor-generation"];
         if (request.slice) {
             headers["arbutusdoor-slice"] = `${request.slice.service}/${request.slice.slice}`;
             headers["arbutusdoor-generation"] = String(request.slice.generation);
--- a/packages/platform/src/http/getHeaders.ts
+++ b/packages/platform/src/http/getHeaders.ts
@@ -12,27 +12,34 @@
     "upgrade",
 ]);
 
+/** Values of `connection` that name no other field. */
+const PLAIN = new Set(["keep-alive", "Keep-Alive", "close"]);
+const NONE: ReadonlySet<string> = new Set();
+
 /** Header fields as a parser gives them. */
 type RawHeaders = Readonly<Record<string, string | string[] | undefined>>;
 
 /**
- * Header fields by lower-case name without those that concern one connection only, including those that
- * the `connection` field names. Repeated fields are joined by commas.
+ * Header fields by lower-case name without those that concern one connection only, including those that the `connection`
+ * field names, and without the `dropped` ones. Repeated fields are joined by commas.
  */
-export function getHeaders(raw: RawHeaders): Record<string, string> {
+export function getHeaders(raw: RawHeaders, dropped: ReadonlySet<string> = NONE): Record<string, string> {
     const named = getNames(raw.connection);
     const headers: Record<string, string> = {};
-    for (const [name, value] of Object.entries(raw)) {
+    for (const name in raw) {
+        const value = raw[name];
         const lowerCase = name.toLowerCase();
-        if (value === undefined || HOP_BY_HOP.has(lowerCase) || named.has(lowerCase)) {
-            continue;
+        const isDropped = HOP_BY_HOP.has(lowerCase) || named.has(lowerCase) || dropped.has(lowerCase);
+        if (value !== undefined && !isDropped) {
+            headers[lowerCase] = typeof value === "string" ? value : value.join(", ");
         }
-        headers[lowerCase] = Array.isArray(value) ? value.join(", ") : value;
     }
     return headers;
 }
 
-function getNames(connection: string | string[] | undefined): Set<string> {
-    const text = String(connection ?? "");
-    return new Set(text.split(",").map(name => name.trim().toLowerCase()));
+function getNames(connection: string | string[] | undefined): ReadonlySet<string> {
+    if (connection === undefined || PLAIN.has(String(connection))) {
+        return NONE;
+    }
+    return new Set(String(connection).split(",").map(name => name.trim().toLowerCase()));
 }
--- a/packages/platform/src/http/httpPools.ts
+++ b/packages/platform/src/http/httpPools.ts
@@ -25,10 +25,7 @@
 
     /** The pool of an address (IP number and port). */
     get(address: string): Pool {
-        const pool = this.pools.get(address) ?? this.open(address);
-        this.pools.delete(address);
-        this.pools.set(address, pool);
-        return pool;
+        return this.pools.get(address) ?? this.open(address);
     }
 
     /** Sets the most connections to an address. Requests under way end on the connections they have. */
--- a/packages/platform/tests/httpBackendTraffic.test.ts
+++ b/packages/platform/tests/httpBackendTraffic.test.ts
@@ -11,9 +11,12 @@
 const WHOLE = `${HEAD}content-length: 2\r\n\r\nok`;
 const MEGABYTE = 1_048_576;
 
-function newTraffic(connections = 4): { traffic: HttpBackendTraffic; clock: ManualClock; } {
+function newTraffic(
+    connections = 4,
+    waitingLimit?: number,
+): { traffic: HttpBackendTraffic; clock: ManualClock; } {
     const clock = new ManualClock();
-    const settings = BackendTrafficSettings.parse({ host: "h1", connections });
+    const settings = BackendTrafficSettings.parse({ host: "h1", connections, waitingLimit });
     const traffic = new HttpBackendTraffic({ clock, settings });
     onTestFinished(() => void traffic.close());
     return { traffic, clock };
@@ -305,3 +308,18 @@
       }
     `);
 });
+
+test("requests beyond the limit of those that wait for a server are not run, and room comes back", async () => {
+    let isHolding = true;
+    const server = await ScriptedServer.start(socket => void (isHolding || socket.write(WHOLE)));
+    const { traffic } = newTraffic(1, 2);
+    const send = () => traffic.send(newBackendRequest(server.address));
+    const held = [send(), send()];
+    const beyond = await send();
+    await until(() => server.received.length === 1);
+    isHolding = false;
+    server.sockets[0]!.write(WHOLE);
+    const answers = await Promise.all(held.map(async sending => read(await sending)));
+    const after = await send();
+    expect([beyond.kind, answers.length, after.kind]).toEqual(["notRun", 2, "answered"]);
+});
