--- /dev/null
+++ b/packages/platform/tests/httpAnswers.test.ts
@@ -0,0 +1,90 @@
+import { Readable } from "node:stream";
+import { text } from "node:stream/consumers";
+import { expect, test } from "vitest";
+import { newBackendRequest } from "./support/newBackendRequest.js";
+import { newTraffic } from "./support/newTraffic.js";
+import { readAnswer } from "./support/readAnswer.js";
+import { ScriptedServer } from "./support/scriptedServer.js";
+import { until } from "./support/until.js";
+
+const HEAD = "HTTP/1.1 200 OK\r\n";
+const MEGABYTE = 1_048_576;
+
+test.each([
+    ["shorter than its content-length", `${HEAD}content-length: 9\r\n\r\nok`],
+    [
+        "shorter, on a connection that says it closes",
+        `${HEAD}connection: close\r\ncontent-length: 9\r\n\r\nok`,
+    ],
+    ["chunked without its end", `${HEAD}transfer-encoding: chunked\r\n\r\n2\r\nok\r\n`],
+    [
+        "chunked without its end, on a connection that says it closes",
+        `${HEAD}connection: close\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n`,
+    ],
+])("an answer body that is %s errors", async (...[, bytes]) => {
+    for (const end of ["end", "resetAndDestroy"] as const) {
+        const server = await ScriptedServer.start(socket => socket.write(bytes, () => socket[end]()));
+        const answer = await newTraffic().traffic.send(newBackendRequest(server.address));
+        // A reset may overtake the head of the answer.
+        const outcome = answer.kind === "answered" ? await readAnswer(answer) : answer;
+        const isWhole = answer.kind === "answered"
+            && !(outcome as { body: string; }).body.startsWith("broken");
+        expect({ end, isWhole, kind: answer.kind === "notRun" }).toEqual({
+            end,
+            isWhole: false,
+            kind: false,
+        });
+    }
+});
+
+test("an answer that ends with its connection can't be told from a broken one, and is unknown", async () => {
+    const server = await ScriptedServer.start(socket => socket.end(`${HEAD}connection: close\r\n\r\nok`));
+    expect(await newTraffic().traffic.send(newBackendRequest(server.address))).toMatchInlineSnapshot(`
+      {
+        "cause": "connectionLost",
+        "detail": "the answer does not state where it ends",
+        "kind": "unknown",
+      }
+    `);
+});
+
+test("a connection reset while a slow reader holds it back breaks the body and nothing else", async () => {
+    const big = Buffer.alloc(4 * MEGABYTE);
+    const server = await ScriptedServer.start((socket, count) => {
+        if (count === 1) {
+            socket.write(`${HEAD}connection: close\r\ncontent-length: ${2 * big.length}\r\n\r\n`);
+            socket.write(big);
+        }
+    });
+    const { traffic } = newTraffic();
+    const body = new Readable({ read: () => undefined });
+    body.push("abc");
+    const answer = await traffic.send(newBackendRequest(server.address, { method: "POST", body }));
+    if (answer.kind !== "answered") {
+        throw new Error("no head");
+    }
+    await until(() => answer.body.readableLength >= answer.body.readableHighWaterMark);
+    server.sockets[0]!.resetAndDestroy();
+    await until(() => !body.destroyed && !body.push("more") || body.destroyed);
+    await until(() => traffic.countConnections().get(server.address) === 0);
+    expect(await readAnswer(answer)).toMatchObject({ body: expect.stringMatching(/^broken/) });
+});
+
+test("a reader that stops holds the server back", async () => {
+    const big = Buffer.alloc(64 * MEGABYTE);
+    const server = await ScriptedServer.start(socket => {
+        socket.write(`${HEAD}content-length: ${big.length}\r\n\r\n`);
+        socket.write(big);
+    });
+    const answer = await newTraffic().traffic.send(newBackendRequest(server.address));
+    if (answer.kind !== "answered") {
+        throw new Error("no head");
+    }
+    await until(() => answer.body.readableLength >= answer.body.readableHighWaterMark);
+    for (let turn = 0; turn < 200; turn++) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    expect(answer.body.readableLength).toBeLessThan(MEGABYTE);
+    expect(server.sockets[0]!.writableLength).toBeGreaterThan(32 * MEGABYTE);
+    expect((await text(answer.body)).length).toBe(big.length);
+});
--- a/packages/platform/tests/httpBackendTraffic.test.ts
+++ b/packages/platform/tests/httpBackendTraffic.test.ts
@@ -1,34 +1,14 @@
-import { ManualClock, type ServiceId, type SliceId } from "@arbutusdoor/common";
-import { type BackendAnswer, BackendTrafficSettings, HttpBackendTraffic } from "@arbutusdoor/platform";
+import type { ServiceId, SliceId } from "@arbutusdoor/common";
 import { Readable } from "node:stream";
-import { text } from "node:stream/consumers";
-import { expect, onTestFinished, test } from "vitest";
+import { expect, test } from "vitest";
 import { newBackendRequest } from "./support/newBackendRequest.js";
+import { newTraffic } from "./support/newTraffic.js";
+import { readAnswer } from "./support/readAnswer.js";
 import { ScriptedServer } from "./support/scriptedServer.js";
 import { until } from "./support/until.js";
 
 const HEAD = "HTTP/1.1 200 OK\r\n";
 const WHOLE = `${HEAD}content-length: 2\r\n\r\nok`;
-const MEGABYTE = 1_048_576;
-
-function newTraffic(
-    connections = 4,
-    waitingLimit?: number,
-): { traffic: HttpBackendTraffic; clock: ManualClock; } {
-    const clock = new ManualClock();
-    const settings = BackendTrafficSettings.parse({ host: "h1", connections, waitingLimit });
-    const traffic = new HttpBackendTraffic({ clock, settings });
-    onTestFinished(() => void traffic.close());
-    return { traffic, clock };
-}
-
-async function read(answer: BackendAnswer): Promise<unknown> {
-    if (answer.kind !== "answered") {
-        return answer;
-    }
-    const body = await text(answer.body).catch((error: Error) => `broken: ${error.message}`);
-    return { status: answer.status, headers: answer.headers, body };
-}
 
 test("a request carries its own fields and none that concern one connection or that the caller made up", async () => {
     const server = await ScriptedServer.start(socket =>
@@ -51,95 +31,16 @@
         deadline: 99.9,
     }));
     const sent = server.received[0]!.replace(/^host:.*\r\n/m, "").split("\r\n");
-    expect({ sent, answer: await read(answer) }).toMatchSnapshot();
+    expect({ sent, answer: await readAnswer(answer) }).toMatchSnapshot();
 });
 
 test("a keyless request carries no slice, whatever the caller sent", async () => {
     const server = await ScriptedServer.start(socket => socket.write(WHOLE));
     const headers = { "arbutusdoor-slice": "made-up", "arbutusdoor-generation": "9" };
-    await read(await newTraffic().traffic.send(newBackendRequest(server.address, { headers })));
+    await readAnswer(await newTraffic().traffic.send(newBackendRequest(server.address, { headers })));
     expect(server.received[0]).not.toMatch(/slice|generation/);
 });
 
-test.each([
-    ["shorter than its content-length", `${HEAD}content-length: 9\r\n\r\nok`],
-    [
-        "shorter, on a connection that says it closes",
-        `${HEAD}connection: close\r\ncontent-length: 9\r\n\r\nok`,
-    ],
-    ["chunked without its end", `${HEAD}transfer-encoding: chunked\r\n\r\n2\r\nok\r\n`],
-    [
-        "chunked without its end, on a connection that says it closes",
-        `${HEAD}connection: close\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n`,
-    ],
-])("an answer body that is %s errors", async (...[, bytes]) => {
-    for (const end of ["end", "resetAndDestroy"] as const) {
-        const server = await ScriptedServer.start(socket => socket.write(bytes, () => socket[end]()));
-        const answer = await newTraffic().traffic.send(newBackendRequest(server.address));
-        // A reset may overtake the head of the answer.
-        const outcome = answer.kind === "answered" ? await read(answer) : answer;
-        const isWhole = answer.kind === "answered"
-            && !(outcome as { body: string; }).body.startsWith("broken");
-        expect({ end, isWhole, kind: answer.kind === "notRun" }).toEqual({
-            end,
-            isWhole: false,
-            kind: false,
-        });
-    }
-});
-
-test("an answer that ends with its connection can't be told from a broken one, and is unknown", async () => {
-    const server = await ScriptedServer.start(socket => socket.end(`${HEAD}connection: close\r\n\r\nok`));
-    expect(await newTraffic().traffic.send(newBackendRequest(server.address))).toMatchInlineSnapshot(`
-      {
-        "cause": "connectionLost",
-        "detail": "the answer does not state where it ends",
-        "kind": "unknown",
-      }
-    `);
-});
-
-test("a connection reset while a slow reader holds it back breaks the body and nothing else", async () => {
-    const big = Buffer.alloc(4 * MEGABYTE);
-    const server = await ScriptedServer.start((socket, count) => {
-        if (count === 1) {
-            socket.write(`${HEAD}connection: close\r\ncontent-length: ${2 * big.length}\r\n\r\n`);
-            socket.write(big);
-        }
-    });
-    const { traffic } = newTraffic();
-    const body = new Readable({ read: () => undefined });
-    body.push("abc");
-    const answer = await traffic.send(newBackendRequest(server.address, { method: "POST", body }));
-    if (answer.kind !== "answered") {
-        throw new Error("no head");
-    }
-    await until(() => answer.body.readableLength >= answer.body.readableHighWaterMark);
-    server.sockets[0]!.resetAndDestroy();
-    await until(() => !body.destroyed && !body.push("more") || body.destroyed);
-    await until(() => traffic.countConnections().get(server.address) === 0);
-    expect(await read(answer)).toMatchObject({ body: expect.stringMatching(/^broken/) });
-});
-
-test("a reader that stops holds the server back", async () => {
-    const big = Buffer.alloc(64 * MEGABYTE);
-    const server = await ScriptedServer.start(socket => {
-        socket.write(`${HEAD}content-length: ${big.length}\r\n\r\n`);
-        socket.write(big);
-    });
-    const answer = await newTraffic().traffic.send(newBackendRequest(server.address));
-    if (answer.kind !== "answered") {
-        throw new Error("no head");
-    }
-    await until(() => answer.body.readableLength >= answer.body.readableHighWaterMark);
-    for (let turn = 0; turn < 200; turn++) {
-        await new Promise(resolve => setImmediate(resolve));
-    }
-    expect(answer.body.readableLength).toBeLessThan(MEGABYTE);
-    expect(server.sockets[0]!.writableLength).toBeGreaterThan(32 * MEGABYTE);
-    expect((await text(answer.body)).length).toBe(big.length);
-});
-
 test("nobody listens: not run, and the body is untouched for another try", async () => {
     const server = await ScriptedServer.start(socket => socket.write(WHOLE));
     const body = Readable.from(["abc"]);
@@ -147,7 +48,7 @@
     const dead = await traffic.send(newBackendRequest("127.0.0.1:1", { method: "POST", body }));
     const alive = await traffic.send(newBackendRequest(server.address, { method: "POST", body }));
     await until(() => server.received.join("").includes("abc"));
-    expect([dead, await read(alive)]).toMatchInlineSnapshot(`
+    expect([dead, await readAnswer(alive)]).toMatchInlineSnapshot(`
       [
         {
           "cause": "unreachable",
@@ -177,11 +78,11 @@
     clock.advance(100);
     const notRun = [await waiting, await left];
     server.sockets[0]!.write(WHOLE);
-    const answered = await read(await first);
+    const answered = await readAnswer(await first);
     const last = traffic.send(newBackendRequest(server.address, { path: "/last" }));
     await until(() => server.received.join("").includes("/last"));
     server.sockets.at(-1)!.write(WHOLE);
-    expect({ notRun, answered, last: await read(await last) }).toMatchInlineSnapshot(`
+    expect({ notRun, answered, last: await readAnswer(await last) }).toMatchInlineSnapshot(`
       {
         "answered": {
           "body": "ok",
@@ -259,7 +160,7 @@
     for (let count = 0; count < 5; count++) {
         const answer = await traffic.send(newBackendRequest(server.address));
         kinds.push(answer.kind === "notRun" ? answer.cause : answer.kind);
-        await read(answer);
+        await readAnswer(answer);
     }
     expect(kinds).toEqual(["shed", "stale", "leaving", "answered", "answered"]);
 });
@@ -319,7 +220,7 @@
     await until(() => server.received.length === 1);
     isHolding = false;
     server.sockets[0]!.write(WHOLE);
-    const answers = await Promise.all(held.map(async sending => read(await sending)));
+    const answers = await Promise.all(held.map(async sending => readAnswer(await sending)));
     const after = await send();
     expect([beyond.kind, answers.length, after.kind]).toEqual(["notRun", 2, "answered"]);
 });
--- /dev/null
+++ b/packages/platform/tests/support/newTraffic.ts
@@ -0,0 +1,15 @@
+import { ManualClock } from "@arbutusdoor/common";
+import { BackendTrafficSettings, HttpBackendTraffic } from "@arbutusdoor/platform";
+import { onTestFinished } from "vitest";
+
+/** Traffic on a clock that moves when told to; closed at the end of the test. */
+export function newTraffic(
+    connections = 4,
+    waitingLimit?: number,
+): { traffic: HttpBackendTraffic; clock: ManualClock; } {
+    const clock = new ManualClock();
+    const settings = BackendTrafficSettings.parse({ host: "h1", connections, waitingLimit });
+    const traffic = new HttpBackendTraffic({ clock, settings });
+    onTestFinished(() => void traffic.close());
+    return { traffic, clock };
+}
