--- a/packages/platform/tests/httpTableService.test.ts
+++ b/packages/platform/tests/httpTableService.test.ts
@@ -1,7 +1,7 @@
 import { type OperationId, type RowKey, SystemClock } from "@arbutusdoor/common";
 import { HttpTableService, type RowWrite, type TableTransaction } from "@arbutusdoor/platform";
 import { TableStandIn } from "@arbutusdoor/standins";
-import { expect, onTestFinished, test } from "vitest";
+import { expect, onTestFinished, test, vi } from "vitest";
 import { newParts } from "./support/newParts.js";
 import { ScriptedServer } from "./support/scriptedServer.js";
 import { until } from "./support/until.js";
@@ -138,3 +138,29 @@
     const service = newService(server.address, { answerLimitBytes: 1_024 });
     expect(await service.transact(newTransaction(write("a", 0, 1)))).toMatchObject({ kind: "unknown" });
 });
+
+test("no more calls begin in a second than the setting says, apart for reads and writes", async () => {
+    vi.useFakeTimers({ toFake: ["Date", "performance", "setInterval", "setTimeout"] });
+    onTestFinished(() => void vi.useRealTimers());
+    const server = await ScriptedServer.start(() => undefined);
+    const service = newService(server.address, { requestsPerSecond: 2 });
+    const calls = ["a", "b", "c"].map(key => service.read(keys(key)));
+    calls.push(service.scan(""));
+    const transaction = service.transact(newTransaction(write("a", 0, 1)));
+    await until(() => server.received.length === 3);
+    vi.advanceTimersByTime(999);
+    await turn(100);
+    const early = server.received.length;
+    vi.advanceTimersByTime(1);
+    await until(() => server.received.length === 5);
+    expect(early).toBe(3);
+    service.parts.clock.advance(1_000);
+    const kinds = (await Promise.all([...calls, transaction])).map(outcome => outcome.kind);
+    expect(kinds).toEqual([...calls.map(() => "unavailable"), "unknown"]);
+});
+
+async function turn(count: number): Promise<void> {
+    for (let turns = 0; turns < count; turns++) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+}
