--- a/packages/ownership/tests/walk.ts
+++ b/packages/ownership/tests/walk.ts
@@ -1,13 +1,16 @@
 import { RandomSource } from "@arbutusdoor/common";
+import { drain } from "./session/drain.js";
 import { startSession } from "./session/expectSession.js";
+import type { FakeServer } from "./session/fakeServer.js";
 import { observe, type Violation } from "./session/observe.js";
 import { getEvidence } from "./session/printSession.js";
 import type { Cast, Session } from "./session/session.js";
 
 const STEPS = 12;
 const LONGEST_STEP_MS = 1500;
-const LONGEST_HEAL_MS = 20_000;
+const LONGEST_HEAL_MS = 12_000;
 const LATE_COMMIT_MS = 2000;
+const MOST_ROWS_WRITTEN = 200;
 
 /** Verdict on one walk; the same seed gives the same. */
 export type WalkVerdict = {
@@ -17,6 +20,7 @@
     /** Whether every key was answered again after all faults were healed. */
     readonly isServedAgain: boolean;
     readonly answered: number;
+    /** Rows written but the decider's renewals: a storm of writes is a fault too. */
     readonly rowsWritten: number;
 };
 
@@ -30,6 +34,15 @@
     return random.pick([...session.servers.values()]);
 }
 
+function revive(server: FakeServer): void {
+    if (server.state === "dead") {
+        server.restart();
+    }
+    else {
+        server.thaw();
+    }
+}
+
 const FAULTS: readonly Fault[] = [
     (session, random) => {
         const host = pickHost(session, random);
@@ -66,9 +79,19 @@
     },
     (session, random) => {
         const server = pickServer(session, random);
-        server.state === "dead" ? server.restart() : server.thaw();
+        revive(server);
         return `thaw or restart ${server.name}`;
     },
+    (session, random) => {
+        const host = pickHost(session, random);
+        host.execute(host.run, () => host.take({ kind: "resign" }));
+        return `resign ${host.name}`;
+    },
+    (session, random) => {
+        const server = pickServer(session, random);
+        server.isLeaving = !server.isLeaving;
+        return `${server.name} leaves: ${server.isLeaving}`;
+    },
     (session, random) => {
         const server = pickServer(session, random);
         server.restart();
@@ -113,10 +136,7 @@
     },
     (session, random) => {
         const name = pickServer(session, random).name;
-        session.declare(declaration => ({
-            ...declaration,
-            servers: declaration.servers.map(server => ({ ...server, isDraining: server.name === name })),
-        }));
+        drain(session, name);
         return `drain ${name} alone`;
     },
     (session, random) => {
@@ -142,7 +162,11 @@
     cast: Cast,
     prepare: (session: Session) => void = () => undefined,
 ): WalkVerdict {
-    const session = startSession({ ...cast, seed });
+    const session = startSession({
+        ...cast,
+        seed,
+        settings: { tableReadIntervalMs: 2000, ...cast.settings },
+    });
     const random = new RandomSource(seed);
     const faults: string[] = [];
     prepare(session);
@@ -176,9 +200,13 @@
         losesAnswer: () => false,
         holdsBack: () => 0,
     });
+    session.hosts.forEach(host => host.state.isResigning ? host.kill() : undefined);
     session.hosts.forEach(host => host.condition === "dead" ? session.restartHost(host.name) : host.resume());
     session.hosts.forEach(host => host.flushOrders());
-    session.servers.forEach(server => server.state === "dead" ? server.restart() : server.thaw());
+    session.servers.forEach(server => {
+        server.isLeaving = false;
+        revive(server);
+    });
     session.run(LONGEST_HEAL_MS / 2);
     attestLost(session);
     const since = session.clock.now();
@@ -198,3 +226,8 @@
     session.servers.forEach(server => attestAll("server", server));
     session.hosts.forEach(host => attestAll("host", host));
 }
+
+/** Whether a walk ended badly: a broken promise, a key that is not served again, or a storm of writes. */
+export function isBroken({ violations, isServedAgain, rowsWritten }: WalkVerdict): boolean {
+    return violations.length > 0 || !isServedAgain || rowsWritten > MOST_ROWS_WRITTEN;
+}
