--- a/packages/policy/tests/balance/planMoves.test.ts
+++ b/packages/policy/tests/balance/planMoves.test.ts
@@ -15,7 +15,7 @@
         "0-0: server-0 to server-2 (balance)",
       ]
     `);
-    expect(describe(planMoves(newInput(loads, { objective: LIMA })))).toMatchInlineSnapshot(`[]`);
+    expect(describe(planMoves(newInput(loads, { objective: LIMA })))).toMatchInlineSnapshot("[]");
     expect(describe(planMoves(newInput([[0.5], [0.5], [0.45]], {})))).toEqual([]);
 });
 
