--- /dev/null
+++ b/packages/bench/src/capacity/fit/point.ts
@@ -0,0 +1,2 @@
+/** A measured figure `y` at a size `x`. */
+export type Point = { readonly x: number; readonly y: number; };
--- /dev/null
+++ b/packages/bench/src/capacity/studies/index.ts
@@ -0,0 +1,3 @@
+import "./ownershipStudies.js";
+import "./deciderStudies.js";
+import "./configurationStudies.js";
