--- a/packages/bench/src/capacity/cluster/drivenDecider.ts
+++ b/packages/bench/src/capacity/cluster/drivenDecider.ts
@@ -68,7 +68,7 @@
         const { server, barId, basisVersion } = effect.message;
         this.host.clock.schedule(
             CONFIRM_MS,
-            () => this.say(effect.to, { kind: "barConfirmed", server, barId, basisVersion }),
+            () => this.say(effect.to, { kind: "barConfirmed", server, barId, basisVersion, denied: [] }),
         );
     }
 
--- a/packages/bench/src/capacity/cluster/newClusterRows.ts
+++ b/packages/bench/src/capacity/cluster/newClusterRows.ts
@@ -6,6 +6,7 @@
 import { newPeerIdentity } from "./newPeerIdentity.js";
 
 const GRANTORS = 3;
+const PROMISES = 2;
 const POSITIONS = 2 ** 32;
 const CENTRE = "centre-0" as DataCentreId;
 
@@ -20,7 +21,7 @@
         incarnation: getIncarnation(index),
         epoch: 1,
         attestations: [],
-        list: { listVersion: 1, grantors: listGrantors(index, size) },
+        list: { listVersion: 1, promises: PROMISES, grantors: listGrantors(index, size) },
         operationId: "entry-0-k3v9x2m1-1",
     }));
     return [
--- a/packages/ownership/src/grantor/getFences.ts
+++ b/packages/ownership/src/grantor/getFences.ts
@@ -6,7 +6,7 @@
 
 /** Slices that a server is to give up by the rows, whether or not it acknowledged that to this host. */
 export function getFences(state: HostState, grant: Grant, row: ServerRow): readonly SliceGeneration[] {
-    const slices = Object.values(state.slices[row.service]?.byName ?? {});
+    const slices = state.slices[row.service]?.byHolder[grant.server] ?? [];
     const fences = new Map<string, SliceGeneration>();
     for (const former of slices.flatMap(slice => slice.former)) {
         const isHere = former.server === grant.server
--- a/packages/ownership/src/grantor/getTakes.ts
+++ b/packages/ownership/src/grantor/getTakes.ts
@@ -17,7 +17,7 @@
         && slice.owner.incarnation === row.incarnation
         && slice.former.length === 0
         && grant.taken[getSlicePath(row.service, slice.slice)] !== slice.generation;
-    return Object.values(index.byName)
+    return (index.byHolder[row.server] ?? [])
         .filter(isWanted)
         .slice(0, state.settings.slicesPerOrder)
         .map(({ slice, generation }) => ({ service: row.service, slice, generation }));
--- a/packages/ownership/src/grantor/reportStops.ts
+++ b/packages/ownership/src/grantor/reportStops.ts
@@ -18,7 +18,7 @@
         return { state, effects: [] };
     }
     const messages: [FormerHolder, OwnershipMessage, string][] = [];
-    for (const slice of Object.values(state.slices[row.service]?.byName ?? {})) {
+    for (const slice of state.slices[row.service]?.byHolder[server] ?? []) {
         for (const former of slice.former) {
             const path = getSlicePath(row.service, former.slice);
             const isHere = former.server === server && former.incarnation === grant.incarnation;
--- a/packages/ownership/src/messages/takeSliceStopped.ts
+++ b/packages/ownership/src/messages/takeSliceStopped.ts
@@ -13,7 +13,7 @@
     const path = getStopPath(message.service, message);
     const name = `${from.host}/${from.incarnation}`;
     const known = state.decider.stops[path] ?? [];
-    const slices = Object.values(state.slices[message.service]?.byName ?? {});
+    const slices = state.slices[message.service]?.byHolder[message.server] ?? [];
     const isAsked = slices.some(slice =>
         slice.former.some(former => getStopPath(message.service, former) === path)
     );
