--- a/packages/ownership/src/decider/getResponsibilities.ts
+++ b/packages/ownership/src/decider/getResponsibilities.ts
@@ -21,5 +21,5 @@
 
 function getLostDataCentres(state: HostState): readonly DataCentreId[] {
     return Object.values(state.decider.attested)
-        .flatMap(({ value }) => value.kind === "dataCentre" ? [value.dataCentre] : []);
+        .flatMap(({ value }) => value.kind === "dataCentre" ? [value.dataCentre as DataCentreId] : []);
 }
--- a/packages/ownership/src/state/deciderRole.ts
+++ b/packages/ownership/src/state/deciderRole.ts
@@ -1,5 +1,5 @@
 import type { HostId, Milliseconds, RowKey, ServerId, ServiceId } from "@arbutusdoor/common";
-import type { AttestedRow } from "../rows/attestedRow.js";
+import type { Attestation } from "@arbutusdoor/configuration";
 import type { DeciderRow } from "../rows/deciderRow.js";
 import type { Versioned } from "../rows/versioned.js";
 import type { HeardReport } from "./heardReport.js";
@@ -31,7 +31,7 @@
     /** Newest list version from which each run of a host has retired, by server. */
     readonly retired: Readonly<Record<ServerId, Readonly<Record<string, number>>>>;
     readonly probes: Readonly<Record<ServerId, Probe>>;
-    readonly attested: Readonly<Record<RowKey, Versioned<AttestedRow>>>;
+    readonly attested: Readonly<Record<RowKey, Versioned<Attestation>>>;
     readonly wanted: readonly WantedChange[];
     /** When servers of a service without assignment were first seen. */
     readonly seenSince: Readonly<Record<ServiceId, Milliseconds>>;
--- a/packages/ownership/src/table/adoptAttested.ts
+++ b/packages/ownership/src/table/adoptAttested.ts
@@ -1,11 +1,11 @@
+import { Attestation } from "@arbutusdoor/configuration";
 import type { Row } from "@arbutusdoor/platform";
 import type { Step } from "../kernel/step.js";
-import { AttestedRow } from "../rows/attestedRow.js";
 import type { HostState } from "../state/hostState.js";
 
 /** Takes an operator's attestation into the state. */
 export function adoptAttested(state: HostState, row: Row): Step {
-    const parsed = AttestedRow.safeParse(row.value);
+    const parsed = Attestation.safeParse(row.value);
     const known = state.decider.attested[row.key];
     if (!parsed.success || row.version <= (known?.version ?? 0)) {
         return { state, effects: [] };
--- a/packages/ownership/tests/centres.test.ts
+++ b/packages/ownership/tests/centres.test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from "vitest";
+import { attest } from "./session/attest.js";
 import { CASTS } from "./session/casts.js";
 import { drain } from "./session/drain.js";
 import { expectSession, startSession } from "./session/expectSession.js";
@@ -36,10 +37,12 @@
     lose(session, "all of south is lost", () => {
         session.nodesOf("south").forEach(name => (session.hosts.get(name) ?? session.server(name)).kill());
     });
-    lose(session, "an operator attests the loss of south", () => {
-        const value = { kind: "dataCentre", dataCentre: "south", operationId: "operator" };
-        session.table.put("attested/dataCentre/south" as never, value);
-    }, 8000);
+    lose(
+        session,
+        "an operator attests the loss of south",
+        () => attest(session, { kind: "dataCentre", dataCentre: "south" }),
+        8000,
+    );
 });
 
 expectSession("twoDeciders", "Two deciders at once", oneCentre, session => {
--- a/packages/ownership/tests/losses.test.ts
+++ b/packages/ownership/tests/losses.test.ts
@@ -1,3 +1,4 @@
+import { attest } from "./session/attest.js";
 import { CASTS } from "./session/casts.js";
 import { drain } from "./session/drain.js";
 import { expectSession } from "./session/expectSession.js";
@@ -80,10 +81,12 @@
                 session.host(grantor).kill();
                 session.server("b1").kill();
             });
-            lose(session, "an operator attests the loss of b1", () => {
-                const value = { kind: "server", server: "b1", incarnation: "b1#1", operationId: "operator" };
-                session.table.put("attested/server/b1/b1#1" as never, value);
-            }, 8000);
+            lose(
+                session,
+                "an operator attests the loss of b1",
+                () => attest(session, { kind: "server", server: "b1", incarnation: "b1#1" }),
+                8000,
+            );
         },
     );
 
--- a/packages/ownership/tests/walk.ts
+++ b/packages/ownership/tests/walk.ts
@@ -1,4 +1,5 @@
 import { RandomSource } from "@arbutusdoor/common";
+import { attest } from "./session/attest.js";
 import { drain } from "./session/drain.js";
 import { startSession } from "./session/expectSession.js";
 import type { FakeServer } from "./session/fakeServer.js";
@@ -216,15 +217,16 @@
 
 /** Attests all runs that have ended. */
 function attestLost(session: Session): void {
-    const attest = (kind: string, name: string, run: number) => {
-        const incarnation = `${name}#${run}`;
-        const value = { kind, [kind]: name, incarnation, operationId: "operator" };
-        session.table.put(`attested/${kind}/${name}/${incarnation}` as never, value);
-    };
-    const attestAll = (kind: string, { name, run }: { name: string; run: number; }) =>
-        [...Array(run - 1).keys()].forEach(index => attest(kind, name, index + 1));
-    session.servers.forEach(server => attestAll("server", server));
-    session.hosts.forEach(host => attestAll("host", host));
+    const getRuns = ({ name, run }: { name: string; run: number; }) =>
+        [...Array(run - 1).keys()].map(index => `${name}#${index + 1}`);
+    session.servers.forEach(server =>
+        getRuns(server).forEach(incarnation =>
+            attest(session, { kind: "server", server: server.name, incarnation })
+        )
+    );
+    session.hosts.forEach(host =>
+        getRuns(host).forEach(incarnation => attest(session, { kind: "host", host: host.name, incarnation }))
+    );
 }
 
 /** Whether a walk ended badly: a broken promise, a key that is not served again, or a storm of writes. */
