--- a/packages/ownership/src/grantor/takeReply.ts
+++ b/packages/ownership/src/grantor/takeReply.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds, ServerId } from "@arbutusdoor/common";
 import type { Order, OrderOutcome, OrderReply } from "@arbutusdoor/platform";
+import type { Effect } from "../kernel/effect.js";
 import type { Step } from "../kernel/step.js";
 import type { Grant } from "../state/grant.js";
 import type { HostState } from "../state/hostState.js";
@@ -33,7 +34,8 @@
     const answered = noteReply(state, ended, order, reply, sentAt, now);
     const adopted = setGrant(state, answered);
     const isStale = reply.epoch > grant.epoch || isListBehind(adopted, order.server, reply);
-    return reportStops(isStale ? wantScan(adopted, now) : adopted, order.server, now);
+    const step = reportStops(isStale ? wantScan(adopted, now) : adopted, order.server, now);
+    return { state: step.state, effects: [...getTakeEvents(grant, answered), ...step.effects] };
 }
 
 function noteReply(
@@ -89,3 +91,13 @@
 function setGrant(state: HostState, grant: Grant): HostState {
     return { ...state, grants: { ...state.grants, [grant.server]: grant } };
 }
+
+function getTakeEvents(before: Grant, after: Grant): readonly Effect[] {
+    const { server, epoch } = after;
+    const paths = Object.keys(after.taken).filter(path => after.taken[path] !== before.taken[path]);
+    return paths.map(slice => ({
+        kind: "log",
+        event: "sliceTaken",
+        fields: { server, epoch, slice, generation: after.taken[slice] },
+    }));
+}
--- a/packages/ownership/src/table/adoptAssignment.ts
+++ b/packages/ownership/src/table/adoptAssignment.ts
@@ -7,6 +7,7 @@
 import type { Grant } from "../state/grant.js";
 import type { HostState } from "../state/hostState.js";
 import type { SliceIndex } from "../state/sliceIndex.js";
+import { getMoveEvents } from "./getMoveEvents.js";
 
 /** Takes a committed assignment row into the state, unless a newer one is known. */
 export function adoptAssignment(state: HostState, row: Row, now: Milliseconds): Step {
@@ -19,7 +20,10 @@
     const { service } = parsed.data;
     const slices = { ...state.slices, [service]: newSliceIndex(assignments, service) };
     const grants = wakeGrants(state, parsed.data, now);
-    return { state: { ...state, assignments, slices, grants, isPlanDue: true }, effects: [] };
+    return {
+        state: { ...state, assignments, slices, grants, isPlanDue: true },
+        effects: state.decider.isHeld ? getMoveEvents(known?.value, parsed.data) : [],
+    };
 }
 
 function newSliceIndex(assignments: HostState["assignments"], service: ServiceId): SliceIndex {
--- a/packages/ownership/src/table/adoptServer.ts
+++ b/packages/ownership/src/table/adoptServer.ts
@@ -4,6 +4,7 @@
 import type { Step } from "../kernel/step.js";
 import { ServerRow } from "../rows/serverRow.js";
 import type { HostState } from "../state/hostState.js";
+import { getServerEvents } from "./getServerEvents.js";
 
 /** Takes a committed server row into the state, unless a newer one is known. Bars on older versions end with it. */
 export function adoptServer(state: HostState, row: Row, now: Milliseconds): Step {
@@ -16,7 +17,11 @@
     const standing = (state.bars[server] ?? []).filter(bar => bar.basisVersion >= row.version);
     const bars = { ...state.bars, [server]: standing };
     const adopted = { ...state, servers, bars, isPlanDue: true };
-    return { state: syncGrant(adopted, state.servers[server]?.value, parsed.data, now), effects: [] };
+    const before = state.servers[server]?.value;
+    return {
+        state: syncGrant(adopted, before, parsed.data, now),
+        effects: state.decider.isHeld ? getServerEvents(before, parsed.data) : [],
+    };
 }
 
 function getKnownVersion(state: HostState, row: Row): number {
--- a/packages/ownership/tests/session/session.ts
+++ b/packages/ownership/tests/session/session.ts
@@ -38,6 +38,8 @@
     readonly notes: { readonly time: number; readonly text: string; }[] = [];
     declaration: Declaration;
     version = 1;
+    /** Told of every effect of the kernels. */
+    watch: ((effect: Effect) => void) | undefined;
     private readonly links = new Map<string, { isUp: boolean; changedAt: number; runs: string; }>();
 
     constructor(readonly cast: Cast) {
@@ -149,6 +151,7 @@
 
     private perform(host: EntryHost, effect: Effect): void {
         const { run } = host;
+        this.watch?.(effect);
         switch (effect.kind) {
             case "sendPeer": {
                 const from = host.getIdentity();
