An order's reply ends the wait for it however late the driver sent it

Cause: the kernel compared the driver's time of sending with its own time of deciding for equality; a driver that sends a moment later kept each order under way for its whole timeout. A resigning host repeats that it does, and a second peerUp of the same run no longer forgets it.

--- a/packages/ownership/src/actions/peerUpAction.ts
+++ b/packages/ownership/src/actions/peerUpAction.ts
@@ -14,7 +14,9 @@
 
     perform(state: HostState, input: Extract<Input, { kind: "peerUp"; }>, now: Milliseconds): Step {
         const { identity } = input;
-        const peer = { identity, isUp: true, changedAt: now, isResigning: false };
+        const known = state.peers[identity.host];
+        const isResigning = known?.identity.incarnation === identity.incarnation && known.isResigning;
+        const peer = { identity, isUp: true, changedAt: now, isResigning };
         const peers = { ...forgetPeers(state, now).peers, [identity.host]: peer };
         const effects: Effect[] = [{
             kind: "sendPeer",
--- a/packages/ownership/src/grantor/takeReply.ts
+++ b/packages/ownership/src/grantor/takeReply.ts
@@ -20,7 +20,7 @@
     if (!grant) {
         return { state, effects: [] };
     }
-    const isNewest = grant.orderSentAt === sentAt;
+    const isNewest = grant.orderSentAt !== undefined && sentAt >= grant.orderSentAt;
     const ended: Grant = isNewest ? { ...grant, orderSentAt: undefined } : grant;
     if (outcome.kind !== "reply") {
         const isRefused = outcome.kind === "refused";
--- a/packages/ownership/tests/session/session.ts
+++ b/packages/ownership/tests/session/session.ts
@@ -10,6 +10,8 @@
 
 const LINK_CHECK_MS = 50;
 const LINK_LOSS_MS = 500;
+/** A driver hands an order to the network a little after the kernel decided on it. */
+const SEND_DELAY_MS = 0.05;
 
 /** What a session starts with: for each data centre the entry hosts and the servers of the one service "board". */
 export type Cast = {
@@ -197,7 +199,7 @@
 
     private sendOrder(host: EntryHost, { order, timeout }: Extract<Effect, { kind: "sendOrder"; }>): void {
         const { run } = host;
-        const sentAt = host.now();
+        const sentAt = host.now() + SEND_DELAY_MS;
         const server = this.server(order.server);
         let isOver = false;
         const end = (outcome: OrderOutcome) => {
