--- a/packages/configuration/src/api/systemStatus.ts
+++ b/packages/configuration/src/api/systemStatus.ts
@@ -27,7 +27,7 @@
     grantors: z.array(z.string()).default([]),
 });
 
-const decider = z.looseObject({ service: z.string(), host: z.string().optional() });
+const decider = z.looseObject({ dataCentre: z.string(), host: z.string().optional() });
 
 /** Body of `GET /v1/status`: the system as one entry host sees it. */
 const SystemStatus = z.looseObject({
--- a/packages/daemon/tests/operator/fakeOperatorContext.ts
+++ b/packages/daemon/tests/operator/fakeOperatorContext.ts
@@ -85,7 +85,7 @@
                     grantors: [this.host],
                 },
             ],
-            deciders: [{ service: "board", host: this.host }, { service: "other" }],
+            deciders: [{ dataCentre: "north", host: this.host }, { dataCentre: "south" }],
         };
     }
 
--- a/packages/ownership/src/table/adoptAssignment.ts
+++ b/packages/ownership/src/table/adoptAssignment.ts
@@ -5,6 +5,7 @@
 import { AssignmentRow } from "../rows/assignmentRow.js";
 import type { Grant } from "../state/grant.js";
 import type { HostState } from "../state/hostState.js";
+import { getMoveEvents } from "./getMoveEvents.js";
 import { newSliceIndex } from "./newSliceIndex.js";
 
 /** Takes a committed assignment row into the state, unless a newer one is known. */
@@ -18,7 +19,10 @@
     const { service } = parsed.data;
     const slices = { ...state.slices, [service]: newSliceIndex(assignments, service) };
     const grants = wakeGrants(state, parsed.data, now);
-    return { state: { ...state, assignments, slices, grants, isPlanDue: true }, effects: [] };
+    return {
+        state: { ...state, assignments, slices, grants, isPlanDue: true },
+        effects: state.decider.isHeld ? getMoveEvents(known?.value, parsed.data) : [],
+    };
 }
 
 /** Servers that the row concerns get an order at once. */
--- a/packages/tool/src/commands/printStatus.ts
+++ b/packages/tool/src/commands/printStatus.ts
@@ -16,7 +16,7 @@
             `  ${host}  ${dataCentre}, ${isConnected ? "connected" : "not connected"}`
         ),
         "deciders",
-        ...deciders.map(({ service, host }) => `  ${service}  ${host ?? "none known"}`),
+        ...deciders.map(({ dataCentre, host }) => `  ${dataCentre}  ${host ?? "none known"}`),
         "servers",
         ...servers.map(server => `  ${printServer(server)}`),
     ];
