--- a/packages/daemon/src/serving/serverGate.ts
+++ b/packages/daemon/src/serving/serverGate.ts
@@ -13,30 +13,25 @@
     slots: number;
 };
 
+/** What the gate works with. */
+type ServerGateParts = {
+    readonly clock: Clock;
+    readonly metrics: Metrics;
+    readonly serving: ServingPort;
+    readonly sender: ServerSender;
+    readonly queueSettings: ServerQueueSettings;
+    readonly book: LoadBook;
+    /** Requests beyond a server's slots that may be on their way to it. */
+    readonly requestsOverSlots: number;
+};
+
 /** The one place of this host from which requests go to the servers that it is a grantor of: a queue for each. */
 export class ServerGate {
-    private readonly clock: Clock;
-    private readonly metrics: Metrics;
-    private readonly serving: ServingPort;
-    private readonly sender: ServerSender;
-    private readonly queueSettings: ServerQueueSettings;
-    private readonly book: LoadBook;
+    private readonly parts: ServerGateParts;
     private readonly gates = new Map<ServerId, Gate>();
 
-    constructor(
-        clock: Clock,
-        metrics: Metrics,
-        serving: ServingPort,
-        sender: ServerSender,
-        queueSettings: ServerQueueSettings,
-        book: LoadBook,
-    ) {
-        this.clock = clock;
-        this.metrics = metrics;
-        this.serving = serving;
-        this.sender = sender;
-        this.queueSettings = queueSettings;
-        this.book = book;
+    constructor(parts: ServerGateParts) {
+        this.parts = parts;
     }
 
     /**
@@ -50,7 +45,7 @@
         }
         const head = new Deferred<Answer>();
         const { requestClass } = request;
-        const submission = this.getQueue(request, slots).submit({
+        const submission = this.getQueue(request, slots + this.parts.requestsOverSlots).submit({
             id: request.id,
             classId: requestClass.name as ClassId,
             priority: requestClass.priority,
@@ -87,20 +82,20 @@
             head.resolve(refusal);
             return;
         }
-        const end = request.slice && this.serving.beginRequest(request.server, request.slice);
-        const beganAt = this.clock.now();
-        const { answer, ended } = await this.sender.send(request);
+        const end = request.slice && this.parts.serving.beginRequest(request.server, request.slice);
+        const beganAt = this.parts.clock.now();
+        const { answer, ended } = await this.parts.sender.send(request);
         head.resolve(answer);
         await ended;
         end?.();
         if (request.slice && request.key !== undefined) {
             const { service, slice } = request.slice;
-            this.book.record(service, slice, request.key, this.clock.now() - beganAt);
+            this.parts.book.record(service, slice, request.key, this.parts.clock.now() - beganAt);
         }
     }
 
     private getRefusal(request: ServingRequest): Answer | undefined {
-        const refusal = request.slice && this.serving.mayServe(request.server, request.slice);
+        const refusal = request.slice && this.parts.serving.mayServe(request.server, request.slice);
         return refusal && { kind: "refusal", refusal };
     }
 
@@ -115,7 +110,13 @@
 
     private newGate(request: ServingRequest, slots: number): Gate {
         const labels = { tenant: request.tenant, service: request.service };
-        const queue = new ServerQueue(this.clock, this.metrics, slots, this.queueSettings, labels);
+        const queue = new ServerQueue(
+            this.parts.clock,
+            this.parts.metrics,
+            slots,
+            this.parts.queueSettings,
+            labels,
+        );
         const gate = { queue, slots };
         this.gates.set(request.server, gate);
         return gate;
--- a/packages/daemon/src/serving/servingPlugin.ts
+++ b/packages/daemon/src/serving/servingPlugin.ts
@@ -45,7 +45,15 @@
             settings.ownerWaitMs,
         );
         this.kernel = kernel;
-        this.gate = new ServerGate(clock, metrics, ownership, sender, groups.queue, kernel.get(LOAD_BOOK));
+        this.gate = new ServerGate({
+            clock,
+            metrics,
+            serving: ownership,
+            sender,
+            queueSettings: groups.queue,
+            book: kernel.get(LOAD_BOOK),
+            requestsOverSlots: settings.requestsOverSlots,
+        });
         this.relay = new LocalRelay(clock, peers, this.gate, getDeclaration);
         const keyed = new KeyedRouter(clock, ownership, this.relay, wait, retryRules);
         this.pooled = new PooledRouter({
--- a/packages/daemon/src/settings/daemonSettings.ts
+++ b/packages/daemon/src/settings/daemonSettings.ts
@@ -48,6 +48,9 @@
     ),
     inFlightLimit: countSchema.default(10_000).describe("most requests of callers in flight"),
     heldRequestLimit: countSchema.default(2_000).describe("most requests that wait for an owner to be found"),
+    requestsOverSlots: z.coerce.number().int().min(0).max(1_000).default(1).describe(
+        "requests of a keyed server beyond its slots that may be on their way, so that no slot waits for the hop",
+    ),
     ownerWaitMs: millisecondsSchema.default(2_000).describe(
         "longest wait in ms of a request for its key to have an owner",
     ),
