--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -54,6 +54,7 @@
 export * from "./offeredConfiguration.js";
 export * from "./samples/newAqabaDeclaration.js";
 export * from "./samples/newLimaDeclaration.js";
+export * from "./samples/newLoopbackDeclaration.js";
 export * from "./store/configurationHead.js";
 export * from "./store/configurationHistory.js";
 export * from "./store/configurationKeys.js";
--- a/packages/tool/src/commands/initCommand.ts
+++ b/packages/tool/src/commands/initCommand.ts
@@ -1,5 +1,10 @@
 import { InputError } from "@arbutusdoor/common";
-import { newAqabaDeclaration, newLimaDeclaration, printDeclaration } from "@arbutusdoor/configuration";
+import {
+    newAqabaDeclaration,
+    newLimaDeclaration,
+    newLoopbackDeclaration,
+    printDeclaration,
+} from "@arbutusdoor/configuration";
 import { writeFile } from "node:fs/promises";
 import type { ExitName } from "../exitCodes.js";
 import { Command } from "./command.js";
@@ -7,7 +12,11 @@
 import { commands } from "./commands.js";
 
 const DEFAULT_FILE = "declaration.json";
-const SAMPLES = { aqaba: newAqabaDeclaration, lima: newLimaDeclaration } as const;
+const SAMPLES = {
+    aqaba: newAqabaDeclaration,
+    lima: newLimaDeclaration,
+    local: newLoopbackDeclaration,
+} as const;
 
 /** Writes a sample declaration to edit. */
 export class InitCommand extends Command {
@@ -15,7 +24,7 @@
     override readonly synopsis = "[file]";
     override readonly description = `Write a sample declaration to edit (${DEFAULT_FILE})`;
     override readonly options = [
-        { flag: "--sample <name>", description: "aqaba (default) or lima" },
+        { flag: "--sample <name>", description: "aqaba (default), lima or local" },
         { flag: "--force", description: "Write over an existing file" },
     ];
 
@@ -24,8 +33,8 @@
         [file = DEFAULT_FILE]: readonly (string | undefined)[],
     ): Promise<ExitName> {
         const sample = context.getText("sample") ?? "aqaba";
-        if (sample !== "aqaba" && sample !== "lima") {
-            throw new InputError(`there is no sample "${sample}": take aqaba or lima`);
+        if (!isSampleName(sample)) {
+            throw new InputError(`there is no sample "${sample}": take aqaba, lima or local`);
         }
         const text = printDeclaration(SAMPLES[sample]());
         try {
@@ -43,4 +52,8 @@
     return context.fail("refused", { kind: "refused", file, reason }, [`${file}: ${reason}`]);
 }
 
+function isSampleName(name: string): name is keyof typeof SAMPLES {
+    return Object.hasOwn(SAMPLES, name);
+}
+
 commands.register(new InitCommand());
