Let no body that breaks off late stop the process

Cause: undici listens to a request body's errors only while its request lasts. A body that a refused connection left untouched, and that a progress timeout ends later, then raised an uncaught exception: in a trial with real processes both entry hosts of a data centre stopped 10 s after a backend server of a pooled service was killed under filings. Ruled out: the stand-ins and the relay. The exchange now keeps a listener of its own.

--- a/packages/bench/src/capacity/cluster/drivenDecider.ts
+++ b/packages/bench/src/capacity/cluster/drivenDecider.ts
@@ -25,7 +25,10 @@
         this.isReporting = true;
         const servers = Object.keys(this.host.state.servers) as ServerId[];
         servers.forEach((server, index) =>
-            this.host.clock.schedule(this.reportIntervalMs * index / servers.length, () => this.report(server))
+            this.host.clock.schedule(
+                this.reportIntervalMs * index / servers.length,
+                () => this.report(server),
+            )
         );
     }
 
--- a/packages/bench/src/capacity/cluster/newClusterDeclaration.ts
+++ b/packages/bench/src/capacity/cluster/newClusterDeclaration.ts
@@ -12,7 +12,13 @@
         services: names.map(name => ({
             name,
             kind: "keyed",
-            classes: [{ name: "read", methods: ["GET"], isIdempotent: true, deadlineMs: 1_000, priority: 20 }],
+            classes: [{
+                name: "read",
+                methods: ["GET"],
+                isIdempotent: true,
+                deadlineMs: 1_000,
+                priority: 20,
+            }],
             slices: Math.ceil(slices / services),
         })),
         servers: [...Array(servers).keys()].map(index => ({
--- a/packages/bench/src/capacity/cluster/newClusterRows.ts
+++ b/packages/bench/src/capacity/cluster/newClusterRows.ts
@@ -71,4 +71,3 @@
 function getIncarnation(index: number): ServerIncarnation {
     return `server-${index}-k3v9x2m1` as ServerIncarnation;
 }
-
--- a/packages/bench/src/capacity/studies/configurationStudies.ts
+++ b/packages/bench/src/capacity/studies/configurationStudies.ts
@@ -1,4 +1,8 @@
-import { checkDeclaration, newConfigurationVersion, reconcileConfiguration } from "@arbutusdoor/configuration";
+import {
+    checkDeclaration,
+    newConfigurationVersion,
+    reconcileConfiguration,
+} from "@arbutusdoor/configuration";
 import { deflateRawSync } from "node:zlib";
 import { newClusterDeclaration } from "../cluster/newClusterDeclaration.js";
 import { measureHeap } from "../measure/measureHeap.js";
@@ -17,7 +21,9 @@
 
 function measureDeclaration(servers: number): Readonly<Record<string, number>> {
     const services = Math.max(1, Math.round(servers / SERVERS_PER_SERVICE));
-    const { value: declaration, bytes } = measureHeap(() => newClusterDeclaration(servers, servers * 8, services));
+    const { value: declaration, bytes } = measureHeap(() =>
+        newClusterDeclaration(servers, servers * 8, services)
+    );
     const version = newConfigurationVersion(2, declaration);
     const json = JSON.parse(version.body) as unknown;
     return {
--- a/packages/bench/src/capacity/studies/deciderStudies.ts
+++ b/packages/bench/src/capacity/studies/deciderStudies.ts
@@ -9,7 +9,8 @@
 
 STUDIES.register({
     name: "decider-by-servers",
-    question: "The decider of a data centre at rest: one host for three servers (at least 8), three reports of each every 400 ms.",
+    question:
+        "The decider of a data centre at rest: one host for three servers (at least 8), three reports of each every 400 ms.",
     axis: "servers",
     run: options => scaleSizes([12, 24, 48, 96], options).map(measureDecider),
 });
@@ -39,7 +40,8 @@
 
 STUDIES.register({
     name: "loss-of-servers",
-    question: "Table and messages of the decider while servers are lost together, of 64 with 8 slices each and 22 hosts.",
+    question:
+        "Table and messages of the decider while servers are lost together, of 64 with 8 slices each and 22 hosts.",
     axis: "lost",
     run: options =>
         scaleSizes([1, 2, 4, 8], options).map(lost => {
--- a/packages/platform/src/http/httpExchange.ts
+++ b/packages/platform/src/http/httpExchange.ts
@@ -1,4 +1,5 @@
 import type { Clock, Timer } from "@arbutusdoor/common";
+import { Readable } from "node:stream";
 import type { Dispatcher } from "undici";
 import { AnswerBody } from "./answerBody.js";
 import { getHeaders } from "./getHeaders.js";
@@ -77,6 +78,9 @@
 
     private begin(pool: Dispatcher): void {
         const { method, path, headers, body, headTimeout, signal } = this.request;
+        if (body instanceof Readable) {
+            body.on("error", ignore);
+        }
         if (signal?.aborted) {
             this.cancel();
             return;
@@ -126,6 +130,9 @@
     }
 }
 
+/** The exchange hears of a broken body while it lasts; afterwards the break concerns nobody, and must not stop the process. */
+function ignore(): void {}
+
 function getCancelReason(signal: AbortSignal | undefined): string {
     const reason: unknown = signal?.reason;
     const isStated = reason instanceof Error && reason.name === "Error";
