A request that was not run ends its watch and leaves its body whole; cookies stay apart

Cause: (1) the progress watch around a request body stayed armed after a not-run reply; 10 s later it errored with nobody listening, which ended the process after a pooled server was killed under filings; it also destroyed a long body that another attempt could have sent. (2) Several Set-Cookie fields were joined by a comma, which spoils them. Change: a passage says how it lets go of its source; an unread body is kept; an answer's fields may be lists.

--- a/packages/daemon/src/entry/newLimitedBody.ts
+++ b/packages/daemon/src/entry/newLimitedBody.ts
@@ -9,7 +9,7 @@
 export function newLimitedBody(source: Readable, limitBytes: number): Readable {
     let received = 0;
     return newPassage(source, {
-        isOwner: false,
+        release: () => source.resume(),
         onChunk: chunk => {
             received += chunk.length;
             const isTooLong = received > limitBytes;
--- a/packages/daemon/src/entry/sendAnswer.ts
+++ b/packages/daemon/src/entry/sendAnswer.ts
@@ -1,7 +1,7 @@
 import type { RequestId } from "@arbutusdoor/common";
 import type { ServerResponse } from "node:http";
 import type { Answer } from "../serving/answer.js";
-import { getForwardedHeaders } from "./getForwardedHeaders.js";
+import { getAnswerHeaders } from "./getAnswerHeaders.js";
 import { OUTCOME_HEADERS } from "./outcomeHeaders.js";
 
 /** Writes a backend server's answer. A body that breaks off breaks the connection, so that the caller sees that it is not whole. */
@@ -11,7 +11,7 @@
     answer: Extract<Answer, { kind: "answered"; }>,
 ): void {
     response.writeHead(answer.status, {
-        ...getForwardedHeaders(answer.headers),
+        ...getAnswerHeaders(answer.headers),
         [OUTCOME_HEADERS.OUTCOME]: "answered",
         [OUTCOME_HEADERS.REQUEST_ID]: requestId,
     });
--- a/packages/daemon/src/intents/getRecordedHeaders.ts
+++ b/packages/daemon/src/intents/getRecordedHeaders.ts
@@ -1,3 +1,4 @@
+import type { HeaderFields } from "@arbutusdoor/common";
 const RECORDED_HEADERS: ReadonlySet<string> = new Set([
     "content-type",
     "content-encoding",
@@ -11,8 +12,12 @@
 ]);
 
 /** The headers of an answer that its record keeps: those that say what the body is and where its result lies. */
-export function getRecordedHeaders(headers: Readonly<Record<string, string>>): Record<string, string> {
-    return Object.fromEntries(
-        Object.entries(headers).filter(([name]) => RECORDED_HEADERS.has(name.toLowerCase())),
-    );
+export function getRecordedHeaders(headers: HeaderFields): Record<string, string> {
+    const recorded: Record<string, string> = {};
+    for (const [name, value] of Object.entries(headers)) {
+        if (typeof value === "string" && RECORDED_HEADERS.has(name.toLowerCase())) {
+            recorded[name] = value;
+        }
+    }
+    return recorded;
 }
--- a/packages/daemon/src/serving/answer.ts
+++ b/packages/daemon/src/serving/answer.ts
@@ -1,4 +1,4 @@
-import type { Refusal } from "@arbutusdoor/common";
+import type { HeaderFields, Refusal } from "@arbutusdoor/common";
 import type { Readable } from "node:stream";
 
 /** How a request ended: with a backend server's answer, whose body stream errors if it breaks off, or with a refusal. */
@@ -6,7 +6,7 @@
     | {
         readonly kind: "answered";
         readonly status: number;
-        readonly headers: Readonly<Record<string, string>>;
+        readonly headers: HeaderFields;
         readonly body: Readable;
     }
     | { readonly kind: "refusal"; readonly refusal: Refusal; };
--- a/packages/daemon/src/serving/newPassage.ts
+++ b/packages/daemon/src/serving/newPassage.ts
@@ -7,15 +7,15 @@
     readonly onChunk: (chunk: Buffer) => Error | undefined;
     /** Called once when the passage has ended for whatever reason. */
     readonly onClose?: () => void;
-    /** Whether the source is destroyed with the passage, or read to its end and dropped. */
-    readonly isOwner: boolean;
+    /** Lets go of the source when the passage has ended; `hasRead` is false when the passage asked for none of its bytes. */
+    readonly release: (source: Readable, hasRead: boolean) => void;
 };
 
 /**
  * Passes a stream on, reading it on demand. Errors when the source errors or closes before its end.
  * Lighter than a transform in a pipeline, which makes several objects and an abort error for each stream.
  */
-export function newPassage(source: Readable, { isOwner, onChunk, onClose }: PassageActions): Readable {
+export function newPassage(source: Readable, { onChunk, onClose, release }: PassageActions): Readable {
     let isAttached = false;
 
     const passage = new Readable({
@@ -41,12 +41,7 @@
     function detach(): void {
         source.off("data", take);
         source.off("end", end);
-        if (isOwner) {
-            source.destroy();
-        }
-        else {
-            source.resume();
-        }
+        release(source, isAttached);
     }
 
     function take(chunk: Buffer): void {
@@ -63,6 +58,8 @@
         passage.push(null);
     }
 
+    // An error that comes when nobody reads any more concerns nobody; without a listener it would end the process.
+    passage.on("error", () => undefined);
     source.pause();
     source.on("error", error => passage.destroy(error));
     source.on("close", () => {
--- a/packages/daemon/src/serving/newProgressStream.ts
+++ b/packages/daemon/src/serving/newProgressStream.ts
@@ -5,17 +5,19 @@
 /**
  * Passes a stream on and ends it with an error when no byte moves for `timeout`, whichever side stands still.
  * @param onStall called once, before the error, when that happens
+ * @param release lets go of the source at the end; destroys it unless given
  */
 export function newProgressStream(
     source: Readable,
     clock: Clock,
     timeout: Milliseconds,
     onStall: () => void,
+    release: (source: Readable, hasRead: boolean) => void = destroySource,
 ): Readable {
     let lastProgress = clock.now();
     let timer = clock.schedule(timeout, check);
     const passage = newPassage(source, {
-        isOwner: true,
+        release,
         onChunk: () => {
             lastProgress = clock.now();
             return undefined;
@@ -35,3 +37,7 @@
 
     return passage;
 }
+
+function destroySource(source: Readable): void {
+    source.destroy();
+}
--- a/packages/daemon/src/serving/serverSender.ts
+++ b/packages/daemon/src/serving/serverSender.ts
@@ -40,6 +40,7 @@
             this.metrics.count("arbutusdoor_stalled_bodies_total", { class: request.requestClass.name });
             abort();
         };
+        const sent = request.body && this.watch(request.body, request, onStall, destroyIfRead);
         const reply = await this.traffic.send({
             id: request.id,
             server: request.server,
@@ -47,22 +48,31 @@
             method: request.method,
             path: request.path,
             headers: request.headers,
-            body: request.body && this.watch(request.body, request, onStall),
+            body: sent,
             deadline: Math.max(0, request.deadlineAt - this.clock.now()),
             slice: request.slice,
             signal: stop.signal,
         });
         if (reply.kind !== "answered") {
+            sent?.destroy();
             request.signal.removeEventListener("abort", abort);
             return { answer: this.getRefusal(reply, request, isStalled), ended: Promise.resolve() };
         }
         const body = this.watch(reply.body, request, onStall);
-        const ended = whenEnded(body).then(() => request.signal.removeEventListener("abort", abort));
+        const ended = whenEnded(body).then(() => {
+            request.signal.removeEventListener("abort", abort);
+            sent?.destroy();
+        });
         return { answer: { ...reply, body }, ended };
     }
 
-    private watch(stream: Readable, request: ServingRequest, onStall: () => void): Readable {
-        return newProgressStream(stream, this.clock, request.requestClass.progressTimeoutMs, onStall);
+    private watch(
+        stream: Readable,
+        { requestClass }: ServingRequest,
+        onStall: () => void,
+        release?: (source: Readable, hasRead: boolean) => void,
+    ): Readable {
+        return newProgressStream(stream, this.clock, requestClass.progressTimeoutMs, onStall, release);
     }
 
     private getRefusal(
@@ -107,3 +117,10 @@
         }
     }
 }
+
+/** A body of which nothing was read stays as it is for another attempt. */
+function destroyIfRead(source: Readable, hasRead: boolean): void {
+    if (hasRead) {
+        source.destroy();
+    }
+}
--- a/packages/daemon/tests/pooledRouter.test.ts
+++ b/packages/daemon/tests/pooledRouter.test.ts
@@ -7,6 +7,7 @@
 import { PooledRouter } from "../src/routing/pooledRouter.js";
 import { PoolView } from "../src/routing/poolView.js";
 import { RetryRules } from "../src/routing/retryRules.js";
+import type { Answer } from "../src/serving/answer.js";
 import { ServerSender } from "../src/serving/serverSender.js";
 import { newCallerRequest } from "./helpers/newCallerRequest.js";
 import { newDeclaration } from "./helpers/newDeclaration.js";
@@ -26,10 +27,10 @@
     return { kind: "answered", status: 200, headers: {}, body: Readable.from(["ok"]) };
 }
 
-function newRouter(...answers: BackendAnswer[]) {
+function newScriptedRouter(script: ConstructorParameters<typeof ScriptedTraffic>[0]) {
     const clock = new ManualClock();
     const metrics = new Metrics();
-    const traffic = new ScriptedTraffic((_request, count) => answers[count - 1] ?? newAnswered());
+    const traffic = new ScriptedTraffic(script);
     const router = new PooledRouter({
         clock,
         metrics,
@@ -40,7 +41,11 @@
         pickerSettings: PoolPickerSettings.parse({}),
         queueSettings: ServerQueueSettings.parse({}),
     });
-    return { router, traffic };
+    return { clock, metrics, router, traffic };
+}
+
+function newRouter(...answers: BackendAnswer[]) {
+    return newScriptedRouter((_request, count) => answers[count - 1] ?? newAnswered());
 }
 
 async function getOutcome(
@@ -74,23 +79,33 @@
     expect(traffic.sent.length).toBe(2);
 });
 
+test("a long body that no server read waits unharmed for the next attempt", async () => {
+    const stream = Readable.from([Buffer.from("x"), Buffer.from("y")]);
+    const { router, traffic, clock, metrics } = newScriptedRouter(async (request, count) => {
+        if (count === 1) {
+            return SHED;
+        }
+        const chunks: Buffer[] = [];
+        for await (const chunk of request.body!) {
+            chunks.push(chunk as Buffer);
+        }
+        return { ...newAnswered(), headers: { received: Buffer.concat(chunks).toString() } };
+    });
+    const body = RequestBody.arriving(stream);
+    const answer = await router.route(newCallerRequest("permits", "once", { body, deadlineAt: 100_000 }));
+    expect(answer).toMatchObject({ kind: "answered", headers: { received: "xy" } });
+    expect(traffic.sent.length).toBe(2);
+    await (answer as Extract<Answer, { kind: "answered"; }>).body.resume().toArray();
+    clock.advance(60_000);
+    expect(metrics.getCount("arbutusdoor_stalled_bodies_total", { class: "once" })).toBe(0);
+});
+
 test("a body of which bytes were read is not sent a second time", async () => {
     const stream = Readable.from([Buffer.from("x"), Buffer.from("y")]);
-    const clock = new ManualClock();
-    const traffic = new ScriptedTraffic(async request => {
+    const { router, traffic } = newScriptedRouter(async request => {
         await request.body?.[Symbol.asyncIterator]().next();
         return SHED;
     });
-    const router = new PooledRouter({
-        clock,
-        metrics: new Metrics(),
-        random: new RandomSource(1),
-        sender: new ServerSender(clock, new Metrics(), traffic),
-        retryRules: new RetryRules(clock, RetryBudgetSettings.parse({})),
-        view: new OneHostView(),
-        pickerSettings: PoolPickerSettings.parse({}),
-        queueSettings: ServerQueueSettings.parse({}),
-    });
     expect(await getOutcome(router, "once", RequestBody.arriving(stream))).toBe("notRun serverRefused");
     expect(traffic.sent.length).toBe(1);
 });
--- a/packages/mesh/src/protocol/message.ts
+++ b/packages/mesh/src/protocol/message.ts
@@ -1,4 +1,4 @@
-import type { Refusal, RequestId } from "@arbutusdoor/common";
+import type { HeaderFields, Refusal, RequestId } from "@arbutusdoor/common";
 import type { RelayRequest } from "../relay/relayRequest.js";
 import type { Verdict } from "./verdict.js";
 
@@ -15,7 +15,7 @@
         readonly stream: number;
         readonly id: RequestId;
         readonly status: number;
-        readonly headers: Readonly<Record<string, string>>;
+        readonly headers: HeaderFields;
     }
     | {
         readonly kind: "refusal";
--- a/packages/mesh/src/protocol/readMessage.ts
+++ b/packages/mesh/src/protocol/readMessage.ts
@@ -6,9 +6,9 @@
     type RequestId,
 } from "@arbutusdoor/common";
 import { isCount } from "./checks/isCount.js";
+import { isHeaderFields } from "./checks/isHeaderFields.js";
 import { isPositiveInteger } from "./checks/isPositiveInteger.js";
 import { isText } from "./checks/isText.js";
-import { isTextRecord } from "./checks/isTextRecord.js";
 import type { Message } from "./message.js";
 import { MESSAGE_CODES } from "./messageCode.js";
 import { readRequest } from "./readRequest.js";
@@ -57,7 +57,7 @@
 
 function readAnswer([, stream, id, status, headers]: readonly unknown[]): Message | undefined {
     const isStatus = isPositiveInteger(status) && status >= MIN_STATUS && status <= MAX_STATUS;
-    if (!isPositiveInteger(stream) || !isText(id) || !isStatus || !isTextRecord(headers)) {
+    if (!isPositiveInteger(stream) || !isText(id) || !isStatus || !isHeaderFields(headers)) {
         return undefined;
     }
     return { kind: "answer", stream, id: id as RequestId, status, headers };
--- a/packages/mesh/src/relay/askedRelay.ts
+++ b/packages/mesh/src/relay/askedRelay.ts
@@ -1,4 +1,4 @@
-import type { Clock, Timer } from "@arbutusdoor/common";
+import type { Clock, HeaderFields, Timer } from "@arbutusdoor/common";
 import type { Readable } from "node:stream";
 import { stepRelay } from "../core/stepRelay.js";
 import type { PeerIdentity } from "../identity/peerIdentity.js";
@@ -89,7 +89,7 @@
     }
 
     /** Takes the head of the answer. */
-    takeAnswer(status: number, headers: Readonly<Record<string, string>>): void {
+    takeAnswer(status: number, headers: HeaderFields): void {
         this.head ??= { status, headers };
         this.apply({ kind: "answered" });
     }
--- a/packages/platform/src/backend/httpBackendTraffic.ts
+++ b/packages/platform/src/backend/httpBackendTraffic.ts
@@ -1,4 +1,4 @@
-import type { Clock, Milliseconds } from "@arbutusdoor/common";
+import type { Clock, HeaderFields, Milliseconds } from "@arbutusdoor/common";
 import { getHeaders } from "../http/getHeaders.js";
 import { HttpExchange } from "../http/httpExchange.js";
 import type { HttpOutcome } from "../http/httpOutcome.js";
@@ -90,7 +90,7 @@
         }
     }
 
-    private getRequestHeaders(request: BackendRequest): Record<string, string> {
+    private getRequestHeaders(request: BackendRequest): HeaderFields {
         const headers = getHeaders(request.headers, OWN_FIELDS);
         headers["arbutusdoor-request-id"] = request.id;
         headers["arbutusdoor-deadline-ms"] = toWholeMilliseconds(request.deadline);
--- a/packages/platform/src/http/getHeaders.ts
+++ b/packages/platform/src/http/getHeaders.ts
@@ -14,6 +14,8 @@
 
 /** Values of `connection` that name no other field. */
 const PLAIN = new Set(["keep-alive", "Keep-Alive", "close"]);
+/** Its values hold commas of their own. */
+const UNJOINED = "set-cookie";
 const NONE: ReadonlySet<string> = new Set();
 
 /** Header fields as a parser gives them. */
@@ -21,17 +23,22 @@
 
 /**
  * Header fields by lower-case name without those that concern one connection only, including those that the `connection`
- * field names, and without the `dropped` ones. Repeated fields are joined by commas.
+ * field names, and without the `dropped` ones. Repeated fields are joined by commas, but for cookies.
  */
-export function getHeaders(raw: RawHeaders, dropped: ReadonlySet<string> = NONE): Record<string, string> {
+export function getHeaders(
+    raw: RawHeaders,
+    dropped: ReadonlySet<string> = NONE,
+): Record<string, string | string[]> {
     const named = getNames(raw.connection);
-    const headers: Record<string, string> = {};
+    const headers: Record<string, string | string[]> = {};
     for (const name in raw) {
         const value = raw[name];
         const lowerCase = name.toLowerCase();
         const isDropped = HOP_BY_HOP.has(lowerCase) || named.has(lowerCase) || dropped.has(lowerCase);
         if (value !== undefined && !isDropped) {
-            headers[lowerCase] = typeof value === "string" ? value : value.join(", ");
+            headers[lowerCase] = typeof value === "string" || lowerCase === UNJOINED
+                ? value
+                : value.join(", ");
         }
     }
     return headers;
--- a/packages/platform/src/http/httpExchange.ts
+++ b/packages/platform/src/http/httpExchange.ts
@@ -91,7 +91,10 @@
             () => this.end("no answer within the time limit", false),
         );
         try {
-            pool.dispatch({ method, path, headers, body }, this);
+            pool.dispatch(
+                { method, path, headers: headers as Record<string, string | string[]>, body },
+                this,
+            );
         }
         catch (error) {
             this.fail(getReason(error), false, error);
--- a/packages/platform/src/http/httpOutcome.ts
+++ b/packages/platform/src/http/httpOutcome.ts
@@ -1,3 +1,4 @@
+import type { HeaderFields } from "@arbutusdoor/common";
 import type { Readable } from "node:stream";
 
 /**
@@ -9,7 +10,7 @@
     | {
         readonly kind: "head";
         readonly status: number;
-        readonly headers: Readonly<Record<string, string>>;
+        readonly headers: HeaderFields;
         readonly body: Readable;
     }
     | { readonly kind: "notSent"; readonly isCancelled: boolean; readonly reason: string; }
--- a/packages/platform/src/http/httpRequest.ts
+++ b/packages/platform/src/http/httpRequest.ts
@@ -1,11 +1,11 @@
-import type { Milliseconds } from "@arbutusdoor/common";
+import type { HeaderFields, Milliseconds } from "@arbutusdoor/common";
 import type { Readable } from "node:stream";
 
 /** A request as it is written to a connection. */
 export type HttpRequest = {
     readonly method: string;
     readonly path: string;
-    readonly headers: Readonly<Record<string, string>>;
+    readonly headers: HeaderFields;
     readonly body: Readable | Uint8Array | undefined;
     /** Longest wait for the head of the answer, counted from the call. */
     readonly headTimeout: Milliseconds;
--- a/packages/standins/tests/support/testDoor.ts
+++ b/packages/standins/tests/support/testDoor.ts
@@ -78,7 +78,7 @@
             signal: new AbortController().signal,
         });
         return answer.kind === "answered"
-            ? { headers: answer.headers, body: await text(answer.body) }
+            ? { headers: answer.headers as Record<string, string>, body: await text(answer.body) }
             : { headers: {}, body: "{}" };
     }
 }
