Measure a daemon's processor time and memory beside a bare pass-through

Cause: the cost of the request path was known only from a trial of bare libraries. Ruled out: the queue as the main cost (its submission and the run it starts are within 7 % of a profile). A relay between daemons was not exercised and is not measured.

--- a/scripts/childProgram.ts
+++ b/scripts/childProgram.ts
@@ -34,6 +34,11 @@
         });
     }
 
+    /** Process id. */
+    get pid(): number {
+        return this.child.pid!;
+    }
+
     /** Whether the process has ended. */
     get hasEnded(): boolean {
         return this.child.exitCode !== null || this.child.signalCode !== null;
