--- a/packages/daemon/src/configuration/configurationSpread.ts
+++ b/packages/daemon/src/configuration/configurationSpread.ts
@@ -1,9 +1,5 @@
 import type { Digest, HostId } from "@arbutusdoor/common";
-import {
-    type ConfigurationKeeper,
-    type ConfigurationVersion,
-    printDeclaration,
-} from "@arbutusdoor/configuration";
+import { type ConfigurationKeeper, type ConfigurationVersion } from "@arbutusdoor/configuration";
 import type { PeerIdentity } from "@arbutusdoor/mesh";
 import type { Peers } from "../peers/peers.js";
 import { ConfigurationMessage } from "./configurationMessage.js";
@@ -86,13 +82,8 @@
     private sendText(host: HostId): void {
         const current = this.keeper.current();
         if (current) {
-            const { version, digest, declaration } = current;
-            this.peers.send(host, TOPIC, {
-                kind: "text",
-                version,
-                digest,
-                body: printDeclaration(declaration),
-            });
+            const { version, digest, body } = current;
+            this.peers.send(host, TOPIC, { kind: "text", version, digest, body });
         }
     }
 
