Bench: paths through the own queue of a grantor, as the daemon sends

Cause: the daemon prefers its own queue when it is one of a server's three grantors, which the comparison lacked.

--- a/packages/bench/src/experiments/keyedPaths.ts
+++ b/packages/bench/src/experiments/keyedPaths.ts
@@ -17,6 +17,7 @@
         const paths = [
             { name: "one queue", mode: "relay", limit: profile.slots },
             { name: "one queue, 1 over", mode: "relay", limit: profile.slots + 1 },
+            { name: "own queue of 3 grantors", mode: "nearest", limit: profile.slots + 1 },
             { name: `direct, ${share} a host`, mode: "direct", limit: share },
             { name: "direct, 1 a host", mode: "direct", limit: 1 },
         ] as const;
--- a/packages/bench/src/experiments/runKeyed.ts
+++ b/packages/bench/src/experiments/runKeyed.ts
@@ -27,7 +27,7 @@
     /** Arrivals as a share of the capacity of all servers. */
     readonly use: number;
     readonly durationMs: number;
-    readonly mode: "relay" | "direct";
+    readonly mode: "relay" | "nearest" | "direct";
     readonly limit: number;
     readonly queueMode: QueueMode;
     readonly faults?: readonly Fault[];
--- a/packages/bench/src/systems/keyedSystem.ts
+++ b/packages/bench/src/systems/keyedSystem.ts
@@ -19,11 +19,16 @@
 
 const RELAY_HOP_MS = 1;
 const GRANTOR = "grantor" as HostId;
+const GRANTORS = 3;
+const HOSTS = 10;
 
 /** How requests of a keyed service reach their server in a run. */
 type KeyedSettings = {
-    /** Through one queue at the server's grantor, or straight from each entry host through a queue of its own. */
-    readonly mode: "relay" | "direct";
+    /**
+     * Through one queue at the server's grantor; through the entry host's own queue if it is one of three grantors; or
+     * straight from each entry host through a queue of its own.
+     */
+    readonly mode: "relay" | "nearest" | "direct";
     /** Requests that one queue lets to the server at a time. */
     readonly limit: number;
     readonly queueMode: QueueMode;
@@ -65,11 +70,13 @@
             return this.newOutcome(request, newRefusal("ownerMoving", ""));
         }
         const wait = new CallerWait(this.clock, request.deadlineAt);
-        const isRelayed = this.settings.mode === "relay";
+        const owner = this.slices.getOwner(slice);
+        const sender = this.getSender(host, owner);
+        const isRelayed = sender !== host;
         if (isRelayed) {
             await this.clock.sleep(RELAY_HOP_MS);
         }
-        const path = this.getPath(isRelayed ? GRANTOR : host, this.slices.getOwner(slice));
+        const path = this.getPath(sender, owner);
         const submission = await this.submit(request, slice, path, wait.signal);
         wait.end();
         if (isRelayed) {
@@ -81,6 +88,20 @@
         );
     }
 
+    /** The host whose queue the request waits in; the grantors of a server are neighbours in the list of hosts. */
+    private getSender(host: HostId, server: ServerId): HostId {
+        const { mode } = this.settings;
+        if (mode === "direct") {
+            return host;
+        }
+        const first = getNumber(server) % HOSTS;
+        const distance = (getNumber(host) - first + HOSTS) % HOSTS;
+        if (mode === "nearest") {
+            return distance < GRANTORS ? host : `host-${first}` as HostId;
+        }
+        return GRANTOR;
+    }
+
     private submit(
         request: SimulatedRequest,
         slice: SliceId,
@@ -136,3 +157,8 @@
             : new ServerQueue(this.clock, new Metrics(), limit, ServerQueueSettings.parse(queue));
     }
 }
+
+/** The number at the end of a simulated host's or server's name. */
+function getNumber(name: string): number {
+    return Number(name.split("-").at(-1));
+}
