--- a/packages/daemon/tests/process/twoFailures.test.ts
+++ b/packages/daemon/tests/process/twoFailures.test.ts
@@ -46,7 +46,7 @@
     await Promise.all([run.system.daemons.get(host)!.program.kill(), run.killServer(server)]);
     await run.restartHost(host);
     await run.clock.sleep(OUTAGE_MS);
-    const words = ["attest-lost", "--server", server, "--incarnation", incarnation];
+    const words = ["attest-lost", "--server", server, "--incarnation", incarnation, "--by", "test"];
     expect((await run.runTool(words)).exitCode).toBe(0);
     await run.waitUntilServed();
     await load.stop();
