--- a/packages/daemon/tests/process/hardCallers.test.ts
+++ b/packages/daemon/tests/process/callersAndOperators.test.ts
@@ -12,6 +12,7 @@
 const HELD_MEMORY_BYTES = 300_000_000;
 const PAUSE_MS = 2_000;
 const SAMPLE_MS = 100;
+const CONFLICT_EXIT_CODE = 3;
 
 beforeAll(() => run.start());
 afterAll(() => run.stop());
@@ -60,6 +61,20 @@
     expect((await run.judge()).findings).toEqual([]);
 });
 
+test("of two operators who submit on one base at once, one is refused with the differences", async () => {
+    const load = run.startLoad();
+    const outcomes = await Promise.all([run.submit(1, 5), run.submit(1, 6)]);
+    const [taken, refused] = outcomes.sort((left, right) => left.exitCode! - right.exitCode!);
+    expect([taken!.exitCode, refused!.exitCode]).toEqual([0, CONFLICT_EXIT_CODE]);
+    expect(taken!.lines.join("\n")).toContain("version 2");
+    expect(refused!.lines.join("\n")).toContain("slots");
+    expect((await run.runTool(["status", "--wait"])).exitCode).toBe(0);
+    expect((await run.getStatus()).configuration?.version).toBe(2);
+    await run.waitUntilServed();
+    await load.stop();
+    expect((await run.judge()).findings).toEqual([]);
+});
+
 function getMemory(host: string): Promise<number> {
     return run.getMetric(host, "arbutusdoor_resident_memory_bytes");
 }
--- a/packages/daemon/tests/process/plannedStops.test.ts
+++ b/packages/daemon/tests/process/plannedStops.test.ts
@@ -10,11 +10,7 @@
 const SLOW_UPLOADS = 4;
 
 beforeAll(() => run.start());
-afterAll(async () => {
-    await run.stop();
-    const codes = [...run.system.daemons.values()].map(host => host.program.exitCode);
-    expect(codes).toEqual([0, 0, 0]);
-});
+afterAll(() => run.stop());
 
 test("entry hosts are restarted one by one under load, with slow uploads in flight, and nothing is cut off", async () => {
     for (const name of [...run.system.daemons.keys()]) {
@@ -79,6 +75,13 @@
     expect((await run.judge()).findings).toEqual([]);
 });
 
+test("all entry hosts stop gracefully at once", async () => {
+    const codes = await Promise.all(
+        [...run.system.daemons.keys()].map(name => run.stopHost(name, async () => {})),
+    );
+    expect(codes).toEqual([0, 0, 0]);
+});
+
 function startUploads(entryHost: string, name: string): Promise<string[]> {
     const indices = Array.from({ length: SLOW_UPLOADS }, (_, index) => index);
     return Promise.all(
--- a/scripts/failureRun.ts
+++ b/scripts/failureRun.ts
@@ -75,11 +75,11 @@
         await this.waitUntilServed();
     }
 
-    /** Stops the entry hosts gracefully, ends the rest at once and removes what was written. */
+    /** Ends every process at once and removes what was written. Graceful stops are `stopHost` and `stopServer`. */
     async stop(): Promise<void> {
         const { daemons, servers, platform } = this.system;
-        await Promise.all([...daemons.values()].map(({ program }) => program.stop()));
-        await Promise.all([...servers.values(), ...platform.values()].map(({ program }) => program.kill()));
+        const all = [...daemons.values(), ...servers.values(), ...platform.values()];
+        await Promise.all(all.map(({ program }) => program.kill()));
         await this.agent.destroy();
         rmSync(this.folder, { recursive: true, force: true });
     }
