--- a/scripts/measureFailures.ts
+++ b/scripts/measureFailures.ts
@@ -34,15 +34,13 @@
     {
         name: "kill -9 of the first grantor",
         bringAbout: async run => {
-            const { grantors } = (await run.explain("gustboard", "key-0"))!;
-            await run.system.daemons.get(grantors[0]!)!.program.kill();
+            await run.system.daemons.get(await getGrantor(run))!.program.kill();
         },
     },
     {
         name: "SIGSTOP of the first grantor",
         bringAbout: async run => {
-            const { grantors } = (await run.explain("gustboard", "key-0"))!;
-            run.system.daemons.get(grantors[0]!)!.program.signal("SIGSTOP");
+            run.system.daemons.get(await getGrantor(run))!.program.signal("SIGSTOP");
         },
     },
     {
@@ -57,13 +55,14 @@
     {
         name: "SIGTERM of an entry host",
         bringAbout: async run => {
-            const { grantors } = (await run.explain("gustboard", "key-0"))!;
-            run.system.daemons.get(grantors[0]!)!.program.signal("SIGTERM");
+            run.system.daemons.get(await getGrantor(run))!.program.signal("SIGTERM");
         },
     },
     {
         name: "SIGTERM of a keyed backend server",
-        bringAbout: async run => run.system.servers.get(await getOwner(run))!.program.signal("SIGTERM"),
+        bringAbout: async run => {
+            await run.stopServer(await getOwner(run));
+        },
     },
     {
         name: "drain of a keyed backend server",
@@ -116,9 +115,9 @@
             const label = `${kind} ${outcome}${reason ? ` (${reason})` : ""}`;
             outcomes[label] = (outcomes[label] ?? 0) + 1;
         }
-        const { isClean } = await run.judge();
+        const { findings } = await run.judge();
         const longest = Math.round(Math.max(...gaps));
-        print({ failure: name, longestGapMs: longest, keysProbed: gaps.length, outcomes, isClean });
+        print({ failure: name, longestGapMs: longest, keysProbed: gaps.length, outcomes, findings });
     }
     finally {
         await run.stop();
@@ -131,7 +130,7 @@
         Array.from({ length: PROBE_KEYS }, async (_, index) => {
             const times: number[] = [];
             while (!stopping.signal.aborted) {
-                if (await isAnswered(`http://${callers}/gustboard/key-${index}/read`, stopping.signal)) {
+                if (await isAnswered(`http://${callers}/gustboard/key-${index}/read`)) {
                     times.push(run.clock.now());
                 }
                 await run.clock.sleep(PROBE_INTERVAL_MS);
@@ -141,9 +140,9 @@
     );
 }
 
-async function isAnswered(url: string, signal: AbortSignal): Promise<boolean> {
+async function isAnswered(url: string): Promise<boolean> {
     try {
-        const response = await fetch(url, { signal });
+        const response = await fetch(url, { signal: AbortSignal.timeout(SETTLE_MS) });
         await response.arrayBuffer();
         return response.headers.get("arbutusdoor-outcome") === "answered";
     }
@@ -161,6 +160,11 @@
     return (await run.explain("gustboard", "key-0"))!.server!;
 }
 
+/** Entry host that requests of the key go by; there is none for a moment while a lease is not fresh. */
+function getGrantor(run: FailureRun): Promise<string> {
+    return run.waitFor("a grantor", async () => (await run.explain("gustboard", "key-0"))?.grantors[0]);
+}
+
 function print(result: object): void {
     process.stdout.write(`${JSON.stringify(result)}\n`);
 }
