Ownership: requests, scans and starts no longer cost in proportion to all servers

Cause: a row of bars, mostly empty, was kept for every server and read on every decision; each adopted assignment row indexed all slices of its service anew; rows were parsed before their version was looked at.

--- a/packages/ownership/src/table/adoptAssignment.ts
+++ b/packages/ownership/src/table/adoptAssignment.ts
@@ -5,20 +5,20 @@
 import { AssignmentRow } from "../rows/assignmentRow.js";
 import type { Grant } from "../state/grant.js";
 import type { HostState } from "../state/hostState.js";
-import { newSliceIndex } from "./newSliceIndex.js";
 
-/** Takes a committed assignment row into the state, unless a newer one is known. */
+/** Takes a committed assignment row into the state, unless a newer one is known; its slices are yet to be indexed. */
 export function adoptAssignment(state: HostState, row: Row, now: Milliseconds): Step {
     const known = state.assignments[row.key];
+    if (row.version <= (known?.version ?? 0)) {
+        return { state, effects: [] };
+    }
     const parsed = AssignmentRow.safeParse(row.value);
-    if (!parsed.success || row.version <= (known?.version ?? 0)) {
+    if (!parsed.success) {
         return { state, effects: [] };
     }
     const assignments = { ...state.assignments, [row.key]: { version: row.version, value: parsed.data } };
-    const { service } = parsed.data;
-    const slices = { ...state.slices, [service]: newSliceIndex(assignments, service) };
     const grants = wakeGrants(state, parsed.data, now);
-    return { state: { ...state, assignments, slices, grants, isPlanDue: true }, effects: [] };
+    return { state: { ...state, assignments, grants, isPlanDue: true }, effects: [] };
 }
 
 /** Servers that the row concerns get an order at once. */
--- a/packages/ownership/src/table/adoptRows.ts
+++ b/packages/ownership/src/table/adoptRows.ts
@@ -8,10 +8,12 @@
 import { adoptAttested } from "./adoptAttested.js";
 import { adoptDecider } from "./adoptDecider.js";
 import { adoptServer } from "./adoptServer.js";
+import { indexSlices } from "./indexSlices.js";
 
 /** Takes committed rows into the state; of each row the highest version stays. */
 export function adoptRows(state: HostState, rows: readonly Row[], now: Milliseconds): Step {
-    return sequence(state, ...rows.map(row => (current: HostState) => adoptRow(current, row, now)));
+    const step = sequence(state, ...rows.map(row => (current: HostState) => adoptRow(current, row, now)));
+    return { ...step, state: indexSlices(state, step.state, rows) };
 }
 
 function adoptRow(state: HostState, row: Row, now: Milliseconds): Step {
--- a/packages/ownership/src/table/adoptServer.ts
+++ b/packages/ownership/src/table/adoptServer.ts
@@ -1,24 +1,37 @@
 import type { Milliseconds } from "@arbutusdoor/common";
 import type { Row } from "@arbutusdoor/platform";
 import { syncGrant } from "../grantor/syncGrant.js";
+import { omit } from "../kernel/omit.js";
 import type { Step } from "../kernel/step.js";
 import { ServerRow } from "../rows/serverRow.js";
 import type { HostState } from "../state/hostState.js";
 
 /** Takes a committed server row into the state, unless a newer one is known. Bars on older versions end with it. */
 export function adoptServer(state: HostState, row: Row, now: Milliseconds): Step {
+    if (row.version <= getKnownVersion(state, row)) {
+        return { state, effects: [] };
+    }
     const parsed = ServerRow.safeParse(row.value);
-    if (!parsed.success || row.version <= getKnownVersion(state, row)) {
+    if (!parsed.success) {
         return { state, effects: [] };
     }
     const { server } = parsed.data;
     const servers = { ...state.servers, [server]: { version: row.version, value: parsed.data } };
-    const standing = (state.bars[server] ?? []).filter(bar => bar.basisVersion >= row.version);
-    const bars = { ...state.bars, [server]: standing };
+    const bars = endBars(state.bars, server, row.version);
     const adopted = { ...state, servers, bars, isPlanDue: true };
     return { state: syncGrant(adopted, state.servers[server]?.value, parsed.data, now), effects: [] };
 }
 
+/** Without the bars on versions of the server's row before this one; a server without any has no entry. */
+function endBars(bars: HostState["bars"], server: ServerRow["server"], version: number): HostState["bars"] {
+    const known = bars[server];
+    if (!known) {
+        return bars;
+    }
+    const standing = known.filter(bar => bar.basisVersion >= version);
+    return standing.length === 0 ? omit(bars, server) : { ...bars, [server]: standing };
+}
+
 function getKnownVersion(state: HostState, row: Row): number {
     const server = (row.value as Partial<ServerRow> | undefined)?.server;
     return server === undefined ? 0 : state.servers[server]?.version ?? 0;
--- /dev/null
+++ b/packages/ownership/src/table/indexSlices.ts
@@ -0,0 +1,17 @@
+import type { Row } from "@arbutusdoor/platform";
+import type { HostState } from "../state/hostState.js";
+import { newSliceIndex } from "./newSliceIndex.js";
+
+/** Indexes anew the slices of the services of which one of the rows has been adopted, each once. */
+export function indexSlices(before: HostState, after: HostState, rows: readonly Row[]): HostState {
+    const adopted = rows.flatMap(({ key }) => {
+        const known = after.assignments[key];
+        return known && known !== before.assignments[key] ? [known.value.service] : [];
+    });
+    const services = [...new Set(adopted)];
+    if (services.length === 0) {
+        return after;
+    }
+    const indexes = services.map(service => [service, newSliceIndex(after.assignments, service)]);
+    return { ...after, slices: { ...after.slices, ...Object.fromEntries(indexes) } };
+}
--- a/packages/ownership/src/table/shareRows.ts
+++ b/packages/ownership/src/table/shareRows.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "@arbutusdoor/common";
+import type { Milliseconds, ServerId } from "@arbutusdoor/common";
 import type { Row } from "@arbutusdoor/platform";
 import { sequence } from "../kernel/sequence.js";
 import type { Step } from "../kernel/step.js";
@@ -18,8 +18,7 @@
 }
 
 function getKnownVersion(state: HostState, row: Row): number {
-    const server = Object.values(state.servers).find(({ value }) =>
-        ROW_KEYS.server(value.server) === row.key
-    );
+    const name = row.key.startsWith(ROW_KEYS.serverPrefix) ? row.key.slice(ROW_KEYS.serverPrefix.length) : "";
+    const server = state.servers[name as ServerId];
     return server?.version ?? state.assignments[row.key]?.version ?? 0;
 }
