--- a/packages/bench/src/capacity/studies/index.ts
+++ b/packages/bench/src/capacity/studies/index.ts
@@ -1,3 +1,5 @@
 import "./ownershipStudies.js";
 import "./deciderStudies.js";
 import "./configurationStudies.js";
+import "./balanceStudies.js";
+import "./meshStudies.js";
