--- a/packages/bench/src/capacity/studies/balanceStudies.ts
+++ b/packages/bench/src/capacity/studies/balanceStudies.ts
@@ -1,6 +1,12 @@
 import type { ServerId, SliceId } from "@arbutusdoor/common";
 import { RandomSource } from "@arbutusdoor/common";
-import { type MovePlanInput, MovePlanSettings, planMoves, SliceLoad, SliceLoadSettings } from "@arbutusdoor/policy";
+import {
+    type MovePlanInput,
+    MovePlanSettings,
+    planMoves,
+    SliceLoad,
+    SliceLoadSettings,
+} from "@arbutusdoor/policy";
 import { scaleSizes } from "../measure/scaleSizes.js";
 import { timeCall } from "../measure/timeCall.js";
 import { STUDIES } from "../studies.js";
@@ -11,9 +17,11 @@
 
 STUDIES.register({
     name: "balance-by-servers",
-    question: "A plan of moves of one service, and the load figures of a grantor, against servers (8 slices each).",
+    question:
+        "A plan of moves of one service, and the load figures of a grantor, against servers (8 slices each).",
     axis: "servers",
-    run: options => scaleSizes([250, 500, 1_000, 2_000], options).map(servers => measure(servers, options.seed)),
+    run: options =>
+        scaleSizes([250, 500, 1_000, 2_000], options).map(servers => measure(servers, options.seed)),
 });
 
 function measure(servers: number, seed: number): Readonly<Record<string, number>> {
--- a/packages/bench/src/capacity/studies/meshStudies.ts
+++ b/packages/bench/src/capacity/studies/meshStudies.ts
@@ -33,13 +33,19 @@
     override onPeerDown(): void {}
     override onControl(): void {}
     override async onRelay(): Promise<RelayAnswer> {
-        return { kind: "answered", status: 200, headers: { "content-type": "text/plain" }, body: Readable.from([ANSWER]) };
+        return {
+            kind: "answered",
+            status: 200,
+            headers: { "content-type": "text/plain" },
+            body: Readable.from([ANSWER]),
+        };
     }
 }
 
 STUDIES.register({
     name: "mesh-by-links",
-    question: "One entry host with links over loopback; both ends of each link are in this process, so that a link's figures hold both.",
+    question:
+        "One entry host with links over loopback; both ends of each link are in this process, so that a link's figures hold both.",
     axis: "links",
     run: async options => {
         const rows: Readonly<Record<string, number>>[] = [];
--- a/packages/ownership/src/table/adoptAssignment.ts
+++ b/packages/ownership/src/table/adoptAssignment.ts
@@ -5,6 +5,7 @@
 import { AssignmentRow } from "../rows/assignmentRow.js";
 import type { Grant } from "../state/grant.js";
 import type { HostState } from "../state/hostState.js";
+import { getMoveEvents } from "./getMoveEvents.js";
 
 /** Takes a committed assignment row into the state, unless a newer one is known; its slices are yet to be indexed. */
 export function adoptAssignment(state: HostState, row: Row, now: Milliseconds): Step {
@@ -18,7 +19,10 @@
     }
     const assignments = { ...state.assignments, [row.key]: { version: row.version, value: parsed.data } };
     const grants = wakeGrants(state, parsed.data, now);
-    return { state: { ...state, assignments, grants, isPlanDue: true }, effects: [] };
+    return {
+        state: { ...state, assignments, grants, isPlanDue: true },
+        effects: state.decider.isHeld ? getMoveEvents(known?.value, parsed.data) : [],
+    };
 }
 
 /** Servers that the row concerns get an order at once. */
--- a/packages/ownership/src/table/adoptServer.ts
+++ b/packages/ownership/src/table/adoptServer.ts
@@ -5,6 +5,7 @@
 import type { Step } from "../kernel/step.js";
 import { ServerRow } from "../rows/serverRow.js";
 import type { HostState } from "../state/hostState.js";
+import { getServerEvents } from "./getServerEvents.js";
 
 /** Takes a committed server row into the state, unless a newer one is known. Bars on older versions end with it. */
 export function adoptServer(state: HostState, row: Row, now: Milliseconds): Step {
@@ -19,7 +20,11 @@
     const servers = { ...state.servers, [server]: { version: row.version, value: parsed.data } };
     const bars = endBars(state.bars, server, row.version);
     const adopted = { ...state, servers, bars, isPlanDue: true };
-    return { state: syncGrant(adopted, state.servers[server]?.value, parsed.data, now), effects: [] };
+    const before = state.servers[server]?.value;
+    return {
+        state: syncGrant(adopted, before, parsed.data, now),
+        effects: state.decider.isHeld ? getServerEvents(before, parsed.data) : [],
+    };
 }
 
 /** Without the bars on versions of the server's row before this one; a server without any has no entry. */
