--- a/packages/ownership/src/decider/chooseGrantors.ts
+++ b/packages/ownership/src/decider/chooseGrantors.ts
@@ -11,14 +11,22 @@
     present: GrantorList["grantors"],
     now: Milliseconds,
 ): GrantorList["grantors"] {
-    const candidates = getCandidates(state)
-        .map(identity => ({ identity, weight: getKeyHash(`${server}/${identity.host}`) }))
-        .sort((left, right) => right.weight - left.weight)
-        .map(({ identity }) => ({ host: identity.host, incarnation: identity.incarnation }));
+    const { grantorsPerServer } = state.settings;
     const staying = present.filter(grantor => isStaying(state, grantor, now));
+    if (staying.length >= grantorsPerServer) {
+        return staying.slice(0, grantorsPerServer);
+    }
     const isNew = (grantor: GrantorList["grantors"][number]) =>
         !staying.some(other => other.host === grantor.host);
-    return [...staying, ...candidates.filter(isNew)].slice(0, state.settings.grantorsPerServer);
+    return [...staying, ...rankCandidates(state, server).filter(isNew)].slice(0, grantorsPerServer);
+}
+
+/** Runs of hosts that could be grantors of a server, by rendezvous hash. */
+function rankCandidates(state: HostState, server: ServerRow["server"]): GrantorList["grantors"] {
+    return getCandidates(state)
+        .map(identity => ({ identity, weight: getKeyHash(`${server}/${identity.host}`) }))
+        .sort((left, right) => right.weight - left.weight)
+        .map(({ identity }) => ({ host: identity.host, incarnation: identity.incarnation }));
 }
 
 /** Entry hosts of this data centre that are up and stay. */
--- a/packages/ownership/src/decider/planServer.ts
+++ b/packages/ownership/src/decider/planServer.ts
@@ -22,14 +22,13 @@
             ? endChange(row, row.change)
             : supersede(state, row, now);
     }
-    if (isIsolated(state, now)) {
-        return undefined;
-    }
+    const next = planDeclared(state, row) ?? planList(state, row, now);
+    return next && isIsolated(state, now) ? undefined : next;
+}
+
+/** The row with a change of its list to the grantors that the server should have. */
+function planList(state: HostState, row: ServerRow, now: Milliseconds): ServerRow | undefined {
     const grantors = chooseGrantors(state, row.server, row.list.grantors, now);
-    const declared = planDeclared(state, row);
-    if (declared) {
-        return declared;
-    }
     const isSame = grantors.length === row.list.grantors.length
         && grantors.every(grantor => hasGrantor(row.list, grantor));
     if (grantors.length === 0 || isSame) {
