--- a/packages/platform/tests/httpBackendTraffic.test.ts
+++ b/packages/platform/tests/httpBackendTraffic.test.ts
@@ -51,6 +51,16 @@
     expect([dead, await readAnswer(alive)]).toMatchSnapshot();
 });
 
+test("a body that breaks off after its request has ended concerns nobody", async () => {
+    const body = new Readable({ read: () => undefined });
+    const { traffic } = newTraffic();
+    const answer = await traffic.send(newBackendRequest("127.0.0.1:1", { method: "POST", body }));
+    body.destroy(new Error("stalled"));
+    await until(() => body.closed);
+    // Without a listener the error would be an uncaught exception, which fails the run.
+    expect([answer.kind, body.errored?.message]).toEqual(["notRun", "stalled"]);
+});
+
 test("a request that waits for a connection ends as not run at its deadline or when cancelled, and is never sent", async () => {
     const server = await ScriptedServer.start(() => undefined);
     const { traffic, clock } = newTraffic(1);
