Slices are indexed by server, and slices are planned anew only for news

Cause: every order, reply and report walked all slices of a service, and every report made the decider plan all of them. The golden files change only by the order of messages.

--- a/packages/ownership/src/decider/hasHoldings.ts
+++ b/packages/ownership/src/decider/hasHoldings.ts
@@ -1,10 +1,11 @@
+import { getSlicesOfServer } from "../lookups/getSlicesOfServer.js";
 import type { ServerRow } from "../rows/serverRow.js";
 import type { Slice } from "../rows/slice.js";
 import type { HostState } from "../state/hostState.js";
 
 /** Whether any slice is, or may still be, held by a server under its present epoch. */
 export function hasHoldings(state: HostState, row: ServerRow): boolean {
-    const slices = Object.values(state.slices[row.service]?.byName ?? {});
+    const slices = getSlicesOfServer(state, row.service, row.server);
     const isHolder = (holder: Slice["owner"]) => holder?.server === row.server && holder.epoch === row.epoch;
     return slices.some(slice => isHolder(slice.owner) || slice.former.some(isHolder));
 }
--- a/packages/ownership/src/decider/isLeaving.ts
+++ b/packages/ownership/src/decider/isLeaving.ts
@@ -4,6 +4,16 @@
 
 /** Whether a server is to be emptied: not declared any more, draining, or about to stop by its own word. */
 export function isLeaving(planning: Planning, server: ServerId): boolean {
+    const known = planning.leaving.get(server);
+    if (known !== undefined) {
+        return known;
+    }
+    const found = findOut(planning, server);
+    planning.leaving.set(server, found);
+    return found;
+}
+
+function findOut(planning: Planning, server: ServerId): boolean {
     const declared = planning.declaration.servers.find(other => other.name === server);
     const row = planning.servers[server];
     if (!declared || declared.isDraining || declared.service !== row?.service) {
--- a/packages/ownership/src/decider/newPlanning.ts
+++ b/packages/ownership/src/decider/newPlanning.ts
@@ -28,5 +28,13 @@
             }
         }
     }
-    return { state, declaration, homes: getResponsibilities(state), servers, counts, moves };
+    return {
+        state,
+        declaration,
+        homes: getResponsibilities(state),
+        servers,
+        counts,
+        leaving: new Map(),
+        moves,
+    };
 }
--- a/packages/ownership/src/decider/plan.ts
+++ b/packages/ownership/src/decider/plan.ts
@@ -31,14 +31,24 @@
     if (!decider.isHeld || !configuration || !hasRead || !isDue) {
         return { state, effects: [] };
     }
-    const nextPlanAt = now + state.settings.barRepeatMs;
-    const begun = { ...state, isPlanDue: false, decider: { ...decider, nextPlanAt } };
+    const { barRepeatMs, reportIntervalMs } = state.settings;
+    const nextPlanAt = now + barRepeatMs;
+    const areSlicesDue = isPlanDue || now >= decider.nextSlicePlanAt;
+    const nextSlicePlanAt = areSlicesDue ? now + reportIntervalMs : decider.nextSlicePlanAt;
+    const begun = { ...state, isPlanDue: false, decider: { ...decider, nextPlanAt, nextSlicePlanAt } };
     return sequence(
-        pruneDecider(begun),
+        begun,
         current => runRounds(current, now),
         current => planServers(current, now),
         current => probeServers(current, now),
         current => createServers(current, now),
+        current => areSlicesDue ? planSlices(current, now) : { state: current, effects: [] },
+    );
+}
+
+function planSlices(state: HostState, now: Milliseconds): Step {
+    return sequence(
+        pruneDecider(state),
         current => createShards(current, now),
         current => planShards(current, now),
     );
--- a/packages/ownership/src/decider/planning.ts
+++ b/packages/ownership/src/decider/planning.ts
@@ -12,6 +12,8 @@
     readonly servers: Readonly<Record<ServerId, ServerRow>>;
     /** Slices decided for each server, kept up to date while the planning assigns more. */
     readonly counts: Map<ServerId, number>;
+    /** Servers whose condition this planning has looked up. */
+    readonly leaving: Map<ServerId, boolean>;
     /** Planned moves that may still begin, by service. */
     readonly moves: Map<string, number>;
 };
--- a/packages/ownership/src/grantor/getFences.ts
+++ b/packages/ownership/src/grantor/getFences.ts
@@ -1,12 +1,13 @@
 import type { SliceGeneration } from "@arbutusdoor/platform";
 import { getSlicePath } from "../lookups/getSlicePath.js";
+import { getSlicesOfServer } from "../lookups/getSlicesOfServer.js";
 import type { ServerRow } from "../rows/serverRow.js";
 import type { Grant } from "../state/grant.js";
 import type { HostState } from "../state/hostState.js";
 
 /** Slices that a server is to give up by the rows, whether or not it acknowledged that to this host. */
 export function getFences(state: HostState, grant: Grant, row: ServerRow): readonly SliceGeneration[] {
-    const slices = Object.values(state.slices[row.service]?.byName ?? {});
+    const slices = getSlicesOfServer(state, row.service, row.server);
     const fences = new Map<string, SliceGeneration>();
     for (const former of slices.flatMap(slice => slice.former)) {
         const isHere = former.server === grant.server
--- a/packages/ownership/src/grantor/getTakes.ts
+++ b/packages/ownership/src/grantor/getTakes.ts
@@ -1,5 +1,6 @@
 import type { SliceGeneration } from "@arbutusdoor/platform";
 import { getSlicePath } from "../lookups/getSlicePath.js";
+import { getSlicesOfServer } from "../lookups/getSlicesOfServer.js";
 import type { ServerRow } from "../rows/serverRow.js";
 import type { Slice } from "../rows/slice.js";
 import type { Grant } from "../state/grant.js";
@@ -7,17 +8,13 @@
 
 /** Slices that a server is to hold by the rows and did not yet say that it holds. Only slices without former holders. */
 export function getTakes(state: HostState, grant: Grant, row: ServerRow): readonly SliceGeneration[] {
-    const index = state.slices[row.service];
-    if (!index) {
-        return [];
-    }
     const isWanted = (slice: Slice) =>
         slice.owner?.server === row.server
         && slice.owner.epoch === row.epoch
         && slice.owner.incarnation === row.incarnation
         && slice.former.length === 0
         && grant.taken[getSlicePath(row.service, slice.slice)] !== slice.generation;
-    return Object.values(index.byName)
+    return getSlicesOfServer(state, row.service, row.server)
         .filter(isWanted)
         .slice(0, state.settings.slicesPerOrder)
         .map(({ slice, generation }) => ({ service: row.service, slice, generation }));
--- a/packages/ownership/src/grantor/reportStops.ts
+++ b/packages/ownership/src/grantor/reportStops.ts
@@ -1,10 +1,10 @@
-import type { Milliseconds, ServerId } from "@arbutusdoor/common";
+import type { DataCentreId, Milliseconds, ServerId } from "@arbutusdoor/common";
 import { sendTo } from "../kernel/sendTo.js";
 import { sequence } from "../kernel/sequence.js";
 import type { Step } from "../kernel/step.js";
 import { getSlicePath } from "../lookups/getSlicePath.js";
+import { getSlicesOfServer } from "../lookups/getSlicesOfServer.js";
 import type { OwnershipMessage } from "../messages/ownershipMessage.js";
-import type { FormerHolder } from "../rows/formerHolder.js";
 import type { HostState } from "../state/hostState.js";
 
 /**
@@ -17,8 +17,8 @@
     if (!row || !grant) {
         return { state, effects: [] };
     }
-    const messages: [FormerHolder, OwnershipMessage, string][] = [];
-    for (const slice of Object.values(state.slices[row.service]?.byName ?? {})) {
+    const messages: { readonly message: OwnershipMessage; readonly home: DataCentreId; }[] = [];
+    for (const slice of getSlicesOfServer(state, row.service, server)) {
         for (const former of slice.former) {
             const path = getSlicePath(row.service, former.slice);
             const isHere = former.server === server && former.incarnation === grant.incarnation;
@@ -36,19 +36,24 @@
                     incarnation,
                     by,
                 };
-                messages.push([former, message, slice.home]);
+                messages.push({ message, home: slice.home });
             }
         }
     }
     return sequence(
         state,
-        ...messages.map(([, message, home]) => (current: HostState) =>
+        ...messages.map(({ message, home }) => (current: HostState) =>
             sendToDecider(current, home, message, now)
         ),
     );
 }
 
-function sendToDecider(state: HostState, home: string, message: OwnershipMessage, now: Milliseconds): Step {
-    const decider = state.deciders[home as keyof HostState["deciders"]];
+function sendToDecider(
+    state: HostState,
+    home: DataCentreId,
+    message: OwnershipMessage,
+    now: Milliseconds,
+): Step {
+    const decider = state.deciders[home];
     return decider ? sendTo(state, decider.identity.host, message, now) : { state, effects: [] };
 }
--- a/packages/ownership/src/messages/takeReport.ts
+++ b/packages/ownership/src/messages/takeReport.ts
@@ -18,12 +18,15 @@
     const known = getRecent(state, report.server, now);
     const heard = { from, heardAt: now, report };
     const reports = { ...state.decider.reports, [report.server]: { ...known, [from.host]: heard } };
-    const noted = { ...state, isPlanDue: true, decider: { ...state.decider, reports } };
+    const before = known[from.host];
+    const isNews = !before || getGist(before.report) !== getGist(report);
+    const isPlanDue = state.isPlanDue || isNews;
+    const noted = { ...state, isPlanDue, decider: { ...state.decider, reports } };
     const round = state.decider.rounds[report.server];
     const hasAnswered = round !== undefined
         && report.incarnation === round.incarnation
         && !report.isSuspect
-        && known[from.host]?.report.isSuspect === true;
+        && before?.report.isSuspect === true;
     return hasAnswered ? abandonRound(noted, report.server, now) : { state: noted, effects: [] };
 }
 
@@ -36,3 +39,8 @@
     const entries = Object.entries(state.decider.reports[server] ?? {});
     return Object.fromEntries(entries.filter(([, { heardAt }]) => now - heardAt < MEMORY_MS));
 }
+
+/** All of a report but the passing of time. */
+function getGist(report: ServerReport): string {
+    return JSON.stringify({ ...report, silence: 0 });
+}
--- a/packages/ownership/src/state/deciderRole.ts
+++ b/packages/ownership/src/state/deciderRole.ts
@@ -21,6 +21,7 @@
     /** When a decider was last heard, or this host began to listen. */
     readonly heardAt: Milliseconds;
     readonly nextPlanAt: Milliseconds;
+    readonly nextSlicePlanAt: Milliseconds;
     /** Newest report of each grantor about each server. */
     readonly reports: Readonly<Record<ServerId, Readonly<Record<HostId, HeardReport>>>>;
     readonly rounds: Readonly<Record<ServerId, Round>>;
--- a/packages/ownership/src/state/newHostState.ts
+++ b/packages/ownership/src/state/newHostState.ts
@@ -13,6 +13,7 @@
     nextBeatAt: 0,
     heardAt: 0,
     nextPlanAt: 0,
+    nextSlicePlanAt: 0,
     reports: {},
     rounds: {},
     roundsAfter: {},
--- a/packages/ownership/src/state/sliceIndex.ts
+++ b/packages/ownership/src/state/sliceIndex.ts
@@ -1,4 +1,4 @@
-import type { SliceId } from "@arbutusdoor/common";
+import type { ServerId, SliceId } from "@arbutusdoor/common";
 import type { Slice } from "../rows/slice.js";
 
 /** All known slices of a service, ready for look-ups. */
@@ -8,4 +8,6 @@
     /** Slices of a single key, by key. */
     readonly keys: Readonly<Record<string, Slice>>;
     readonly byName: Readonly<Record<SliceId, Slice>>;
+    /** Slices that a server owns or may still run work of. */
+    readonly byServer: Readonly<Record<ServerId, readonly Slice[]>>;
 };
--- a/packages/ownership/src/table/adoptAssignment.ts
+++ b/packages/ownership/src/table/adoptAssignment.ts
@@ -1,13 +1,12 @@
-import type { Milliseconds, ServiceId, SliceId } from "@arbutusdoor/common";
+import type { Milliseconds } from "@arbutusdoor/common";
 import type { Row } from "@arbutusdoor/platform";
 import type { Step } from "../kernel/step.js";
 import { getSlicePath } from "../lookups/getSlicePath.js";
 import { AssignmentRow } from "../rows/assignmentRow.js";
-import type { Slice } from "../rows/slice.js";
 import type { Grant } from "../state/grant.js";
 import type { HostState } from "../state/hostState.js";
-import type { SliceIndex } from "../state/sliceIndex.js";
 import { getMoveEvents } from "./getMoveEvents.js";
+import { newSliceIndex } from "./newSliceIndex.js";
 
 /** Takes a committed assignment row into the state, unless a newer one is known. */
 export function adoptAssignment(state: HostState, row: Row, now: Milliseconds): Step {
@@ -26,19 +25,6 @@
     };
 }
 
-function newSliceIndex(assignments: HostState["assignments"], service: ServiceId): SliceIndex {
-    const slices = Object.values(assignments)
-        .filter(({ value }) => value.service === service)
-        .flatMap(({ value }) => value.slices);
-    const ranges = slices.filter(slice => slice.key === undefined);
-    const single = slices.filter(slice => slice.key !== undefined);
-    return {
-        ranges: ranges.sort((left, right) => left.from - right.from),
-        keys: Object.fromEntries(single.map(slice => [slice.key, slice])),
-        byName: Object.fromEntries(slices.map(slice => [slice.slice, slice])) as Record<SliceId, Slice>,
-    };
-}
-
 /** Servers that the row concerns get an order at once. */
 function wakeGrants(state: HostState, row: AssignmentRow, now: Milliseconds): HostState["grants"] {
     const concerned = new Set<string>();
