--- a/packages/ownership/src/decider/getAttestations.ts
+++ b/packages/ownership/src/decider/getAttestations.ts
@@ -1,13 +1,12 @@
-import { getAttestationKey } from "@arbutusdoor/configuration";
+import { ROW_KEYS } from "../rows/rowKeys.js";
 import type { ServerRow } from "../rows/serverRow.js";
 import type { HostState } from "../state/hostState.js";
 
 /** The attestations, each as row key and operation id, by which the run of a server row is lost. */
 export function getAttestations(state: HostState, row: ServerRow): readonly string[] {
-    const { server, incarnation, dataCentre } = row;
     const keys = [
-        getAttestationKey({ kind: "server", server, incarnation }),
-        getAttestationKey({ kind: "dataCentre", dataCentre }),
+        ROW_KEYS.attestedServer(row.server, row.incarnation),
+        ROW_KEYS.attestedDataCentre(row.dataCentre),
     ];
     return keys.flatMap(key => {
         const known = state.decider.attested[key];
--- a/packages/ownership/src/grantor/getFences.ts
+++ b/packages/ownership/src/grantor/getFences.ts
@@ -1,13 +1,12 @@
 import type { SliceGeneration } from "@arbutusdoor/platform";
 import { getSlicePath } from "../lookups/getSlicePath.js";
-import { getSlicesOfServer } from "../lookups/getSlicesOfServer.js";
 import type { ServerRow } from "../rows/serverRow.js";
 import type { Grant } from "../state/grant.js";
 import type { HostState } from "../state/hostState.js";
 
 /** Slices that a server is to give up by the rows, whether or not it acknowledged that to this host. */
 export function getFences(state: HostState, grant: Grant, row: ServerRow): readonly SliceGeneration[] {
-    const slices = getSlicesOfServer(state, row.service, row.server);
+    const slices = state.slices[row.service]?.byHolder[grant.server] ?? [];
     const fences = new Map<string, SliceGeneration>();
     for (const former of slices.flatMap(slice => slice.former)) {
         const isHere = former.server === grant.server
--- a/packages/ownership/src/grantor/reportStops.ts
+++ b/packages/ownership/src/grantor/reportStops.ts
@@ -3,7 +3,6 @@
 import { sequence } from "../kernel/sequence.js";
 import type { Step } from "../kernel/step.js";
 import { getSlicePath } from "../lookups/getSlicePath.js";
-import { getSlicesOfServer } from "../lookups/getSlicesOfServer.js";
 import type { OwnershipMessage } from "../messages/ownershipMessage.js";
 import type { HostState } from "../state/hostState.js";
 
@@ -18,7 +17,7 @@
         return { state, effects: [] };
     }
     const messages: { readonly message: OwnershipMessage; readonly home: DataCentreId; }[] = [];
-    for (const slice of getSlicesOfServer(state, row.service, server)) {
+    for (const slice of state.slices[row.service]?.byHolder[server] ?? []) {
         for (const former of slice.former) {
             const path = getSlicePath(row.service, former.slice);
             const isHere = former.server === server && former.incarnation === grant.incarnation;
--- a/packages/ownership/src/settings/ownershipSettings.ts
+++ b/packages/ownership/src/settings/ownershipSettings.ts
@@ -43,7 +43,7 @@
     /** First wait after a table failure; doubles up to the longest, with jitter. */
     tableBackoffMinMs: z.int().min(1).max(60_000).default(50),
     /** Longest wait after a table failure. */
-    tableBackoffMaxMs: z.int().min(1).max(600_000).default(2000),
+    tableBackoffMaxMs: z.int().min(1).max(600_000).default(1000),
     /** Transactions of one host under way at a time. */
     transactionsInProgress: z.int().min(1).max(1000).default(16),
     /** Rows of one transaction. */
--- a/packages/ownership/src/state/sliceIndex.ts
+++ b/packages/ownership/src/state/sliceIndex.ts
@@ -8,6 +8,6 @@
     /** Slices of a single key, by key. */
     readonly keys: Readonly<Record<string, Slice>>;
     readonly byName: Readonly<Record<SliceId, Slice>>;
-    /** Slices that a server owns or may still run work of. */
-    readonly byServer: Readonly<Record<ServerId, readonly Slice[]>>;
+    /** Slices that each server owns or may still hold, in the order of the rows. */
+    readonly byHolder: Readonly<Record<ServerId, readonly Slice[]>>;
 };
--- a/packages/ownership/src/table/newSliceIndex.ts
+++ b/packages/ownership/src/table/newSliceIndex.ts
@@ -3,7 +3,7 @@
 import type { HostState } from "../state/hostState.js";
 import type { SliceIndex } from "../state/sliceIndex.js";
 
-/** Prepares the slices of a service for look-ups. */
+/** Index of a service's slices in its assignment rows. */
 export function newSliceIndex(assignments: HostState["assignments"], service: ServiceId): SliceIndex {
     const slices = Object.values(assignments)
         .filter(({ value }) => value.service === service)
@@ -14,19 +14,26 @@
         ranges: ranges.sort((left, right) => left.from - right.from),
         keys: Object.fromEntries(single.map(slice => [slice.key, slice])),
         byName: Object.fromEntries(slices.map(slice => [slice.slice, slice])) as Record<SliceId, Slice>,
-        byServer: groupByServer(slices),
+        byHolder: groupByHolder(slices),
     };
 }
 
-function groupByServer(slices: readonly Slice[]): Readonly<Record<ServerId, readonly Slice[]>> {
-    const groups = new Map<ServerId, Slice[]>();
+function groupByHolder(slices: readonly Slice[]): SliceIndex["byHolder"] {
+    const groups: Record<ServerId, Slice[]> = {};
     for (const slice of slices) {
-        const holders = [slice.owner, ...slice.former].flatMap(holder => holder?.server ?? []);
-        for (const server of new Set(holders)) {
-            const group = groups.get(server) ?? [];
-            groups.set(server, group);
-            group.push(slice);
+        for (const server of listHolders(slice)) {
+            groups[server] ??= [];
+            groups[server].push(slice);
         }
     }
-    return Object.fromEntries(groups) as Record<ServerId, readonly Slice[]>;
+    return groups;
+}
+
+/** The owner and all former holders, each once. */
+function listHolders({ owner, former }: Slice): ReadonlySet<ServerId> {
+    const holders = new Set(former.map(({ server }) => server));
+    if (owner) {
+        holders.add(owner.server);
+    }
+    return holders;
 }
