A bar that a newer row has ended makes the decider write nothing

Cause: the decider rewrote a server's row as long as any report said that its grantor is barred, also reports from before the rewrite; a grantor that could not report any more made it write every few milliseconds. Reports now name the row version that they go by. The test failed before the change: one write for a report of an older version, none after.

--- a/packages/ownership/src/decider/planServers.ts
+++ b/packages/ownership/src/decider/planServers.ts
@@ -36,7 +36,7 @@
     if (isAttested || isRoundComplete(state, server)) {
         return takeOver(state, row, attestations, now);
     }
-    const next = planServer(state, row.value, now) ?? (isTouchDue(state, row.value) ? row.value : undefined);
+    const next = planServer(state, row.value, now) ?? (isTouchDue(state, row) ? row.value : undefined);
     return next
         ? startTransaction(state, [{ key, expectedVersion: row.version, value: next }], now)
         : { state, effects: [] };
--- a/packages/ownership/src/grantor/sendReports.ts
+++ b/packages/ownership/src/grantor/sendReports.ts
@@ -64,6 +64,7 @@
         epoch: grant.acknowledgedEpoch,
         isLeaving: grant.isLeaving,
         isBarred: isBarred(state, grant.server),
+        rowVersion: state.servers[grant.server]!.version,
         isSuspect: isSuspect(state, grant, now),
         silence: now - grant.repliedAt,
     };
--- a/packages/ownership/src/messages/serverReport.ts
+++ b/packages/ownership/src/messages/serverReport.ts
@@ -14,6 +14,8 @@
     readonly isLeaving: boolean;
     /** Whether the grantor stands by a promise to some decider that it renews and sends nothing. */
     readonly isBarred: boolean;
+    /** Version of the server's row that the grantor goes by; a bar that stands is on this version or a later one. */
+    readonly rowVersion?: number;
     /** Whether the run of the row did not answer for the suspicion time, or nothing listens at its address. */
     readonly isSuspect: boolean;
     /** Time since the run of the row last answered. */
--- a/packages/ownership/tests/rounds.test.ts
+++ b/packages/ownership/tests/rounds.test.ts
@@ -77,3 +77,33 @@
     };
     expect({ second: writes([2]), both: writes([2, 1]) }).toEqual({ second: 0, both: 1 });
 });
+
+test("a bar that a version of the row has ended already makes the decider write nothing", () => {
+    const writes = (isBarred: boolean, rowVersion: number) => {
+        const { decider, ...state } = newDecider();
+        const report = {
+            server: "b1",
+            incarnation: "b1#1",
+            listVersion: 1,
+            epoch: 1,
+            isLeaving: false,
+            isBarred,
+            rowVersion,
+            isSuspect: false,
+            silence: 10,
+        };
+        const input = {
+            kind: "peerMessage",
+            from: newIdentity("e2", 2),
+            message: { kind: "serverReport", report },
+        } as never;
+        const step = dispatch({ ...state, decider: { ...decider, rounds: {} } }, input, 1010);
+        return step.effects.filter(effect => effect.kind === "transact").length;
+    };
+    const found = { none: writes(false, 5), ended: writes(true, 4), standing: writes(true, 5) };
+    expect(found).toEqual({
+        none: 0,
+        ended: 0,
+        standing: 1,
+    });
+});
