--- a/scripts/failureRun.ts
+++ b/scripts/failureRun.ts
@@ -15,6 +15,7 @@
 import { join } from "node:path";
 import { Agent } from "undici";
 import { z } from "zod";
+import { endJournalAt } from "./endJournalAt.js";
 import { LocalSystem } from "./localSystem.js";
 import { newLocalDeclaration } from "./newLocalDeclaration.js";
 import { runTool } from "./runTool.js";
@@ -140,7 +141,7 @@
         const journal = await this.readJournal(server.control);
         await server.program.kill();
         this.lost.push(name);
-        this.journals.push(endAt(journal, this.clock.wallTime()));
+        this.journals.push(endJournalAt(journal, this.clock.wallTime()));
     }
 
     /** Asks a backend server to stop, and resolves with its last journal once its process has ended. */
@@ -201,11 +202,15 @@
     /** Resolves once every key and every pooled service is answered through every entry host that runs. */
     async waitUntilServed(): Promise<void> {
         const until = this.clock.now() + SERVED_LIMIT_MS;
-        for (const { name, callers } of this.listLiveHosts()) {
-            for (const path of listPaths()) {
-                await this.waitForAnswer(name, callers, path, until);
-            }
-        }
+        await Promise.all(
+            this.listLiveHosts().flatMap(({ name, callers }) =>
+                SERVICES.map(async ({ service }) => {
+                    for (const path of listPaths(service)) {
+                        await this.waitForAnswer(name, callers, path, until);
+                    }
+                })
+            ),
+        );
     }
 
     /** Resolves with the value of a question once it is not `undefined`; rejects after a while. */
@@ -268,11 +273,10 @@
     }
 }
 
-function listPaths(): string[] {
-    const keyed = KEYED.flatMap(service =>
-        Array.from({ length: KEYS }, (_, index) => `/${service}/key-${index}/read`)
-    );
-    return [...keyed, "/shorepermit/key-0/read", "/loghold/key-0/read"];
+/** A path for each key of a keyed service; one for a pooled service. */
+function listPaths(service: string): string[] {
+    const keys = KEYED.includes(service) ? KEYS : 1;
+    return Array.from({ length: keys }, (_, index) => `/${service}/key-${index}/read`);
 }
 
 async function getOutcome(url: string): Promise<string> {
@@ -286,18 +290,3 @@
         return String(error);
     }
 }
-
-/** A killed server owns and runs nothing after its end. */
-function endAt(journal: ServerJournal, time: number): ServerJournal {
-    const entries = journal.entries.map(entry => {
-        switch (entry.kind) {
-            case "owned":
-                return { ...entry, until: Math.min(entry.until, time) };
-            case "run":
-                return { ...entry, ended: entry.ended ?? time };
-            default:
-                return entry;
-        }
-    });
-    return { ...journal, entries };
-}
