--- a/packages/bench/src/experiments/runKeyed.ts
+++ b/packages/bench/src/experiments/runKeyed.ts
@@ -1,4 +1,5 @@
 import { type HostId, RandomSource } from "@arbutusdoor/common";
+import type { ServerQueueSettings } from "@arbutusdoor/policy";
 import type { Fault } from "../simulation/fault.js";
 import { newServers } from "../simulation/newServers.js";
 import { runUntil } from "../simulation/runUntil.js";
@@ -26,10 +27,11 @@
     /** Arrivals as a share of the capacity of all servers. */
     readonly use: number;
     readonly durationMs: number;
-    readonly mode: "relay" | "direct";
+    readonly mode: "relay" | "nearest" | "direct";
     readonly limit: number;
     readonly queueMode: QueueMode;
     readonly faults?: readonly Fault[];
+    readonly queue?: Partial<ServerQueueSettings>;
 };
 
 /** Outcomes of a run of a keyed service. */
--- a/packages/daemon/src/operator/daemonContext.ts
+++ b/packages/daemon/src/operator/daemonContext.ts
@@ -82,7 +82,7 @@
                 ...this.getServerState(server.name as ServerId, server.isDraining),
             })),
             deciders: Object.entries(ownership.state.deciders)
-                .map(([dataCentre, decider]) => ({ service: dataCentre, host: decider.identity.host })),
+                .map(([dataCentre, decider]) => ({ dataCentre, host: decider.identity.host })),
         };
     }
 
--- a/packages/daemon/src/serving/newProgressStream.ts
+++ b/packages/daemon/src/serving/newProgressStream.ts
@@ -1,23 +1,28 @@
 import { ArbutusdoorError, type Clock, type Milliseconds } from "@arbutusdoor/common";
-import { pipeline, type Readable, Transform } from "node:stream";
+import type { Readable } from "node:stream";
+import { newPassage } from "./newPassage.js";
 
 /**
  * Passes a stream on and ends it with an error when no byte moves for `timeout`, whichever side stands still.
  * @param onStall called once, before the error, when that happens
+ * @param release lets go of the source at the end; destroys it unless given
  */
 export function newProgressStream(
     source: Readable,
     clock: Clock,
     timeout: Milliseconds,
     onStall: () => void,
+    release: (source: Readable, hasRead: boolean) => void = destroySource,
 ): Readable {
     let lastProgress = clock.now();
     let timer = clock.schedule(timeout, check);
-    const passage = new Transform({
-        transform(chunk, _encoding, callback) {
+    const passage = newPassage(source, {
+        release,
+        onChunk: () => {
             lastProgress = clock.now();
-            callback(undefined, chunk);
+            return undefined;
         },
+        onClose: () => timer.cancel(),
     });
 
     function check(): void {
@@ -30,7 +35,9 @@
         passage.destroy(new ArbutusdoorError(`no byte moved for ${timeout} ms`));
     }
 
-    pipeline(source, passage, () => undefined);
-    passage.once("close", () => timer.cancel());
     return passage;
 }
+
+function destroySource(source: Readable): void {
+    source.destroy();
+}
--- a/packages/ownership/src/state/deciderRole.ts
+++ b/packages/ownership/src/state/deciderRole.ts
@@ -1,5 +1,5 @@
 import type { HostId, Milliseconds, RowKey, ServerId, ServiceId } from "@arbutusdoor/common";
-import type { AttestedRow } from "../rows/attestedRow.js";
+import type { Attestation } from "@arbutusdoor/configuration";
 import type { DeciderRow } from "../rows/deciderRow.js";
 import type { Versioned } from "../rows/versioned.js";
 import type { HeardReport } from "./heardReport.js";
@@ -21,6 +21,7 @@
     /** When a decider was last heard, or this host began to listen. */
     readonly heardAt: Milliseconds;
     readonly nextPlanAt: Milliseconds;
+    readonly nextSlicePlanAt: Milliseconds;
     /** Newest report of each grantor about each server. */
     readonly reports: Readonly<Record<ServerId, Readonly<Record<HostId, HeardReport>>>>;
     readonly rounds: Readonly<Record<ServerId, Round>>;
@@ -28,10 +29,10 @@
     readonly roundsAfter: Readonly<Record<ServerId, Milliseconds>>;
     /** Hosts that gave a stop proof (the server's own word is kept under its grantor's name), by stop path. */
     readonly stops: Readonly<Record<string, readonly string[]>>;
-    /** Newest list version from which each host has retired, by server. */
-    readonly retired: Readonly<Record<ServerId, Readonly<Record<HostId, number>>>>;
+    /** Newest list version from which each run of a host has retired, by server. */
+    readonly retired: Readonly<Record<ServerId, Readonly<Record<string, number>>>>;
     readonly probes: Readonly<Record<ServerId, Probe>>;
-    readonly attested: Readonly<Record<RowKey, Versioned<AttestedRow>>>;
+    readonly attested: Readonly<Record<RowKey, Versioned<Attestation>>>;
     readonly wanted: readonly WantedChange[];
     /** When servers of a service without assignment were first seen. */
     readonly seenSince: Readonly<Record<ServiceId, Milliseconds>>;
--- a/packages/ownership/src/table/adoptAssignment.ts
+++ b/packages/ownership/src/table/adoptAssignment.ts
@@ -1,37 +1,27 @@
-import type { Milliseconds, ServiceId, SliceId } from "@arbutusdoor/common";
+import type { Milliseconds } from "@arbutusdoor/common";
 import type { Row } from "@arbutusdoor/platform";
 import type { Step } from "../kernel/step.js";
 import { getSlicePath } from "../lookups/getSlicePath.js";
 import { AssignmentRow } from "../rows/assignmentRow.js";
-import type { Slice } from "../rows/slice.js";
 import type { Grant } from "../state/grant.js";
 import type { HostState } from "../state/hostState.js";
-import type { SliceIndex } from "../state/sliceIndex.js";
+import { getMoveEvents } from "./getMoveEvents.js";
 
-/** Takes a committed assignment row into the state, unless a newer one is known. */
+/** Takes a committed assignment row into the state, unless a newer one is known; its slices are yet to be indexed. */
 export function adoptAssignment(state: HostState, row: Row, now: Milliseconds): Step {
     const known = state.assignments[row.key];
+    if (row.version <= (known?.version ?? 0)) {
+        return { state, effects: [] };
+    }
     const parsed = AssignmentRow.safeParse(row.value);
-    if (!parsed.success || row.version <= (known?.version ?? 0)) {
+    if (!parsed.success) {
         return { state, effects: [] };
     }
     const assignments = { ...state.assignments, [row.key]: { version: row.version, value: parsed.data } };
-    const { service } = parsed.data;
-    const slices = { ...state.slices, [service]: newSliceIndex(assignments, service) };
     const grants = wakeGrants(state, parsed.data, now);
-    return { state: { ...state, assignments, slices, grants, isPlanDue: true }, effects: [] };
-}
-
-function newSliceIndex(assignments: HostState["assignments"], service: ServiceId): SliceIndex {
-    const slices = Object.values(assignments)
-        .filter(({ value }) => value.service === service)
-        .flatMap(({ value }) => value.slices);
-    const ranges = slices.filter(slice => slice.key === undefined);
-    const single = slices.filter(slice => slice.key !== undefined);
     return {
-        ranges: ranges.sort((left, right) => left.from - right.from),
-        keys: Object.fromEntries(single.map(slice => [slice.key, slice])),
-        byName: Object.fromEntries(slices.map(slice => [slice.slice, slice])) as Record<SliceId, Slice>,
+        state: { ...state, assignments, grants, isPlanDue: true },
+        effects: state.decider.isHeld ? getMoveEvents(known?.value, parsed.data) : [],
     };
 }
 
