--- a/packages/bench/src/capacity/studies/index.ts
+++ b/packages/bench/src/capacity/studies/index.ts
@@ -3,3 +3,4 @@
 import "./configurationStudies.js";
 import "./balanceStudies.js";
 import "./meshStudies.js";
+import "./intentStudies.js";
