Requests go down the ranks of a server's grantors; connections end before the port does

Change: the router ranks grantors by a hash of server and host, alike on every host, and goes on to the next at once; answers end their connections from the begin of a stop; unused connections are kept for 75 s (a setting). Conclusion: tests of the ranks and of the announced close.

--- a/packages/daemon/src/entry/callerPort.ts
+++ b/packages/daemon/src/entry/callerPort.ts
@@ -28,6 +28,8 @@
     readonly headerLimitBytes: number;
     readonly bufferedBodyBytes: number;
     readonly inFlightLimit: number;
+    /** Time in ms that an unused connection is kept. */
+    readonly callerIdleMs: number;
 };
 
 /** What the callers' port needs. */
@@ -56,7 +58,11 @@
 
     constructor(options: CallerPortOptions) {
         this.options = options;
-        this.server = createServer({ maxHeaderSize: options.limits.headerLimitBytes, requestTimeout: 0 });
+        this.server = createServer({
+            maxHeaderSize: options.limits.headerLimitBytes,
+            keepAliveTimeout: options.limits.callerIdleMs,
+            requestTimeout: 0,
+        });
         this.server.on("clientError", (error, socket) => this.endMalformed(error, socket));
         options.metrics.gauge("arbutusdoor_requests_in_flight", () => this.inFlight);
     }
@@ -74,6 +80,11 @@
         });
     }
 
+    /** Ends each connection with its next answer from now on, so that few are left to close when the port does. */
+    announceClose(): void {
+        this.isClosing = true;
+    }
+
     /** Takes no more connections and resolves once every request has its whole answer. */
     async close(): Promise<void> {
         this.isClosing = true;
@@ -100,9 +111,6 @@
             }
             this.end();
         });
-        if (this.isClosing) {
-            response.setHeader("connection", "close");
-        }
         const reading = await this.read(message, id, beganAt, gone.signal);
         const answer = reading.kind === "request"
             ? await this.options.router.route(reading.request)
@@ -118,7 +126,7 @@
         id: CallerRequest["id"],
         answer: Answer,
     ): void {
-        if (!message.complete) {
+        if (this.isClosing || !message.complete) {
             response.setHeader("connection", "close");
         }
         if (answer.kind === "answered") {
--- a/packages/daemon/src/entry/entryPlugin.ts
+++ b/packages/daemon/src/entry/entryPlugin.ts
@@ -34,6 +34,7 @@
 
     /** Goes on serving until the balancer has had time to see that this host is not ready, then finishes what is in flight. */
     override async drain(): Promise<void> {
+        this.port.announceClose();
         await this.kernel.clock.sleep(this.kernel.settings.readyDelayMs);
         await this.port.close();
     }
--- a/packages/daemon/src/routing/keyedRouter.ts
+++ b/packages/daemon/src/routing/keyedRouter.ts
@@ -5,6 +5,7 @@
 import { refuse } from "../serving/refuse.js";
 import type { ServingPort } from "../serving/servingPort.js";
 import { Attempts } from "./attempts.js";
+import { GrantorChoice } from "./grantorChoice.js";
 import type { OwnerWait } from "./ownerWait.js";
 import type { RelayPort } from "./relayPort.js";
 import { RequestRouter } from "./requestRouter.js";
@@ -41,15 +42,16 @@
     override async route(request: CallerRequest): Promise<Answer> {
         const beganAt = this.clock.now();
         const attempts = new Attempts();
+        const choice = new GrantorChoice();
         this.retryRules.begin(request);
         for (;;) {
-            const answer = await this.attempt(request);
+            const answer = await this.attempt(request, choice);
             if (answer.kind === "answered") {
                 return answer;
             }
             const { refusal } = answer;
             attempts.note(refusal);
-            if (await this.mayWait(request, refusal, beganAt)) {
+            if (await this.mayGoOn(request, refusal, choice, beganAt)) {
                 continue;
             }
             if (!this.retryRules.takeRetry(request, refusal, attempts.count)) {
@@ -59,14 +61,24 @@
         }
     }
 
-    private async mayWait(request: CallerRequest, refusal: Refusal, beganAt: number): Promise<boolean> {
+    /** Whether a request that was not run goes on to another grantor, or waits for a change of its key's owner. */
+    private async mayGoOn(
+        request: CallerRequest,
+        refusal: Refusal,
+        choice: GrantorChoice,
+        beganAt: number,
+    ): Promise<boolean> {
         if (refusal.outcome !== "notRun" || !request.body.canOpen() || request.signal.aborted) {
             return false;
         }
+        if (choice.passOn(refusal.reason)) {
+            return true;
+        }
+        choice.reset();
         return this.ownerWait.take(refusal.reason, beganAt, request.deadlineAt);
     }
 
-    private async attempt(request: CallerRequest): Promise<Answer> {
+    private async attempt(request: CallerRequest, choice: GrantorChoice): Promise<Answer> {
         if (request.key === undefined) {
             return refuse("missingKey", "the path names no key");
         }
@@ -74,19 +86,19 @@
             return refuse("deadlineBeforeStart", "the deadline passed before the key had a reachable owner");
         }
         const route = this.serving.getRoute(request.service.name, request.key);
-        return route.kind === "refusal" ? route : this.send(request, route);
+        return route.kind === "refusal" ? route : this.send(request, route, choice);
     }
 
-    private send(request: CallerRequest, route: OpenRoute): Promise<Answer> {
+    private send(request: CallerRequest, route: OpenRoute, choice: GrantorChoice): Promise<Answer> {
         const slice = {
             service: request.service.name as ServiceId,
             slice: route.slice,
             generation: route.generation,
         };
-        const [grantor] = route.grantors;
+        const grantor = choice.choose(route);
         if (!grantor) {
-            return Promise.resolve(refuse("ownerUnreachable", "no grantor of the server is reachable"));
+            return Promise.resolve(refuse("ownerUnreachable", "no grantor of the server reaches it"));
         }
-        return this.relay.hand(grantor.host, request, route.server as ServerId, slice);
+        return this.relay.hand(grantor, request, route.server as ServerId, slice);
     }
 }
--- a/packages/daemon/src/settings/daemonSettings.ts
+++ b/packages/daemon/src/settings/daemonSettings.ts
@@ -42,6 +42,10 @@
     seed: z.coerce.number().int().optional().describe(
         "seed of random numbers; from the time of start when absent",
     ),
+    callerIdleMs: millisecondsSchema.default(75_000)
+        .describe(
+            "time in ms that an unused connection of a caller is kept; longer than the balancer keeps its own",
+        ),
     headerLimitBytes: countSchema.default(16_384).describe("most bytes of a request's header section"),
     bufferedBodyBytes: countSchema.default(65_536).describe(
         "bodies up to this size are read whole before they are sent on",
--- a/packages/daemon/tests/callerPort.test.ts
+++ b/packages/daemon/tests/callerPort.test.ts
@@ -23,7 +23,7 @@
         metrics: new Metrics(),
         ids: new RequestIds("entry-1-a" as HostIncarnation),
         router,
-        limits: { headerLimitBytes: 2_048, bufferedBodyBytes: 100, inFlightLimit },
+        limits: { headerLimitBytes: 2_048, bufferedBodyBytes: 100, inFlightLimit, callerIdleMs: 75_000 },
         getDeclaration: newDeclaration,
     });
     ports.push(callerPort);
@@ -169,6 +169,17 @@
     }
 });
 
+test("connections end with their next answer once the close is announced, and new ones are still served", async () => {
+    const { port, callerPort } = await open(answerWithBody);
+    const before = await fetch(`http://127.0.0.1:${port}/permits/x`);
+    callerPort.announceClose();
+    const after = await fetch(`http://127.0.0.1:${port}/permits/x`);
+    expect([before, after].map(response => response.headers.get("connection"))).toEqual([
+        "keep-alive",
+        "close",
+    ]);
+});
+
 test("requests beyond the limit are refused, and a graceful close cuts off none that is in flight", async () => {
     const releases: (() => void)[] = [];
     const { port, callerPort } = await open(
--- /dev/null
+++ b/packages/daemon/tests/keyedRouter.test.ts
@@ -0,0 +1,106 @@
+import {
+    type HostId,
+    ManualClock,
+    Metrics,
+    newRefusal,
+    type RefusalReason,
+    type ServerId,
+    type ServerIncarnation,
+    type SliceId,
+} from "@arbutusdoor/common";
+import type { HostIdentity, Route } from "@arbutusdoor/ownership";
+import { RetryBudgetSettings } from "@arbutusdoor/policy";
+import { Readable } from "node:stream";
+import { expect, test } from "vitest";
+import { KeyedRouter } from "../src/routing/keyedRouter.js";
+import { OwnerWait } from "../src/routing/ownerWait.js";
+import { RelayPort } from "../src/routing/relayPort.js";
+import { RetryRules } from "../src/routing/retryRules.js";
+import type { Answer } from "../src/serving/answer.js";
+import { ServingPort } from "../src/serving/servingPort.js";
+import { newCallerRequest } from "./helpers/newCallerRequest.js";
+
+const ROUTE: Route = {
+    kind: "route",
+    slice: "range-0" as SliceId,
+    generation: 3,
+    server: "board-1" as ServerId,
+    serverIncarnation: "board-1-a" as ServerIncarnation,
+    address: "127.0.0.1:1",
+    grantors: ["entry-1", "entry-2", "entry-3"].map(host => ({ host }) as HostIdentity),
+    isLocalGrantor: true,
+};
+
+/** Ownership that stays as it is; a wait for a change takes 25 ms of the clock. */
+class StillPort extends ServingPort {
+    private readonly clock: ManualClock;
+
+    constructor(clock: ManualClock) {
+        super();
+        this.clock = clock;
+    }
+
+    override getRoute = () => ROUTE;
+    override mayServe = () => undefined;
+    override beginRequest = () => () => undefined;
+    override async waitForChange(timeout: number): Promise<void> {
+        this.clock.advance(timeout);
+    }
+}
+
+class ScriptedRelay extends RelayPort {
+    readonly hosts: HostId[] = [];
+    private readonly refusals: (RefusalReason | undefined)[];
+
+    constructor(refusals: (RefusalReason | undefined)[]) {
+        super();
+        this.refusals = refusals;
+    }
+
+    override async hand(host: HostId): Promise<Answer> {
+        this.hosts.push(host);
+        const reason = this.refusals[this.hosts.length - 1];
+        return reason === undefined
+            ? { kind: "answered", status: 200, headers: {}, body: Readable.from([]) }
+            : { kind: "refusal", refusal: newRefusal(reason, "") };
+    }
+}
+
+async function route(...refusals: (RefusalReason | undefined)[]) {
+    const clock = new ManualClock();
+    const serving = new StillPort(clock);
+    const relay = new ScriptedRelay(refusals);
+    const rules = new RetryRules(clock, RetryBudgetSettings.parse({}));
+    const router = new KeyedRouter(
+        clock,
+        serving,
+        relay,
+        new OwnerWait(clock, new Metrics(), serving, 10, 400),
+        rules,
+    );
+    const answer = await router.route(newCallerRequest("board", "read"));
+    const outcome = answer.kind === "answered"
+        ? "answered"
+        : `${answer.refusal.outcome} ${answer.refusal.reason}`;
+    return { outcome, hosts: relay.hosts, time: clock.now() };
+}
+
+test("a request goes on to the next grantor when the first cannot reach the server, without waiting", async () => {
+    const { outcome, hosts, time } = await route("ownerUnreachable", "relayUnreachable", undefined);
+    expect({ outcome, time, distinct: new Set(hosts).size }).toEqual({
+        outcome: "answered",
+        time: 0,
+        distinct: 3,
+    });
+});
+
+test("when no grantor reaches the server the request waits, tries all again, and is refused truly in the end", async () => {
+    const { outcome, hosts, time } = await route(...Array<RefusalReason>(1_000).fill("ownerUnreachable"));
+    expect({ outcome, time }).toEqual({ outcome: "notRun ownerUnreachable", time: 400 });
+    expect(hosts.length).toBeLessThan(100);
+});
+
+test("a request whose grantor was lost after the hand-over is unknown, also when a later attempt was not run", async () => {
+    expect((await route("relayLost", ...Array<RefusalReason>(1_000).fill("ownerUnreachable"))).outcome)
+        .toBe("unknown earlierAttemptUnknown");
+});
