A request that can be repeated does not wait for word of a lost link

Cause: after the kill of an entry host, reads relayed to it waited up to 1 s (askTimeoutMs) for word of them before they were tried again at another grantor. Ruled out: the heartbeat (a killed process closes its connections at once). Conclusion: kept for idempotent requests whose body can be sent again; once-only work still asks.

--- a/packages/daemon/src/serving/localRelay.ts
+++ b/packages/daemon/src/serving/localRelay.ts
@@ -89,6 +89,7 @@
             server,
             slice,
             hasBody: request.body.isPresent,
+            isRepeatable: request.requestClass.isIdempotent && request.body.isRepeatable,
         };
     }
 }
--- a/packages/mesh/src/relay/askedRelay.ts
+++ b/packages/mesh/src/relay/askedRelay.ts
@@ -190,9 +190,10 @@
     }
 
     private awaitVerdict(): void {
-        const { clock, settings } = this.options;
+        const { clock, request, settings } = this.options;
+        const wait = request.isRepeatable ? 0 : settings.askTimeoutMs;
         this.stopBody();
-        this.askTimer = clock.schedule(settings.askTimeoutMs, () => this.apply({ kind: "askTimedOut" }));
+        this.askTimer = clock.schedule(wait, () => this.apply({ kind: "askTimedOut" }));
     }
 
     private cleanUp(): void {
--- a/packages/mesh/src/relay/relayRequest.ts
+++ b/packages/mesh/src/relay/relayRequest.ts
@@ -20,4 +20,9 @@
     readonly slice: SliceGeneration | undefined;
     /** Whether a body follows. */
     readonly hasBody: boolean;
+    /**
+     * Whether the sending host can well send the request again elsewhere, so that after the loss of the link it does not wait
+     * for word of it. Stays at the sending host.
+     */
+    readonly isRepeatable?: boolean;
 };
--- a/packages/mesh/tests/helpers/meshSession.ts
+++ b/packages/mesh/tests/helpers/meshSession.ts
@@ -83,7 +83,11 @@
     async relay(from: SessionHost, to: string, id: string, options: RelayOptions = {}): Promise<void> {
         const body = options.body ?? undefined;
         const signal = options.signal ?? new AbortController().signal;
-        const request = newRequest(id, { path: options.path ?? "/", deadline: options.deadline ?? 2_000 });
+        const request = newRequest(id, {
+            path: options.path ?? "/",
+            deadline: options.deadline ?? 2_000,
+            isRepeatable: options.isRepeatable ?? false,
+        });
         const answer = await from.mesh.relay(to as HostId, request, body, signal);
         if (answer.kind === "refusal") {
             this.note(`caller of ${id}: ${answer.refusal.outcome} ${answer.refusal.reason}`);
@@ -128,6 +132,7 @@
 }
 
 type RelayOptions = {
+    readonly isRepeatable?: boolean;
     readonly path?: string;
     readonly body?: Readable;
     readonly signal?: AbortSignal;
--- a/packages/mesh/tests/relaySessions.test.ts
+++ b/packages/mesh/tests/relaySessions.test.ts
@@ -66,6 +66,15 @@
     await expect(session.trace).toMatchFileSnapshot("golden/breakWhileRunning.txt");
 });
 
+test("a request that can be repeated elsewhere is unknown at once when its link breaks", async () => {
+    const { session, a } = await startPair();
+    void session.relay(a, "b", "a1-1", { path: "/wait/150", isRepeatable: true });
+    await session.advance(20);
+    session.network.cut("a", "b");
+    await session.advance(20);
+    await expect(session.trace).toMatchFileSnapshot("golden/breakRepeatable.txt");
+});
+
 test("the answer is lost after the run: unknown", async () => {
     const { session, a } = await startPair();
     cutAt(session, "answer");
