--- a/eslint.config.js
+++ b/eslint.config.js
@@ -50,6 +50,10 @@
                     selector: "CallExpression[callee.object.name='Math'][callee.property.name='random']",
                     message: "Take random numbers from a RandomSource.",
                 },
+                {
+                    selector: "CallExpression[callee.object.name='performance'][callee.property.name='now']",
+                    message: "Take the time from a Clock.",
+                },
                 {
                     selector: "TSNullKeyword",
                     message: "Use undefined.",
--- a/packages/bench/src/capacity/cluster/drivenHost.ts
+++ b/packages/bench/src/capacity/cluster/drivenHost.ts
@@ -10,6 +10,7 @@
 } from "@arbutusdoor/ownership";
 import type { Order, OrderOutcome } from "@arbutusdoor/platform";
 import { Packr } from "msgpackr";
+import { wallClock } from "../../wallClock.js";
 import type { ClusterSize } from "./clusterSize.js";
 import { MemoryRows } from "./memoryRows.js";
 import { newClusterDeclaration } from "./newClusterDeclaration.js";
@@ -59,9 +60,9 @@
 
     /** Hands the kernel one input. */
     take(input: Input): void {
-        const beganAt = performance.now();
+        const beganAt = wallClock.now();
         const step = dispatch(this.state, input, this.clock.now());
-        this.traffic.noteTime(input.kind, (performance.now() - beganAt) * MICROSECONDS_PER_MS);
+        this.traffic.noteTime(input.kind, (wallClock.now() - beganAt) * MICROSECONDS_PER_MS);
         this.state = step.state;
         step.effects.forEach(effect => this.perform(effect));
     }
--- a/packages/bench/src/capacity/main.ts
+++ b/packages/bench/src/capacity/main.ts
@@ -1,5 +1,6 @@
 import { cac } from "cac";
 import { writeFileSync } from "node:fs";
+import { wallClock } from "../wallClock.js";
 import { formatStudy } from "./report/formatStudy.js";
 import { runStudy } from "./runStudy.js";
 import { STUDIES } from "./studies.js";
@@ -25,11 +26,11 @@
     const results: StudyResult[] = [];
     const wanted = STUDIES.list().filter(({ name }) => flags.only === undefined || name === flags.only);
     for (const study of wanted) {
-        const beganAt = performance.now();
+        const beganAt = wallClock.now();
         const result = await runStudy(study, { seed: flags.seed, scale: flags.scale });
         results.push(result);
         console.log(formatStudy(result));
-        console.log(`(${((performance.now() - beganAt) / MS_IN_SECOND).toFixed(1)} s)\n`);
+        console.log(`(${((wallClock.now() - beganAt) / MS_IN_SECOND).toFixed(1)} s)\n`);
     }
     if (flags.json !== undefined) {
         writeFileSync(flags.json, JSON.stringify(results, undefined, 4));
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -2,6 +2,7 @@
 import { writeFileSync } from "node:fs";
 import { formatReport } from "./report/formatReport.js";
 import { runBench } from "./runBench.js";
+import { wallClock } from "./wallClock.js";
 
 const LONG_SCALE = 5;
 const MS_IN_SECOND = 1_000;
@@ -22,9 +23,9 @@
 
 async function run(flags: Flags): Promise<void> {
     const options = { seed: flags.seed, scale: flags.long ? LONG_SCALE : 1 };
-    const startedAt = performance.now();
+    const startedAt = wallClock.now();
     const results = await runBench(options, flags.only, console.log);
-    console.log(`${((performance.now() - startedAt) / MS_IN_SECOND).toFixed(1)} s`);
+    console.log(`${((wallClock.now() - startedAt) / MS_IN_SECOND).toFixed(1)} s`);
     if (flags.json !== undefined) {
         writeFileSync(flags.json, JSON.stringify(results, undefined, 4));
     }
--- a/packages/configuration/src/samples/newAqabaDeclaration.ts
+++ b/packages/configuration/src/samples/newAqabaDeclaration.ts
@@ -6,6 +6,7 @@
 import { requestClass } from "../library/requestClass.js";
 import { route } from "../library/route.js";
 import { service } from "../library/service.js";
+import { newReadClass } from "./newReadClass.js";
 import { newSampleServers } from "./newSampleServers.js";
 
 const UPLOAD_LIMIT_BYTES = 268_435_456;
@@ -28,13 +29,7 @@
 }
 
 function newGustboard(): ReturnType<typeof service> {
-    const reading = requestClass("read", {
-        methods: ["GET", "HEAD"],
-        isIdempotent: true,
-        deadlineMs: 800,
-        priority: 20,
-        retries: 2,
-    });
+    const reading = newReadClass(800);
     const reporting = requestClass("report", {
         methods: ["PUT"],
         isIdempotent: true,
@@ -57,13 +52,7 @@
 }
 
 function newShorepermit(): ReturnType<typeof service> {
-    const reading = requestClass("read", {
-        methods: ["GET", "HEAD"],
-        isIdempotent: true,
-        deadlineMs: 1_000,
-        priority: 20,
-        retries: 2,
-    });
+    const reading = newReadClass();
     const filing = requestClass("once", {
         methods: ["POST"],
         isIdempotent: false,
--- a/packages/configuration/src/samples/newLimaDeclaration.ts
+++ b/packages/configuration/src/samples/newLimaDeclaration.ts
@@ -5,6 +5,7 @@
 import { objective } from "../library/objective.js";
 import { requestClass } from "../library/requestClass.js";
 import { service } from "../library/service.js";
+import { newReadClass } from "./newReadClass.js";
 import { newSampleServers } from "./newSampleServers.js";
 
 const UPLOAD_LIMIT_BYTES = 536_870_912;
@@ -27,13 +28,7 @@
 }
 
 function newAgenda(): ReturnType<typeof service> {
-    const reading = requestClass("read", {
-        methods: ["GET", "HEAD"],
-        isIdempotent: true,
-        deadlineMs: 1_000,
-        priority: 20,
-        retries: 2,
-    });
+    const reading = newReadClass();
     const booking = requestClass("once", {
         methods: ["POST"],
         isIdempotent: false,
@@ -56,13 +51,7 @@
 }
 
 function newReservas(): ReturnType<typeof service> {
-    const reading = requestClass("read", {
-        methods: ["GET", "HEAD"],
-        isIdempotent: true,
-        deadlineMs: 1_000,
-        priority: 20,
-        retries: 2,
-    });
+    const reading = newReadClass();
     const deposit = requestClass("once", {
         methods: ["POST"],
         isIdempotent: false,
--- /dev/null
+++ b/packages/configuration/src/samples/newReadClass.ts
@@ -0,0 +1,16 @@
+import { requestClass } from "../library/requestClass.js";
+
+const DEADLINE_MS = 1_000;
+const PRIORITY = 20;
+const RETRIES = 2;
+
+/** Sample: the class of repeated reads, which are shed first and tried again first. */
+export function newReadClass(deadlineMs = DEADLINE_MS): ReturnType<typeof requestClass> {
+    return requestClass("read", {
+        methods: ["GET", "HEAD"],
+        isIdempotent: true,
+        deadlineMs,
+        priority: PRIORITY,
+        retries: RETRIES,
+    });
+}
--- a/packages/ownership/tests/observer.test.ts
+++ b/packages/ownership/tests/observer.test.ts
@@ -1,12 +1,15 @@
 import type { Effect, Input } from "@arbutusdoor/ownership";
 import { expect, test } from "vitest";
+import type { Cast } from "./session/cast.js";
 import { CASTS } from "./session/casts.js";
 import { drain } from "./session/drain.js";
-import type { StepFault } from "./session/entryHost.js";
-import { startSession } from "./session/expectSession.js";
+import { getEvidence } from "./session/getEvidence.js";
+import { startSession } from "./session/startSession.js";
+import type { StepFault } from "./session/stepFault.js";
+
 import { observe } from "./session/observe.js";
-import { getEvidence } from "./session/printSession.js";
-import type { Cast, Session } from "./session/session.js";
+
+import type { Session } from "./session/session.js";
 
 const { oneCentre } = CASTS;
 const GRANTORS = ["e1", "e2", "e3"];
--- a/packages/ownership/tests/servers.test.ts
+++ b/packages/ownership/tests/servers.test.ts
@@ -2,11 +2,13 @@
 import { expect, test } from "vitest";
 import { CASTS } from "./session/casts.js";
 import { drain } from "./session/drain.js";
-import { expectSession, startSession } from "./session/expectSession.js";
+import { expectSession } from "./session/expectSession.js";
+import { getEvidence } from "./session/getEvidence.js";
 import { lose } from "./session/lose.js";
 import { observe } from "./session/observe.js";
-import { getEvidence, printSession } from "./session/printSession.js";
+import { printSession } from "./session/printSession.js";
 import type { Session } from "./session/session.js";
+import { startSession } from "./session/startSession.js";
 
 const { oneCentre } = CASTS;
 const uncheckedCast = { ...oneCentre, checksOrders: false };
--- a/packages/ownership/tests/session/callers.ts
+++ b/packages/ownership/tests/session/callers.ts
@@ -1,5 +1,6 @@
 import type { ServiceId, SliceId } from "@arbutusdoor/common";
 import { getRoute, type HostIdentity, mayServe } from "@arbutusdoor/ownership";
+import type { CallerEntry } from "./callerEntry.js";
 import type { EntryHost } from "./entryHost.js";
 import type { Session } from "./session.js";
 
@@ -7,16 +8,6 @@
 const DEADLINE_MS = 1000;
 const SERVICE = "board" as ServiceId;
 
-/** What a caller saw of one request; every request of the sessions is of the kind that must run at most once. */
-export type CallerEntry = {
-    readonly id: string;
-    readonly key: string;
-    readonly sentAt: number;
-    endedAt: number | undefined;
-    outcome: "waiting" | "answered" | "notRun" | "unknown";
-    reason: string;
-};
-
 type RouteFound = Extract<ReturnType<typeof getRoute>, { kind: "route"; }>;
 
 /** Callers that ask for one key after the other, each time through another entry host, and never repeat a request. */
--- a/packages/ownership/tests/session/casts.ts
+++ b/packages/ownership/tests/session/casts.ts
@@ -1,4 +1,4 @@
-import type { Cast } from "./session.js";
+import type { Cast } from "./cast.js";
 
 /** Casts that several tests use. */
 export const CASTS = {
--- a/packages/ownership/tests/session/entryHost.ts
+++ b/packages/ownership/tests/session/entryHost.ts
@@ -6,17 +6,12 @@
     type HostState,
     type Input,
     newHostState,
-    type Step,
 } from "@arbutusdoor/ownership";
 import type { OwnershipSettings } from "@arbutusdoor/ownership";
+import type { StepFault } from "./stepFault.js";
 
 const TICK_MS = 20;
 
-/** What a test double may change: a step of the kernel, as a faulty host would take it. */
-export type StepFault = (
-    step: { readonly before: HostState; readonly input: Input; readonly after: Step; readonly now: number; },
-) => Step;
-
 /** One entry host: drives the real kernel on its own clock, and can be paused, killed and restarted. */
 export class EntryHost {
     condition: "running" | "paused" | "dead" = "running";
--- a/packages/ownership/tests/session/expectSession.ts
+++ b/packages/ownership/tests/session/expectSession.ts
@@ -1,15 +1,10 @@
 import { expect, test } from "vitest";
+import type { Cast } from "./cast.js";
+import { getEvidence } from "./getEvidence.js";
 import { observe } from "./observe.js";
-import { getEvidence, printSession } from "./printSession.js";
-import { type Cast, Session } from "./session.js";
-
-/** A session after its first assignment, 3 s from the start. */
-export function startSession(cast: Cast): Session {
-    const session = new Session(cast);
-    session.run(3000);
-    session.note("the session begins");
-    return session;
-}
+import { printSession } from "./printSession.js";
+import { Session } from "./session.js";
+import { startSession } from "./startSession.js";
 
 /** Plays a session, compares its whole account with the golden file, and demands that no promise was broken. */
 export function expectSession(
--- a/packages/ownership/tests/session/fakeServer.ts
+++ b/packages/ownership/tests/session/fakeServer.ts
@@ -1,35 +1,7 @@
 import type { ManualClock } from "@arbutusdoor/common";
 import type { Order, OrderReply, SliceGeneration } from "@arbutusdoor/platform";
-
-/** One line of a server's own journal; `time` is true time. */
-export type ServerEntry = {
-    readonly time: number;
-    readonly server: string;
-    readonly run: string;
-    readonly checksOrders: boolean;
-    readonly event:
-        | { readonly kind: "takes" | "drops"; readonly slice: string; readonly generation: number; }
-        | {
-            readonly kind: "starts";
-            /** When the grantor sent it. */
-            readonly sentAt: number;
-            readonly request: string;
-            readonly key: string;
-            readonly generation: number;
-        }
-        | { readonly kind: "ends"; readonly request: string; readonly key: string; }
-        | { readonly kind: "freezes"; };
-};
-
-/** A keyed request as it reaches a server. */
-export type ServerRequest = {
-    readonly id: string;
-    readonly sentAt: number;
-    readonly key: string;
-    readonly slice: string;
-    readonly generation: number;
-    readonly work: number;
-};
+import type { ServerEntry } from "./serverEntry.js";
+import type { ServerRequest } from "./serverRequest.js";
 
 type Running = { readonly path: string; readonly key: string; readonly generation: number; };
 
--- a/packages/ownership/tests/session/fakeTable.ts
+++ b/packages/ownership/tests/session/fakeTable.ts
@@ -1,8 +1,6 @@
 import type { ManualClock, OperationId, RandomSource, RowKey } from "@arbutusdoor/common";
 import type { Row, TableOutcome, TableRead, TableTransaction } from "@arbutusdoor/platform";
-
-/** A committed row as the observer gets it. */
-export type CommittedRow = { readonly time: number; readonly row: Row; readonly operationId: OperationId; };
+import type { CommittedRow } from "./committedRow.js";
 
 const UNKNOWN_AFTER_MS = 100;
 
--- a/packages/ownership/tests/session/network.ts
+++ b/packages/ownership/tests/session/network.ts
@@ -1,7 +1,5 @@
 import type { ManualClock, RandomSource } from "@arbutusdoor/common";
-
-/** Faults of single messages; all are probabilities but the longest delay in ms. */
-export type Disturbance = { loss: number; duplicate: number; late: number; longestDelay: number; };
+import type { Disturbance } from "./disturbance.js";
 
 const QUIET: Disturbance = { loss: 0, duplicate: 0, late: 0, longestDelay: 0 };
 
--- a/packages/ownership/tests/session/observe.ts
+++ b/packages/ownership/tests/session/observe.ts
@@ -1,16 +1,7 @@
-import type { CallerEntry } from "./callers.js";
-import type { ServerEntry } from "./fakeServer.js";
-import type { CommittedRow } from "./fakeTable.js";
-
-/** What the observer looks at: journals of the servers, logs of the callers, and commits of the table. */
-export type Evidence = {
-    readonly journal: readonly ServerEntry[];
-    readonly callers: readonly CallerEntry[];
-    readonly commits: readonly CommittedRow[];
-};
-
-/** A promise that was broken. */
-export type Violation = { readonly time: number; readonly text: string; };
+import type { CommittedRow } from "./committedRow.js";
+import type { Evidence } from "./evidence.js";
+import type { ServerEntry } from "./serverEntry.js";
+import type { Violation } from "./violation.js";
 
 /** Judges a session from the outside; shares no code with the product. */
 export function observe(evidence: Evidence): readonly Violation[] {
--- a/packages/ownership/tests/session/printSession.ts
+++ b/packages/ownership/tests/session/printSession.ts
@@ -1,3 +1,4 @@
+import { getEvidence } from "./getEvidence.js";
 import { observe } from "./observe.js";
 import type { Session } from "./session.js";
 
@@ -22,11 +23,6 @@
     ].join("\n");
 }
 
-/** Everything that the observer may see of a session. */
-export function getEvidence(session: Session) {
-    return { journal: session.journal, callers: session.callers.log, commits: session.table.journal };
-}
-
 function getNotes(session: Session) {
     return session.notes.map(({ time, text }) => ({ time, text: `-- ${text}` }));
 }
--- a/packages/ownership/tests/session/session.ts
+++ b/packages/ownership/tests/session/session.ts
@@ -3,30 +3,18 @@
 import { type Effect, OwnershipSettings } from "@arbutusdoor/ownership";
 import type { OrderOutcome } from "@arbutusdoor/platform";
 import { Callers } from "./callers.js";
+import type { Cast } from "./cast.js";
 import { EntryHost } from "./entryHost.js";
-import { FakeServer, type ServerEntry } from "./fakeServer.js";
+import { FakeServer } from "./fakeServer.js";
 import { FakeTable } from "./fakeTable.js";
 import { Network } from "./network.js";
+import type { ServerEntry } from "./serverEntry.js";
 
 const LINK_CHECK_MS = 50;
 const LINK_LOSS_MS = 500;
 /** A driver hands an order to the network a little after the kernel decided on it. */
 const SEND_DELAY_MS = 0.05;
 
-/** What a session starts with: for each data centre the entry hosts and the servers of the one service "board". */
-export type Cast = {
-    readonly seed: number;
-    readonly centres: Readonly<
-        Record<string, { readonly hosts: readonly string[]; readonly servers: readonly string[]; }>
-    >;
-    readonly slices?: number;
-    readonly checksOrders?: boolean;
-    readonly objective?: Partial<Declaration["services"][number]["objective"]>;
-    readonly settings?: Partial<OwnershipSettings>;
-    readonly keys?: number;
-    readonly work?: number;
-};
-
 /** A small set of hosts and servers around fakes of the outside systems, on one manual clock with seeded random numbers. */
 export class Session {
     readonly clock = new ManualClock(0);
--- a/packages/ownership/tests/soak.ts
+++ b/packages/ownership/tests/soak.ts
@@ -1,5 +1,6 @@
+import { isBroken } from "./isBroken.js";
 import { CASTS } from "./session/casts.js";
-import { isBroken, walk } from "./walk.js";
+import { walk } from "./walk.js";
 
 const DEFAULT_SEEDS = 100;
 const DEFAULT_FIRST = 1000;
--- a/packages/ownership/tests/walk.test.ts
+++ b/packages/ownership/tests/walk.test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from "vitest";
+import { isBroken } from "./isBroken.js";
 import { CASTS } from "./session/casts.js";
-import { isBroken, walk } from "./walk.js";
+import { walk } from "./walk.js";
 
 const SEEDS = 3;
 
--- a/packages/ownership/tests/walk.ts
+++ b/packages/ownership/tests/walk.ts
@@ -1,29 +1,20 @@
 import { RandomSource } from "@arbutusdoor/common";
 import { attest } from "./session/attest.js";
+import type { Cast } from "./session/cast.js";
 import { drain } from "./session/drain.js";
-import { startSession } from "./session/expectSession.js";
+import { getEvidence } from "./session/getEvidence.js";
+import { startSession } from "./session/startSession.js";
+import type { WalkVerdict } from "./walkVerdict.js";
+
 import type { FakeServer } from "./session/fakeServer.js";
-import { observe, type Violation } from "./session/observe.js";
-import { getEvidence } from "./session/printSession.js";
-import type { Cast, Session } from "./session/session.js";
+import { observe } from "./session/observe.js";
+
+import type { Session } from "./session/session.js";
 
 const STEPS = 12;
 const LONGEST_STEP_MS = 1500;
 const LONGEST_HEAL_MS = 12_000;
 const LATE_COMMIT_MS = 2000;
-const MOST_ROWS_WRITTEN = 200;
-
-/** Verdict on one walk; the same seed gives the same. */
-export type WalkVerdict = {
-    readonly seed: number;
-    readonly faults: readonly string[];
-    readonly violations: readonly Violation[];
-    /** Whether every key was answered again after all faults were healed. */
-    readonly isServedAgain: boolean;
-    readonly answered: number;
-    /** Rows written but the decider's renewals: a storm of writes is a fault too. */
-    readonly rowsWritten: number;
-};
 
 type Fault = (session: Session, random: RandomSource) => string;
 
@@ -228,8 +219,3 @@
         getRuns(host).forEach(incarnation => attest(session, { kind: "host", host: host.name, incarnation }))
     );
 }
-
-/** Whether a walk ended badly: a broken promise, a key that is not served again, or a storm of writes. */
-export function isBroken({ violations, isServedAgain, rowsWritten }: WalkVerdict): boolean {
-    return violations.length > 0 || !isServedAgain || rowsWritten > MOST_ROWS_WRITTEN;
-}
--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -1,3 +1,4 @@
+import { SystemClock } from "@arbutusdoor/common";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -6,6 +7,8 @@
 import { newLocalDeclaration } from "./newLocalDeclaration.js";
 import { runTool } from "./runTool.js";
 
+const clock = new SystemClock();
+
 const SERVICES = [
     { service: "gustboard", dataCentres: ["north", "north", "north", "south", "south"] },
     { service: "agenda", dataCentres: ["north", "north", "south"] },
@@ -113,7 +116,7 @@
     { name, method, path, body }: Call,
     idempotencyKey: string,
 ): Promise<string> {
-    const beganAt = performance.now();
+    const beganAt = clock.now();
     const headers: Record<string, string> = name.endsWith("once")
         ? { "idempotency-key": idempotencyKey }
         : {};
@@ -121,7 +124,7 @@
     const text = await response.text();
     const outcome = response.headers.get("arbutusdoor-outcome") ?? "none";
     const reason = response.headers.get("arbutusdoor-reason");
-    log.record(name, reason ? `${outcome} (${reason})` : outcome, performance.now() - beganAt);
+    log.record(name, reason ? `${outcome} (${reason})` : outcome, clock.now() - beganAt);
     return outcome === "answered" ? (JSON.parse(text) as { server: string; }).server : "";
 }
 
@@ -132,10 +135,10 @@
     const owner = await send(daemon!.callers, call, "");
     print(`Killing ${owner}, which owns key ${LOST_KEY}`);
     await system.servers.get(owner)!.program.kill();
-    const beganAt = performance.now();
+    const beganAt = clock.now();
     for (;;) {
         const next = await send(daemon!.callers, call, "");
-        const elapsed = performance.now() - beganAt;
+        const elapsed = clock.now() - beganAt;
         if (next !== "") {
             print(`  ${LOST_KEY} is served again, by ${next}, ${elapsed.toFixed(0)} ms after the loss`);
             return;
--- a/scripts/measureRelay.ts
+++ b/scripts/measureRelay.ts
@@ -1,3 +1,4 @@
+import { SystemClock } from "@arbutusdoor/common";
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -7,6 +8,8 @@
 import { newLocalDeclaration } from "./newLocalDeclaration.js";
 import { runTool } from "./runTool.js";
 
+const clock = new SystemClock();
+
 /**
  * Processor time a request, memory and idle use of daemons, beside a bare pass-through of the same libraries in the
  * same run. Prints ratios that hold on a shared machine better than the times do.
@@ -101,9 +104,9 @@
 
 async function measureRound(subject: Subject, round: number): Promise<void> {
     const before = subject.pids.map(readCpuUs);
-    const beganAt = performance.now();
+    const beganAt = clock.now();
     const answered = await send(subject, REQUESTS);
-    const elapsed = performance.now() - beganAt;
+    const elapsed = clock.now() - beganAt;
     const used = subject.pids.map((pid, index) => (readCpuUs(pid) - before[index]!) / REQUESTS);
     const memory = subject.pids.map(pid => (readMemoryBytes(pid) / BYTES_IN_MB).toFixed(0));
     const sum = used.reduce((total, cpu) => total + cpu, 0);
