--- a/packages/daemon/src/entry/callerPort.ts
+++ b/packages/daemon/src/entry/callerPort.ts
@@ -1,5 +1,5 @@
 import { ArbutusdoorError, type Clock, type Metrics, newRefusal, type Refusal } from "@arbutusdoor/common";
-import { type Declaration, getClass } from "@arbutusdoor/configuration";
+import type { Declaration } from "@arbutusdoor/configuration";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import type { Duplex } from "node:stream";
@@ -8,9 +8,10 @@
 import type { Answer } from "../serving/answer.js";
 import type { CallerRequest } from "./callerRequest.js";
 import { getForwardedHeaders } from "./getForwardedHeaders.js";
+import { matchRequest } from "./matchRequest.js";
 import { OpenExchanges } from "./openExchanges.js";
-import { parseCallerPath } from "./parseCallerPath.js";
 import { readRequestBody } from "./readRequestBody.js";
+import { readWishes } from "./readWishes.js";
 import { refuseMalformed } from "./refuseMalformed.js";
 import type { RequestIds } from "./requestIds.js";
 import { sendAnswer } from "./sendAnswer.js";
@@ -19,9 +20,6 @@
 /** One error for all, since making one with its stack costs more than routing a request. */
 const CALLER_GONE = new ArbutusdoorError("the caller left");
 const MICROSECONDS_PER_MS = 1_000;
-const DEADLINE_HEADER = "arbutusdoor-deadline-ms";
-const IDEMPOTENCY_HEADER = "idempotency-key";
-const MAX_IDEMPOTENCY_KEY_LENGTH = 255;
 
 /** Limits of the callers' port. */
 type CallerLimits = {
@@ -152,40 +150,25 @@
             return refuse("noConfiguration", "no configuration is in force on this entry host yet");
         }
         const url = message.url ?? "/";
-        const isKeyed = (name: string) =>
-            declaration.services.some(service => service.name === name && service.kind === "keyed");
-        const path = parseCallerPath(url, isKeyed);
-        const service = declaration.services.find(other => other.name === path?.service);
-        if (!path) {
-            return refuse("malformedRequest", "the path is not well formed");
-        }
-        if (!service) {
-            return refuse("unknownService", `no service "${path.service}" is declared`);
-        }
-        if (service.kind === "keyed" && path.key === undefined) {
-            return refuse("missingKey", `a path of service "${service.name}" is /${service.name}/KEY/...`);
-        }
         const method = message.method ?? "GET";
-        const requestClass = getClass(service, method, path.rest);
-        if (!requestClass) {
-            return refuse(
-                "unknownClass",
-                `no class of service "${service.name}" takes ${method} on this path`,
-            );
-        }
-        const idempotencyKey = getSingle(message.headers[IDEMPOTENCY_HEADER]);
-        if (idempotencyKey !== undefined && idempotencyKey.length > MAX_IDEMPOTENCY_KEY_LENGTH) {
-            return refuse(
-                "malformedRequest",
-                `an Idempotency-Key has ${MAX_IDEMPOTENCY_KEY_LENGTH} characters at most`,
-            );
-        }
-        const deadline = getDeadline(message, requestClass.deadlineMs);
-        if (deadline === undefined) {
-            return refuse("malformedRequest", `${DEADLINE_HEADER} must be a positive number of milliseconds`);
-        }
-        const limits = { ...this.options.limits, bodyLimitBytes: requestClass.bodyLimitBytes };
-        const body = await readRequestBody(message, limits);
+        const match = matchRequest(declaration, method, url);
+        if (match.kind === "refusal") {
+            return match;
+        }
+        const { key, requestClass, service } = match;
+        const reading = readWishes(message.headers, requestClass.deadlineMs);
+        if (reading.kind === "refusal") {
+            return reading;
+        }
+        const { deadline, idempotencyKey } = reading.wishes;
+        const { bufferedBodyBytes } = this.options.limits;
+        const { bodyLimitBytes } = requestClass;
+        const body = await readRequestBody(
+            message,
+            { bodyLimitBytes, bufferedBodyBytes },
+            this.options.clock,
+            deadline,
+        );
         if (body.kind === "refusal") {
             return body;
         }
@@ -194,7 +177,7 @@
             tenant: declaration.tenant,
             service,
             requestClass,
-            key: path.key,
+            key,
             method,
             path: url,
             headers: getForwardedHeaders(message.headers),
@@ -230,20 +213,6 @@
     return { kind: "refusal", refusal: newRefusal(reason, detail) };
 }
 
-function getSingle(header: string | string[] | undefined): string | undefined {
-    return Array.isArray(header) ? header.join(", ") : header;
-}
-
-/** The shorter of the class's deadline and the caller's own; `undefined` when the caller's is not a positive number. */
-function getDeadline(message: IncomingMessage, classDeadline: number): number | undefined {
-    const own = getSingle(message.headers[DEADLINE_HEADER]);
-    if (own === undefined) {
-        return classDeadline;
-    }
-    const milliseconds = Number(own);
-    return milliseconds > 0 ? Math.min(classDeadline, milliseconds) : undefined;
-}
-
 function getLabels(reading: Reading, answer: Answer): Record<string, string> {
     const outcome = answer.kind === "answered" ? "answered" : answer.refusal.outcome;
     const reason = answer.kind === "answered" ? "none" : answer.refusal.reason;
--- a/packages/daemon/src/entry/readRequestBody.ts
+++ b/packages/daemon/src/entry/readRequestBody.ts
@@ -1,5 +1,6 @@
-import { newRefusal, type Refusal } from "@arbutusdoor/common";
+import { type Clock, type Milliseconds, newRefusal, type Refusal } from "@arbutusdoor/common";
 import type { IncomingMessage } from "node:http";
+import { Deferred } from "../serving/deferred.js";
 import { newLimitedBody } from "./newLimitedBody.js";
 import { RequestBody } from "./requestBody.js";
 
@@ -16,8 +17,16 @@
     | { readonly kind: "body"; readonly body: RequestBody; }
     | { readonly kind: "refusal"; readonly refusal: Refusal; };
 
-/** Reads a small body whole and opens a long one as a stream. Nothing has been sent on when it refuses. */
-export async function readRequestBody(message: IncomingMessage, limits: BodyLimits): Promise<BodyReading> {
+/**
+ * Reads a small body whole and opens a long one as a stream. Nothing has been sent on when it refuses.
+ * @param deadline longest wait for a small body to arrive
+ */
+export async function readRequestBody(
+    message: IncomingMessage,
+    limits: BodyLimits,
+    clock: Clock,
+    deadline: Milliseconds,
+): Promise<BodyReading> {
     const declared = message.headers["content-length"];
     const isChunked = message.headers["transfer-encoding"] !== undefined;
     if (declared === undefined && !isChunked) {
@@ -31,7 +40,11 @@
     if (isChunked || length > limits.bufferedBodyBytes) {
         return { kind: "body", body: RequestBody.arriving(newLimitedBody(message, limits.bodyLimitBytes)) };
     }
-    return readWhole(message, length);
+    const late = new Deferred<BodyReading>();
+    const timer = clock.schedule(deadline, () => late.resolve(refuseLate()));
+    const reading = await Promise.race([readWhole(message, length), late.promise]);
+    timer.cancel();
+    return reading;
 }
 
 async function readWhole(message: IncomingMessage, length: number): Promise<BodyReading> {
@@ -48,6 +61,11 @@
     return bytes.length === length ? { kind: "body", body: RequestBody.whole(bytes) } : refuseBroken();
 }
 
+function refuseLate(): BodyReading {
+    const refusal = newRefusal("deadlineBeforeStart", "the body did not arrive before the deadline");
+    return { kind: "refusal", refusal };
+}
+
 function refuseBroken(): BodyReading {
     const refusal = newRefusal("malformedRequest", "the body ended before its declared length");
     return { kind: "refusal", refusal };
--- /dev/null
+++ b/packages/daemon/src/entry/readWishes.ts
@@ -0,0 +1,34 @@
+import { type Milliseconds, newRefusal, type Refusal } from "@arbutusdoor/common";
+import type { IncomingHttpHeaders } from "node:http";
+import type { CallerWishes } from "./callerWishes.js";
+
+const DEADLINE_HEADER = "arbutusdoor-deadline-ms";
+const IDEMPOTENCY_HEADER = "idempotency-key";
+const MAX_IDEMPOTENCY_KEY_LENGTH = 255;
+
+/** The wishes of a caller, or the refusal of fields that cannot be taken. */
+type WishReading =
+    | { readonly kind: "wishes"; readonly wishes: CallerWishes; }
+    | { readonly kind: "refusal"; readonly refusal: Refusal; };
+
+/** Reads a caller's deadline, which can only shorten the class's, and its idempotency key. */
+export function readWishes(headers: IncomingHttpHeaders, classDeadline: Milliseconds): WishReading {
+    const idempotencyKey = getSingle(headers[IDEMPOTENCY_HEADER]);
+    if (idempotencyKey !== undefined && idempotencyKey.length > MAX_IDEMPOTENCY_KEY_LENGTH) {
+        return refuse(`an Idempotency-Key has ${MAX_IDEMPOTENCY_KEY_LENGTH} characters at most`);
+    }
+    const own = getSingle(headers[DEADLINE_HEADER]);
+    const milliseconds = own === undefined ? classDeadline : Number(own);
+    if (!(milliseconds > 0)) {
+        return refuse(`${DEADLINE_HEADER} must be a positive number of milliseconds`);
+    }
+    return { kind: "wishes", wishes: { deadline: Math.min(classDeadline, milliseconds), idempotencyKey } };
+}
+
+function getSingle(header: string | string[] | undefined): string | undefined {
+    return Array.isArray(header) ? header.join(", ") : header;
+}
+
+function refuse(detail: string): WishReading {
+    return { kind: "refusal", refusal: newRefusal("malformedRequest", detail) };
+}
--- a/packages/daemon/tests/callerPort.test.ts
+++ b/packages/daemon/tests/callerPort.test.ts
@@ -18,8 +18,9 @@
 
 async function open(script: (request: CallerRequest) => Promise<Answer>, inFlightLimit = 10) {
     const router = new ScriptedRouter(script);
+    const clock = new ManualClock();
     const callerPort = new CallerPort({
-        clock: new ManualClock(),
+        clock,
         metrics: new Metrics(),
         ids: new RequestIds("entry-1-a" as HostIncarnation),
         router,
@@ -28,7 +29,7 @@
     });
     ports.push(callerPort);
     const port = await callerPort.listen("127.0.0.1", 0);
-    return { port, router, callerPort };
+    return { clock, port, router, callerPort };
 }
 
 async function answerWithBody(request: CallerRequest): Promise<Answer> {
@@ -105,6 +106,17 @@
         `);
 });
 
+test("a small body that does not arrive before the deadline is refused as not run", async () => {
+    const { clock, port, router } = await open(answerWithBody);
+    const call = talk(port, post("half", "content-length: 8"));
+    while (clock.nextDue() === undefined) {
+        await sleep(5);
+    }
+    clock.advance(500);
+    expect(summarize(await call)).toBe("504 not-run deadlineBeforeStart");
+    expect(router.requests).toEqual([]);
+});
+
 test("a long body that breaks off errors at the server's side and never looks whole", async () => {
     let seen: string | undefined;
     const { port } = await open(async request => {
