--- /dev/null
+++ b/packages/common/src/http/hopByHopHeaders.ts
@@ -0,0 +1,13 @@
+/** Header fields that concern one connection only (RFC 9110, section 7.6.1) and are not passed on; in lower case. */
+export const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
+    "connection",
+    "expect",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+]);
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./hashing/digest.js";
 export * from "./hashing/keyHash.js";
 export * from "./http/headerFields.js";
+export * from "./http/hopByHopHeaders.js";
 export * from "./ids/brand.js";
 export * from "./ids/classId.js";
 export * from "./ids/dataCentreId.js";
--- a/packages/daemon/src/entry/newHeaderFilter.ts
+++ b/packages/daemon/src/entry/newHeaderFilter.ts
@@ -1,16 +1,6 @@
-const HOP_BY_HOP = new Set([
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "host",
-    "expect",
-]);
+import { HOP_BY_HOP_HEADERS } from "@arbutusdoor/common";
+
+const HOST_HEADER = "host";
 const OWN_PREFIX = "arbutusdoor-";
 
 /**
@@ -19,5 +9,8 @@
  */
 export function newHeaderFilter(connection: string | undefined): (name: string) => boolean {
     const named = new Set((connection ?? "").toLowerCase().split(",").map(name => name.trim()));
-    return name => !HOP_BY_HOP.has(name) && !named.has(name) && !name.startsWith(OWN_PREFIX);
+    return name => {
+        const isOfConnection = HOP_BY_HOP_HEADERS.has(name) || name === HOST_HEADER || named.has(name);
+        return !isOfConnection && !name.startsWith(OWN_PREFIX);
+    };
 }
--- a/packages/ownership/src/grantor/syncGrant.ts
+++ b/packages/ownership/src/grantor/syncGrant.ts
@@ -4,6 +4,19 @@
 import type { HostState } from "../state/hostState.js";
 import { isGrantorOf } from "./isGrantorOf.js";
 
+/** What is known of a run of a server that has not answered yet. */
+const UNHEARD_RUN = {
+    readings: [],
+    freshUntil: 0,
+    listVersion: 0,
+    acknowledgedEpoch: 0,
+    taken: {},
+    fenced: {},
+    otherIncarnation: undefined,
+    isLeaving: false,
+    isRefused: false,
+} as const satisfies Partial<Grant>;
+
 /** Begins, changes or ends this host's part as grantor of a server after the server's row has changed. */
 export function syncGrant(
     state: HostState,
@@ -39,17 +52,9 @@
         epoch: row.epoch,
         since: state.counter,
         learntAt: now,
-        readings: [],
         boundUntil,
-        freshUntil: 0,
         repliedAt: now,
-        listVersion: 0,
-        acknowledgedEpoch: 0,
-        taken: {},
-        fenced: {},
-        otherIncarnation: undefined,
-        isLeaving: false,
-        isRefused: false,
+        ...UNHEARD_RUN,
         orderSentAt: undefined,
         nextOrderAt: now,
         nextReportAt: now,
@@ -67,16 +72,8 @@
             incarnation: row.incarnation,
             epoch: row.epoch,
             learntAt: now,
-            readings: [],
-            freshUntil: 0,
             repliedAt: now,
-            listVersion: 0,
-            acknowledgedEpoch: 0,
-            taken: {},
-            fenced: {},
-            otherIncarnation: undefined,
-            isLeaving: false,
-            isRefused: false,
+            ...UNHEARD_RUN,
         };
     }
     return grant.epoch === row.epoch
--- a/packages/platform/src/http/getHeaders.ts
+++ b/packages/platform/src/http/getHeaders.ts
@@ -1,16 +1,4 @@
-/** Fields that concern one connection only (RFC 9110, section 7.6.1) and are not passed on. */
-const HOP_BY_HOP = new Set([
-    "connection",
-    "expect",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-]);
+import { HOP_BY_HOP_HEADERS } from "@arbutusdoor/common";
 
 /** Values of `connection` that name no other field. */
 const PLAIN = new Set(["keep-alive", "Keep-Alive", "close"]);
@@ -34,7 +22,7 @@
     for (const name in raw) {
         const value = raw[name];
         const lowerCase = name.toLowerCase();
-        const isDropped = HOP_BY_HOP.has(lowerCase) || named.has(lowerCase) || dropped.has(lowerCase);
+        const isDropped = HOP_BY_HOP_HEADERS.has(lowerCase) || named.has(lowerCase) || dropped.has(lowerCase);
         if (value !== undefined && !isDropped) {
             headers[lowerCase] = typeof value === "string" || lowerCase === UNJOINED
                 ? value
