--- a/packages/common/src/logging/logEvent.ts
+++ b/packages/common/src/logging/logEvent.ts
@@ -43,8 +43,6 @@
         text: "a peer sent a frame that cannot be read; the link is closed",
     },
     answerOrphaned: { number: 500, level: "warn", text: "an answer arrived for which nobody waits; dropped" },
-    requestRefused: { number: 501, level: "debug", text: "a request was refused" },
-    requestUnknown: { number: 502, level: "warn", text: "the outcome of a request is unknown" },
     tableUnavailable: { number: 600, level: "warn", text: "the table service does not answer" },
     tableRecovered: { number: 601, level: "info", text: "the table service answers again" },
     objectStoreUnavailable: { number: 602, level: "warn", text: "the object store does not answer" },
--- a/packages/common/src/outcome/refusalReason.ts
+++ b/packages/common/src/outcome/refusalReason.ts
@@ -16,7 +16,6 @@
     noServer: { status: 503, outcome: "notRun", retry: true },
     queueFull: { status: 503, outcome: "notRun", retry: true },
     shed: { status: 503, outcome: "notRun", retry: true },
-    retryBudgetSpent: { status: 503, outcome: "notRun", retry: true },
     deadlineBeforeStart: { status: 504, outcome: "notRun", retry: true },
     stopping: { status: 503, outcome: "notRun", retry: true },
     intentStoreUnavailable: { status: 503, outcome: "notRun", retry: true },
--- a/packages/daemon/tests/docs.test.ts
+++ b/packages/daemon/tests/docs.test.ts
@@ -23,3 +23,12 @@
     const missing = Object.keys(REFUSAL_REASONS).filter(reason => !page.includes(`| \`${reason}\` |`));
     expect(missing).toEqual([]);
 });
+
+test("docs/OPERATIONS.md explains each alarm", () => {
+    const page = readPage("OPERATIONS.md");
+    const alarms = Object.entries(LOG_EVENTS).filter(([, { level }]) =>
+        level === "warn" || level === "error"
+    );
+    const missing = alarms.map(([event]) => event).filter(event => !page.includes(`| \`${event}\` |`));
+    expect(missing).toEqual([]);
+});
