--- a/packages/configuration/src/samples/newAqabaDeclaration.ts
+++ b/packages/configuration/src/samples/newAqabaDeclaration.ts
@@ -8,6 +8,7 @@
 import { service } from "../library/service.js";
 import { newReadClass } from "./newReadClass.js";
 import { newSampleServers } from "./newSampleServers.js";
+import { newUploadService } from "./newUploadService.js";
 
 const UPLOAD_LIMIT_BYTES = 268_435_456;
 const SLOTS = 4;
@@ -65,21 +66,11 @@
 }
 
 function newLoghold(): ReturnType<typeof service> {
-    const upload = requestClass("upload", {
-        methods: ["PUT"],
-        isIdempotent: true,
-        deadlineMs: 120_000,
-        priority: 60,
+    return newUploadService("loghold", {
         bodyLimitBytes: UPLOAD_LIMIT_BYTES,
         progressTimeoutMs: 15_000,
+        readDeadlineMs: 10_000,
     });
-    const reading = requestClass("read", {
-        methods: ["GET", "HEAD"],
-        isIdempotent: true,
-        deadlineMs: 10_000,
-        priority: 30,
-    });
-    return service("loghold", { kind: "pooled", classes: [upload, reading] });
 }
 
 function newServers(name: string, count: number, network: number, dataCentres: string[]): Server[] {
--- a/packages/configuration/src/samples/newLimaDeclaration.ts
+++ b/packages/configuration/src/samples/newLimaDeclaration.ts
@@ -7,6 +7,7 @@
 import { service } from "../library/service.js";
 import { newReadClass } from "./newReadClass.js";
 import { newSampleServers } from "./newSampleServers.js";
+import { newUploadService } from "./newUploadService.js";
 
 const UPLOAD_LIMIT_BYTES = 536_870_912;
 const SLOTS = 3;
@@ -64,21 +65,11 @@
 }
 
 function newTallerFotos(): ReturnType<typeof service> {
-    const upload = requestClass("upload", {
-        methods: ["PUT"],
-        isIdempotent: true,
-        deadlineMs: 120_000,
-        priority: 60,
+    return newUploadService("taller-fotos", {
         bodyLimitBytes: UPLOAD_LIMIT_BYTES,
         progressTimeoutMs: 20_000,
+        readDeadlineMs: 5_000,
     });
-    const reading = requestClass("read", {
-        methods: ["GET", "HEAD"],
-        isIdempotent: true,
-        deadlineMs: 5_000,
-        priority: 30,
-    });
-    return service("taller-fotos", { kind: "pooled", classes: [upload, reading] });
 }
 
 function newServers(name: string, count: number, network: number, dataCentres: string[]): Server[] {
