--- a/packages/clients/src/http/httpExchange.ts
+++ b/packages/clients/src/http/httpExchange.ts
@@ -54,7 +54,7 @@
         if (status < FIRST_FINAL_STATUS) {
             return;
         }
-        if (!this.request.allowsUnstatedEnd && !hasStatedEnd(this.request.method, status, rawHeaders)) {
+        if (!hasStatedEnd(this.request.method, status, rawHeaders)) {
             this.end("the answer does not state where it ends", false);
             return;
         }
--- a/packages/gateway/src/host/gatewayHost.ts
+++ b/packages/gateway/src/host/gatewayHost.ts
@@ -107,7 +107,7 @@
             metrics,
             orders: adapters.orders,
             table: adapters.keys,
-            view: this.knowledge.keys,
+            onCommitted: row => this.knowledge.noteKeys(row),
             directory,
             getConfiguration: () => this.knowledge.routes?.configuration,
             lease: this.lease,
@@ -258,6 +258,12 @@
         if (message.kind === "rows") {
             this.knowledge.takeRows(message);
         }
+        else if (message.kind === "keys") {
+            if (!this.knowledge.takeKeys(message)) {
+                // The next link begins with the whole map.
+                this.link.disconnect();
+            }
+        }
         else if (message.kind === "held") {
             this.keys.noteHeld(message.service as ServiceId, message.ranges);
         }
--- a/packages/gateway/src/host/knowledge.ts
+++ b/packages/gateway/src/host/knowledge.ts
@@ -5,10 +5,18 @@
 import { ServerDirectory } from "../discovery/serverDirectory.js";
 import type { DownMessage } from "../links/downMessage.js";
 import type { TableName } from "../links/tableName.js";
+import { decodeKeyMap } from "../ownership/decodeKeyMap.js";
+import { encodeKeyMap } from "../ownership/encodeKeyMap.js";
 import type { KeyMap } from "../ownership/keyMap.js";
+import { listDifferences } from "../ownership/listDifferences.js";
+import { patchKeyMap } from "../ownership/patchKeyMap.js";
 import { TableView } from "../store/tableView.js";
 import type { WatchedRow } from "../store/watchedRow.js";
 
+const TABLES: readonly TableName[] = ["configuration", "servers"];
+
+type KeysMessage = Extract<DownMessage, { kind: "keys"; }>;
+
 /** What a host knows: the operator's configuration, the registered servers and who owns which keys. */
 export class Knowledge {
     readonly configuration = new TableView<RoutedConfiguration>();
@@ -45,22 +53,66 @@
         }
     }
 
+    /** Takes a map of keys in that the coordinator passed on. Returns false when changes before it are missing. */
+    takeKeys({ after, fence, map, ranges, service, term, version }: KeysMessage): boolean {
+        const known = this.keys.present.get(service);
+        if (known && known.version >= version) {
+            return true;
+        }
+        const before = known?.content.kind === "value" ? known.content.value : undefined;
+        if (!map && (!before || known?.version !== after)) {
+            return false;
+        }
+        const value = map ? decodeKeyMap(map) : patchKeyMap(before!, term, fence, ranges);
+        this.noteKeys({ key: service, version, content: { kind: "value", value } });
+        return true;
+    }
+
+    /** Takes a committed map of keys in. */
+    noteKeys(row: WatchedRow<KeyMap>): void {
+        if (this.keys.asOf < 0) {
+            this.keys.applySnapshot([row], row.version);
+        }
+        else {
+            this.keys.applyChanges(Math.min(this.keys.asOf, row.version - 1), [row], row.version);
+        }
+    }
+
     /** All that is known, for a host that has just linked. */
     newSnapshots(): readonly DownMessage[] {
-        const tables: readonly TableName[] = ["configuration", "servers", "keys"];
-        return tables.filter(table => this.getView(table).asOf >= 0).map(table => {
+        const tables = TABLES.filter(table => this.getView(table).asOf >= 0).map((table): DownMessage => {
             const { asOf, present } = this.getView(table);
             return { kind: "rows", table, after: undefined, asOf, rows: [...present.values()] };
         });
+        const maps = [...this.keys.present.values()].flatMap((
+            { content, key, version },
+        ): readonly DownMessage[] =>
+            content.kind === "value"
+                ? [newKeysMessage(key, version, content.value, { map: encodeKeyMap(content.value) })]
+                : []
+        );
+        return [...tables, ...maps];
     }
 
     /** Calls the listener with each change, as it is passed on to other hosts. */
     onChange(listener: (message: DownMessage) => void): void {
-        const tables: readonly TableName[] = ["configuration", "servers", "keys"];
-        for (const table of tables) {
+        for (const table of TABLES) {
             const view = this.getView(table);
             view.onChange(rows => listener({ kind: "rows", table, after: -1, asOf: view.asOf, rows }));
         }
+        const told = new Map<string, { readonly version: number; readonly map: KeyMap; }>();
+        this.keys.onChange(rows => {
+            for (const { content, key, version } of rows) {
+                if (content.kind === "value") {
+                    const before = told.get(key);
+                    told.set(key, { version, map: content.value });
+                    const changes = before
+                        ? { after: before.version, ranges: listDifferences(before.map, content.value) }
+                        : { map: encodeKeyMap(content.value) };
+                    listener(newKeysMessage(key, version, content.value, changes));
+                }
+            }
+        });
     }
 
     private getView(table: TableName): TableView<never> {
@@ -101,3 +153,12 @@
         }
     }
 }
+
+function newKeysMessage(
+    service: string,
+    version: number,
+    { fence, term }: KeyMap,
+    { after, map, ranges = [] }: Partial<Pick<KeysMessage, "after" | "map" | "ranges">>,
+): KeysMessage {
+    return { kind: "keys", service, after, version, term, fence, map, ranges };
+}
--- a/packages/gateway/src/links/downMessage.ts
+++ b/packages/gateway/src/links/downMessage.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "@arbutusdoor/common";
+import type { OwnedRange } from "../ownership/ownedRange.js";
 import type { WatchedRow } from "../store/watchedRow.js";
 import type { TableName } from "./tableName.js";
 
@@ -12,6 +13,18 @@
         readonly asOf: number;
         readonly rows: readonly WatchedRow<unknown>[];
     }
+    | {
+        readonly kind: "keys";
+        readonly service: string;
+        /** Version of the row that the changes follow; `undefined` when the map is whole. */
+        readonly after: number | undefined;
+        readonly version: number;
+        readonly term: number;
+        readonly fence: number;
+        /** The whole map encoded, or only the ranges that differ from the version before. */
+        readonly map: Uint8Array | undefined;
+        readonly ranges: readonly OwnedRange[];
+    }
     | {
         readonly kind: "beat";
         readonly term: number;
--- a/packages/gateway/src/links/tableName.ts
+++ b/packages/gateway/src/links/tableName.ts
@@ -1,2 +1,2 @@
-/** Tables that the coordinator passes on. */
-export type TableName = "configuration" | "servers" | "keys";
+/** Tables that the coordinator passes on as rows; maps of keys go as differences. */
+export type TableName = "configuration" | "servers";
--- a/packages/gateway/src/ownership/keyCoordinator.ts
+++ b/packages/gateway/src/ownership/keyCoordinator.ts
@@ -4,7 +4,7 @@
 import type { UpMessage } from "../links/upMessage.js";
 import type { KeyOrders } from "../orders/keyOrders.js";
 import type { RowTable } from "../store/rowTable.js";
-import type { TableView } from "../store/tableView.js";
+import type { WatchedRow } from "../store/watchedRow.js";
 import type { KeyMap } from "./keyMap.js";
 import type { OwnershipSettings } from "./ownershipSettings.js";
 import type { RebalanceSettings } from "./rebalanceSettings.js";
@@ -22,7 +22,8 @@
     readonly metrics: Metrics;
     readonly orders: KeyOrders;
     readonly table: RowTable<KeyMap>;
-    readonly view: TableView<KeyMap>;
+    /** A map was committed. */
+    readonly onCommitted: (row: WatchedRow<KeyMap>) => void;
     readonly directory: ServerDirectory;
     readonly getConfiguration: () => RoutedConfiguration | undefined;
     /** The lease: whether it is valid, and how long ago the store last confirmed it. */
@@ -71,11 +72,13 @@
 
     /** Takes a host's report in. */
     noteReport({ keys, misdirected, servers }: UpMessage): void {
+        const now = this.parts.clock.now();
         for (const [service, key, requests] of keys) {
             this.services.get(service as ServiceId)?.noteLoad(key, requests);
         }
         for (const [server, answers, totalMs] of servers) {
             this.speeds.add(server as ServerId, answers, totalMs);
+            this.evidence.noteAnswer(server as ServerId, now);
         }
         for (const [service, key] of misdirected) {
             this.services.get(service as ServiceId)?.renewSoon(key);
--- a/packages/gateway/src/ownership/rangeKeeper.ts
+++ b/packages/gateway/src/ownership/rangeKeeper.ts
@@ -26,6 +26,7 @@
     private readonly settings: OwnershipSettings;
     private readonly getState: (holder: KeyHolder) => HolderState;
     private committed: KeyMap;
+    private distinctOwners: readonly KeyHolder[];
     private progress = new Map<number, RangeProgress>();
     private readonly refused = new Set<number>();
     private readonly failingSince = new Map<string, Milliseconds>();
@@ -46,6 +47,7 @@
         this.settings = settings;
         this.getState = getState;
         this.committed = map;
+        this.distinctOwners = listOwners(map);
         this.inheritedUntil = isInherited ? now + settings.renewalAuthorityMs : -Infinity;
         map.ranges.forEach(range => this.progress.set(range.first, this.newProgress(range, undefined)));
     }
@@ -55,6 +57,16 @@
         return this.committed;
     }
 
+    /** Each owner of the map once. */
+    get owners(): readonly KeyHolder[] {
+        return this.distinctOwners;
+    }
+
+    /** Whether a grant was refused because a higher fence was seen. */
+    get hasRefused(): boolean {
+        return this.refused.size > 0;
+    }
+
     /** The map with changes made, to be written; orders follow only once it is committed. */
     propose(term: number, changes: readonly RangeChange[], now: Milliseconds): KeyMap {
         return applyChanges(
@@ -84,6 +96,7 @@
             );
         }
         this.committed = map;
+        this.distinctOwners = listOwners(map);
         this.progress = next;
         this.refused.clear();
     }
@@ -303,3 +316,7 @@
     const SHORTEST = 0.75;
     return SHORTEST + (1 - SHORTEST) * (first * GOLDEN_RATIO % 1);
 }
+
+function listOwners(map: KeyMap): readonly KeyHolder[] {
+    return [...new Map(map.ranges.map(({ owner }) => [getHolderName(owner), owner])).values()];
+}
--- a/packages/gateway/src/ownership/serverEvidence.ts
+++ b/packages/gateway/src/ownership/serverEvidence.ts
@@ -1,4 +1,4 @@
-import type { Logger, Milliseconds } from "@arbutusdoor/common";
+import type { Logger, Milliseconds, ServerId } from "@arbutusdoor/common";
 import type { ServerDirectory } from "../discovery/serverDirectory.js";
 import type { OrderOutcome } from "../orders/orderOutcome.js";
 import { getHolderName } from "./getHolderName.js";
@@ -6,21 +6,30 @@
 import type { KeyHolder } from "./keyHolder.js";
 
 const MAX_HOLDERS = 4_096;
-/** Refused connections must have been seen over this long. */
-const REFUSED_MS = 400;
+/** Refused connections must have been seen over this long; hosts report answers every 200 ms. */
+const REFUSED_MS = 800;
 
-/** Tells whether a life of a server goes on, from the registry and from how it answers orders. */
+/** Tells whether a life of a server goes on, from the registry and from how it answers orders and requests. */
 export class ServerEvidence {
     private readonly directory: ServerDirectory;
     private readonly logger: Logger;
     private readonly dead = new Set<string>();
     private readonly refusedSince = new Map<string, Milliseconds>();
+    /** When each server was last seen to answer anybody. */
+    private readonly answeredAt = new Map<ServerId, Milliseconds>();
 
     constructor(directory: ServerDirectory, logger: Logger) {
         this.directory = directory;
         this.logger = logger;
     }
 
+    /** Notes that a server has answered a host's request. */
+    noteAnswer(server: ServerId, now: Milliseconds): void {
+        this.answeredAt.delete(server);
+        this.answeredAt.set(server, now);
+        forgetOldest(this.answeredAt.keys(), this.answeredAt);
+    }
+
     /**
      * What is known of a holder now. A newer life of the same server proves the end of the older ones. That an entry is gone proves
      * nothing alone: a server that the store cannot see may go on serving.
@@ -45,22 +54,42 @@
         }
         else if (outcome.kind !== "unknown") {
             this.refusedSince.delete(name);
+            this.noteAnswer(holder.id, now);
         }
     }
 
     /**
-     * Nobody listening at the address is taken for the end only together with a missing entry: a partition may answer for the server,
-     * and a crashed one's entry goes within three heartbeats.
+     * Nobody listening at the address proves the end only together with other signs, since a partition may answer for the server:
+     * its entry is gone (that of a crashed server goes within three heartbeats), no host had an answer of it meanwhile, and another
+     * server of its data centre did answer, so that the data centre is not cut off.
      */
     private noteRefused(holder: KeyHolder, name: string, now: Milliseconds): void {
         const since = this.refusedSince.get(name) ?? now;
         this.refusedSince.set(name, since);
         forgetOldest(this.refusedSince.keys(), this.refusedSince);
-        if (now - since >= REFUSED_MS && this.directory.isMissing(holder.id)) {
+        const hasAnswered = (this.answeredAt.get(holder.id) ?? -Infinity) >= since;
+        const isLongEnough = now - since >= REFUSED_MS;
+        if (
+            isLongEnough && !hasAnswered && this.directory.isMissing(holder.id)
+            && this.isReachable(holder, since)
+        ) {
             this.prove(name, "nobody listens at its address and its entry is gone");
         }
     }
 
+    /** Whether another server of the holder's data centre has answered since a time. */
+    private isReachable(holder: KeyHolder, since: Milliseconds): boolean {
+        const dataCentre = this.directory.findNewest(holder.id)?.dataCentre;
+        for (const [server, answeredAt] of this.answeredAt) {
+            const isNeighbour = server !== holder.id
+                && this.directory.findNewest(server)?.dataCentre === dataCentre;
+            if (isNeighbour && answeredAt > since) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private prove(name: string, reason: string): void {
         if (!this.dead.has(name)) {
             this.dead.add(name);
@@ -72,9 +101,9 @@
 
 function forgetOldest(
     names: Iterator<string>,
-    collection: { readonly size: number; delete(name: string): unknown; },
+    collection: { readonly size: number; delete(name: never): unknown; },
 ): void {
     if (collection.size > MAX_HOLDERS) {
-        collection.delete(names.next().value as string);
+        collection.delete(names.next().value as never);
     }
 }
--- a/packages/gateway/src/ownership/serviceKeeper.ts
+++ b/packages/gateway/src/ownership/serviceKeeper.ts
@@ -1,14 +1,18 @@
 import type { Clock, Logger, Metrics, Milliseconds, ServiceId } from "@arbutusdoor/common";
 import type { ServerDirectory } from "../discovery/serverDirectory.js";
 import type { KeyOrders } from "../orders/keyOrders.js";
+import type { KeyRange } from "../orders/keyRange.js";
 import type { RowTable } from "../store/rowTable.js";
-import type { TableView } from "../store/tableView.js";
+import type { WatchedRow } from "../store/watchedRow.js";
+import { getHolderName } from "./getHolderName.js";
 import type { KeyHolder } from "./keyHolder.js";
 import { KeyLoads } from "./keyLoads.js";
 import type { KeyMap } from "./keyMap.js";
+import { KeyMapStore } from "./keyMapStore.js";
 import type { KeyOrder } from "./keyOrder.js";
 import { layOutKeys } from "./layOutKeys.js";
 import type { OwnershipSettings } from "./ownershipSettings.js";
+import { planJoins } from "./planJoins.js";
 import { planRebalance } from "./planRebalance.js";
 import { planRepairs } from "./planRepairs.js";
 import type { RangeChange } from "./rangeChange.js";
@@ -20,8 +24,8 @@
 
 /** Renewals that are sent in one tick; more would hold the loop up for tens of milliseconds. */
 const RENEWALS_PER_TICK = 24;
-/** Servers register within a short time of each other when all start; the first layout waits for them. */
-const SETTLE_MS = 700;
+/** All servers register within some 3 s when all start; the first layout waits until no more came for a while. */
+const SETTLE_MS = 1_500;
 const REBALANCE_MS = 400;
 const LOAD_HALF_LIFE_MS = 1_500;
 /** After a write that failed. */
@@ -40,7 +44,8 @@
     readonly metrics: Metrics;
     readonly orders: KeyOrders;
     readonly table: RowTable<KeyMap>;
-    readonly view: TableView<KeyMap>;
+    /** A map was committed. */
+    readonly onCommitted: (row: WatchedRow<KeyMap>) => void;
     readonly directory: ServerDirectory;
     readonly evidence: ServerEvidence;
     readonly speeds: ServerSpeeds;
@@ -57,16 +62,17 @@
     private readonly parts: ServiceKeeperParts;
     private readonly loads: KeyLoads;
     private keeper: RangeKeeper | undefined;
-    private version = 0;
+    private readonly store: KeyMapStore;
     private isBusy = false;
     private nextWriteAt: Milliseconds = -Infinity;
     private nextRebalanceAt: Milliseconds = -Infinity;
-    private serversSince: Milliseconds | undefined;
+    private awaited: { readonly servers: number; readonly since: Milliseconds; } | undefined;
     private storeAwayAt: Milliseconds = -Infinity;
     private held: [number, number][] = [];
 
     constructor(parts: ServiceKeeperParts) {
         this.parts = parts;
+        this.store = new KeyMapStore(parts);
         this.loads = new KeyLoads(LOAD_HALF_LIFE_MS, parts.clock.now());
     }
 
@@ -110,25 +116,15 @@
 
     /** Reads the committed map and writes it back under the own term, so that no write of a predecessor can take effect later. */
     private async takeOver(now: Milliseconds): Promise<void> {
-        const { clock, logger, service, table, term } = this.parts;
-        const read = await table.readRow(service);
-        if (read.kind === "unavailable") {
+        const { clock, logger, service, term } = this.parts;
+        const committed = await this.store.read();
+        if (!committed) {
             this.nextWriteAt = now + WRITE_RETRY_MS;
             return;
         }
-        const { content, version } = read.row;
-        if (content.kind === "unreadable") {
-            logger.log("keysNotWritten", { service, reason: content.reason });
-            this.nextWriteAt = now + WRITE_RETRY_MS;
-            return;
-        }
-        const committed = content.kind === "value" ? content.value : { term, fence: 0, ranges: [] };
-        this.version = version;
         const map = { ...committed, term };
-        const isWritten = await this.write(map);
-        if (isWritten) {
-            const isInherited = committed.ranges.length > 0;
-            this.keeper = this.newKeeper(map, isInherited, clock.now());
+        if (await this.write(map)) {
+            this.keeper = this.newKeeper(map, committed.ranges.length > 0, clock.now());
             logger.log("keysInherited", { service, term, fence: map.fence, ranges: map.ranges.length });
         }
     }
@@ -139,8 +135,10 @@
         if (servers.length === 0) {
             return;
         }
-        this.serversSince ??= now;
-        if (now - this.serversSince < SETTLE_MS) {
+        if (this.awaited?.servers !== servers.length) {
+            this.awaited = { servers: servers.length, since: now };
+        }
+        if (now - this.awaited.since < SETTLE_MS) {
             return;
         }
         const fence = this.keeper!.map.fence + 1;
@@ -153,17 +151,7 @@
 
     private async change(keeper: RangeKeeper, now: Milliseconds): Promise<void> {
         const { logger, service, term } = this.parts;
-        const servers = this.listServers();
-        this.updateLoads(now);
-        const reachable = servers.filter(({ holder }) => !keeper.isSilent(holder, now));
-        const orphaned = planRepairs(
-            keeper.map,
-            reachable,
-            owner => this.mustLeave(keeper, owner, now),
-            range => this.loads.getLoad(range),
-        );
-        const repairs = orphaned.length > 0 ? orphaned : keeper.listRefused();
-        const changes = repairs.length > 0 ? repairs : this.planBalance(keeper, reachable, now);
+        const { cause, changes } = this.plan(keeper, now);
         if (changes.length === 0) {
             return;
         }
@@ -175,20 +163,41 @@
                 fence: map.fence,
                 ranges: changes.length,
                 keys: changes.reduce((total, { first, last }) => total + last - first + 1, 0),
-                cause: repairs.length > 0 ? "owners" : "load",
+                cause,
             });
         }
     }
 
-    private planBalance(
+    /** What has to change: keys whose owner cannot keep them, then refused grants, then shares of new servers, then balance. */
+    private plan(
         keeper: RangeKeeper,
-        servers: readonly ServerCapacity[],
         now: Milliseconds,
-    ): readonly RangeChange[] {
-        if (now < this.nextRebalanceAt) {
-            return [];
+    ): { readonly cause: string; readonly changes: readonly RangeChange[]; } {
+        const leaving = new Set(
+            keeper.owners.filter(owner => this.mustLeave(keeper, owner, now)).map(getHolderName),
+        );
+        const isDue = now >= this.nextRebalanceAt;
+        if (leaving.size === 0 && !keeper.hasRefused && !isDue) {
+            return { cause: "none", changes: [] };
+        }
+        const servers = this.listServers().filter(({ holder }) => !keeper.isSilent(holder, now));
+        if (leaving.size > 0) {
+            const mustLeave = (owner: KeyHolder) => leaving.has(getHolderName(owner));
+            const getLoad = (range: KeyRange) => this.loads.getLoad(range);
+            return { cause: "owners", changes: planRepairs(keeper.map, servers, mustLeave, getLoad) };
+        }
+        if (keeper.hasRefused) {
+            return { cause: "fences", changes: keeper.listRefused() };
         }
         this.nextRebalanceAt = now + REBALANCE_MS;
+        this.loads.update(now);
+        const joins = planJoins(keeper.map, servers);
+        return joins.length > 0
+            ? { cause: "joined", changes: joins }
+            : { cause: "load", changes: this.planBalance(keeper, servers) };
+    }
+
+    private planBalance(keeper: RangeKeeper, servers: readonly ServerCapacity[]): readonly RangeChange[] {
         const heldRanges = new Set(
             keeper.map.ranges.filter(range => keeper.isHeld(range)).map(({ first }) => first),
         );
@@ -201,54 +210,29 @@
         );
     }
 
-    private updateLoads(now: Milliseconds): void {
-        if (now >= this.nextRebalanceAt) {
-            this.loads.update(now);
-        }
-    }
-
-    /** Commits a map. After a lost answer or a conflict the row is read again before anything else is decided. */
     private async write(map: KeyMap): Promise<boolean> {
-        const { clock, logger, service, table, view } = this.parts;
-        const outcome = await table.write(service, this.version, map);
-        if (outcome.kind === "committed") {
-            this.version = outcome.version;
-            const row = {
-                key: service,
-                version: outcome.version,
-                content: { kind: "value", value: map },
-            } as const;
-            if (view.asOf < 0) {
-                view.applySnapshot([row], outcome.version);
-            }
-            else {
-                view.applyChanges(view.asOf, [row], outcome.version);
-            }
+        const outcome = await this.store.write(map);
+        if (outcome === "committed") {
             return this.parts.isCurrent();
         }
-        this.nextWriteAt = clock.now() + WRITE_RETRY_MS;
-        logger.log("keysNotWritten", { service, outcome: outcome.kind });
-        if (outcome.kind !== "notRun") {
+        this.nextWriteAt = this.parts.clock.now() + WRITE_RETRY_MS;
+        if (outcome === "replaced") {
             await this.readBack();
         }
         return false;
     }
 
     private async readBack(): Promise<void> {
-        const { service, table, term } = this.parts;
-        const read = await table.readRow(service);
-        if (read.kind === "unavailable") {
-            return;
-        }
-        const { content, version } = read.row;
-        if (version === this.version || content.kind !== "value") {
+        const { term } = this.parts;
+        const before = this.store.version;
+        const committed = await this.store.read();
+        if (!committed || this.store.version === before) {
             return;
         }
-        if (content.value.term === term && this.keeper) {
+        if (committed.term === term && this.keeper) {
             // The write whose answer was lost has taken effect.
-            this.version = version;
-            this.keeper.commit(content.value);
-            this.parts.view.applyChanges(this.parts.view.asOf, [read.row], version);
+            this.keeper.commit(committed);
+            this.store.announce(committed);
         }
         else {
             this.keeper = undefined;
