--- a/packages/gateway/src/ownership/planRepairs.ts
+++ b/packages/gateway/src/ownership/planRepairs.ts
@@ -31,17 +31,24 @@
         }
     }
     const changes: RangeChange[] = [];
-    for (const range of map.ranges) {
-        if (!mustLeave(range.owner)) {
-            continue;
-        }
-        const owner = findNewLife(range.owner, servers) ?? findLeastLoaded(servers, loads);
+    const assign = (range: OwnedRange, owner: KeyHolder) => {
         const name = getHolderName(owner);
         loads.set(name, loads.get(name)! + getWeight(range, getLoad));
         if (!isSameHolder(owner, range.owner)) {
             changes.push({ first: range.first, last: range.last, owner });
         }
+    };
+    const orphans: OwnedRange[] = [];
+    for (const range of map.ranges.filter(({ owner }) => mustLeave(owner))) {
+        const newLife = findNewLife(range.owner, servers);
+        if (newLife) {
+            assign(range, newLife);
+        }
+        else {
+            orphans.push(range);
+        }
     }
+    orphans.forEach(range => assign(range, findLeastLoaded(servers, loads)));
     return changes;
 }
 
--- /dev/null
+++ b/packages/gateway/tests/configuration.test.ts
@@ -0,0 +1,48 @@
+import type { ServiceId } from "@arbutusdoor/common";
+import { expect, test } from "vitest";
+import type { Route } from "../src/configuration/route.js";
+import { RouteTable } from "../src/configuration/routeTable.js";
+import { TargetRotation } from "../src/configuration/targetRotation.js";
+import { newRoute } from "./support/newRoute.js";
+
+function newTable(...routes: readonly Route[]): RouteTable {
+    const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+    return new RouteTable({ version: 1, routes, services: [], limits });
+}
+
+test("the longest prefix that begins the path wins, by host without port and in any case", () => {
+    const table = newTable(
+        newRoute({ name: "all", pathPrefix: "/" }),
+        newRoute({ name: "a", pathPrefix: "/a/" }),
+        newRoute({ name: "ab", pathPrefix: "/a/b/" }),
+        newRoute({ name: "other", authority: "other.example", pathPrefix: "/a/" }),
+    );
+    const paths = ["/", "/x", "/a", "/a/", "/a/b", "/a/b/", "/a/b/c/d", "/ab/"];
+    const found = paths.map(path => `${path} -> ${table.match("Board.Example:80", path)?.name}`);
+    expect(found).toMatchInlineSnapshot(`
+      [
+        "/ -> all",
+        "/x -> all",
+        "/a -> all",
+        "/a/ -> a",
+        "/a/b -> a",
+        "/a/b/ -> ab",
+        "/a/b/c/d -> ab",
+        "/ab/ -> all",
+      ]
+    `);
+    expect(table.match("other.example", "/b/")).toBeUndefined();
+    expect(table.match("unknown.example", "/a/")).toBeUndefined();
+});
+
+test("targets get their weight's share over any span", () => {
+    const rotation = new TargetRotation();
+    const route = newRoute({
+        targets: [{ service: "a" as ServiceId, weight: 90 }, { service: "b" as ServiceId, weight: 10 }],
+    });
+    const chosen = Array.from({ length: 40 }, () => rotation.next(route));
+    const shares = [0, 10, 20, 30].map(start =>
+        chosen.slice(start, start + 10).filter(name => name === "b").length
+    );
+    expect(shares).toEqual([1, 1, 1, 1]);
+});
--- /dev/null
+++ b/packages/gateway/tests/keyMap.test.ts
@@ -0,0 +1,71 @@
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { applyChanges } from "../src/ownership/applyChanges.js";
+import { decodeKeyMap } from "../src/ownership/decodeKeyMap.js";
+import { encodeKeyMap } from "../src/ownership/encodeKeyMap.js";
+import { KEY_COUNT } from "../src/ownership/keyCount.js";
+import type { KeyMap } from "../src/ownership/keyMap.js";
+import { layOutKeys } from "../src/ownership/layOutKeys.js";
+import { listDifferences } from "../src/ownership/listDifferences.js";
+import { patchKeyMap } from "../src/ownership/patchKeyMap.js";
+import { newHolder } from "./support/newHolder.js";
+
+const HOLDERS = ["a", "b", "c"].map(id => newHolder(id));
+const EMPTY: KeyMap = { term: 1, fence: 0, ranges: [] };
+
+/** Maps that follow from a layout by random changes, one after the other. */
+const histories = fc.array(
+    fc.record({
+        at: fc.nat({ max: 31 }),
+        from: fc.nat({ max: 2_047 }),
+        keys: fc.integer({ min: 1, max: 2_048 }),
+        owner: fc.constantFrom(...HOLDERS),
+        isCleared: fc.boolean(),
+    }),
+    { maxLength: 12 },
+).map(steps => {
+    const maps: KeyMap[] = [EMPTY, layOutKeys(HOLDERS, 2_048, 1, 1)];
+    for (const { at, from, isCleared, keys, owner } of steps) {
+        const map = maps.at(-1)!;
+        const range = map.ranges[at % map.ranges.length]!;
+        const first = Math.min(range.last, range.first + from);
+        const last = Math.min(range.last, first + keys - 1);
+        maps.push(applyChanges(map, 2, [{ first, last, owner }], () => isCleared));
+    }
+    return maps;
+});
+
+test("a map is the same after it was encoded and decoded", () => {
+    fc.assert(fc.property(histories, maps => {
+        maps.forEach(map => expect(decodeKeyMap(encodeKeyMap(map))).toEqual(map));
+    }));
+});
+
+test("differences bring a host from any map to the next, also from none to the first layout", () => {
+    fc.assert(fc.property(histories, maps => {
+        maps.slice(1).forEach((after, index) => {
+            const before = maps[index]!;
+            const patched = patchKeyMap(before, after.term, after.fence, listDifferences(before, after));
+            expect(patched).toEqual(after);
+        });
+    }));
+});
+
+test("changes keep all keys covered, and a new owner's fence is above all before", () => {
+    fc.assert(fc.property(histories, maps => {
+        const { ranges } = maps.at(-1)!;
+        expect(ranges[0]!.first).toBe(0);
+        expect(ranges.at(-1)!.last).toBe(KEY_COUNT - 1);
+        ranges.slice(1).forEach((range, index) => expect(range.first).toBe(ranges[index]!.last + 1));
+        expect(Math.max(...ranges.map(({ fence }) => fence))).toBeLessThanOrEqual(maps.at(-1)!.fence);
+    }));
+});
+
+test("bytes that are no map are refused by name of what is wrong", () => {
+    const { ranges } = layOutKeys(HOLDERS, 2_048, 1, 1);
+    const cut = encodeKeyMap({ term: 1, fence: 1, ranges: ranges.slice(0, 3) });
+    expect(() => decodeKeyMap(cut)).toThrowErrorMatchingInlineSnapshot(
+        `[InputError: the ranges do not cover all keys]`,
+    );
+    expect(() => decodeKeyMap(Buffer.from([1]))).toThrow("not a map of keys");
+});
--- /dev/null
+++ b/packages/gateway/tests/support/newRoute.ts
@@ -0,0 +1,18 @@
+import type { ServiceId } from "@arbutusdoor/common";
+import type { Route } from "../../src/configuration/route.js";
+
+/** A route with ordinary values where the test sets none. */
+export function newRoute(parts: Partial<Route> = {}): Route {
+    return {
+        name: "route",
+        authority: "board.example",
+        pathPrefix: "/",
+        isIdempotent: true,
+        timeoutMs: 1_000,
+        objectiveMs: 500,
+        priority: 1,
+        maxAttempts: 2,
+        targets: [{ service: "board" as ServiceId, weight: 1 }],
+        ...parts,
+    };
+}
--- /dev/null
+++ b/packages/gateway/tests/support/serverModel.ts
@@ -0,0 +1,49 @@
+import type { Milliseconds } from "@arbutusdoor/common";
+import type { OrderOutcome } from "../../src/orders/orderOutcome.js";
+import type { KeyHolder } from "../../src/ownership/keyHolder.js";
+import type { KeyOrder } from "../../src/ownership/keyOrder.js";
+
+/** What a server holds of one key. */
+type Hold = { fence: number; until: Milliseconds; };
+
+/**
+ * A backend server as the platform's page describes it, by single keys: it refuses grants below the highest fence that it has seen on
+ * a key, and never refuses a release. Its clock may run slow.
+ */
+export class ServerModel {
+    readonly holder: KeyHolder;
+    isUp = true;
+    private readonly clockSlowness: number;
+    private readonly holds = new Map<number, Hold>();
+    private readonly seen = new Map<number, number>();
+
+    constructor(holder: KeyHolder, clockSlowness: number) {
+        this.holder = holder;
+        this.clockSlowness = clockSlowness;
+    }
+
+    /** Carries an order out that arrived at a time. */
+    apply(order: KeyOrder, holdMs: Milliseconds, arrivedAt: Milliseconds): OrderOutcome {
+        const keys = Array.from({ length: order.last - order.first + 1 }, (_, index) => order.first + index);
+        if (order.kind === "grant" && keys.some(key => (this.seen.get(key) ?? 0) > order.fence)) {
+            return { kind: "fenced" };
+        }
+        for (const key of keys) {
+            this.seen.set(key, Math.max(this.seen.get(key) ?? 0, order.fence));
+            if (order.kind === "release") {
+                this.holds.delete(key);
+            }
+            else {
+                const until = arrivedAt + holdMs * (1 + this.clockSlowness);
+                this.holds.set(key, { fence: order.fence, until });
+            }
+        }
+        return { kind: "done", handover: order.kind === "release" ? `h${order.first}` : undefined };
+    }
+
+    /** Whether the server would serve a key now. */
+    isHolding(key: number, now: Milliseconds): boolean {
+        const hold = this.holds.get(key);
+        return this.isUp && hold !== undefined && now < hold.until;
+    }
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -17,4 +17,5 @@
 export * from "./observer/observe.js";
 export * from "./observer/serverJournal.js";
 export * from "./observer/verdict.js";
+export * from "./rowStore/rowStoreStandIn.js";
 export * from "./tableService/tableStandIn.js";
--- /dev/null
+++ b/packages/standins/src/rowStore/rowStoreStandIn.ts
@@ -0,0 +1,169 @@
+import type { Clock } from "@arbutusdoor/common";
+import type { ServerResponse } from "node:http";
+import { Journal } from "../common/journal.js";
+import type { Place } from "../common/place.js";
+import { readJson } from "../common/readJson.js";
+import { sendJson } from "../common/sendJson.js";
+import { StandIn } from "../common/standIn.js";
+import type { StandInRequest } from "../common/standInRequest.js";
+import { RowTransaction } from "./rowTransaction.js";
+
+const MAX_WAIT_MS = 30_000;
+const POLL_MS = 5;
+const DEFAULT_LIMIT = 500;
+const NOT_ALLOWED = new Set(["op", "servers"]);
+
+type StoredRow = {
+    readonly table: string;
+    readonly part: string;
+    readonly key: string;
+    readonly ver: number;
+    readonly value?: string;
+    readonly deleted?: true;
+};
+type StoreEntry = { readonly time: number; readonly call: string; readonly status: number; };
+
+/** In the place of the platform's metadata store: rows with versions of one counter, and feeds of their changes. */
+export class RowStoreStandIn extends StandIn {
+    private readonly rows = new Map<string, StoredRow>();
+    private readonly journal: Journal<StoreEntry>;
+    private version = 1;
+    /** Changes up to this version are no longer kept. */
+    private forgotten = 0;
+
+    constructor(parts: { readonly clock: Clock; readonly journalLimit: number; }, place: Place) {
+        super(parts.clock, place);
+        this.journal = new Journal(parts.journalLimit);
+        const routes = [
+            [
+                "post",
+                "/-/rows-tx",
+                (request: StandInRequest, response: ServerResponse) => this.transact(request, response),
+            ],
+            [
+                "get",
+                "/-/rows-get",
+                (request: StandInRequest, response: ServerResponse) => this.read(request, response),
+            ],
+            [
+                "get",
+                "/-/rows-feed",
+                (request: StandInRequest, response: ServerResponse) => this.feed(request, response),
+            ],
+        ] as const;
+        for (const [method, path, handler] of routes) {
+            this.app[method](path, this.withFaults(handler));
+        }
+    }
+
+    override readJournal(): unknown {
+        return { kind: "rowStore", ...this.journal.read(), version: this.version };
+    }
+
+    /** Writes a row as the operator or a server does; `undefined` deletes it. */
+    put(table: string, key: string, value: string | undefined): void {
+        this.version++;
+        this.store(
+            { table, part: "", key },
+            value === undefined ? undefined : Buffer.from(value).toString("base64"),
+        );
+    }
+
+    /** Drops the history: feeds that ask for changes up to now are told so. */
+    compact(): void {
+        this.forgotten = this.version;
+        for (const [name, row] of this.rows) {
+            if (row.deleted) {
+                this.rows.delete(name);
+            }
+        }
+    }
+
+    private async transact(request: StandInRequest, response: ServerResponse): Promise<void> {
+        const transaction = await readJson(request, RowTransaction);
+        if (!transaction) {
+            this.answer(response, "rows-tx", 400, { error: "malformed transaction" });
+            return;
+        }
+        const writes = [...transaction["set-keys"], ...transaction.remove];
+        if (writes.some(({ table }) => NOT_ALLOWED.has(table))) {
+            this.answer(response, "rows-tx", 403, { error: "this table belongs to others" });
+            return;
+        }
+        const isMatching = transaction["expected-rev"].every(row => this.getVersion(row) === row.ver);
+        if (isMatching) {
+            this.version++;
+            transaction["set-keys"].forEach(row => this.store(row, row.value));
+            transaction.remove.forEach(row => this.store(row, undefined));
+        }
+        const status = isMatching ? 200 : 412;
+        this.journal.add({ time: this.clock.wallTime(), call: "rows-tx", status });
+        this.answerEffect(response, status, this.newReply({}));
+    }
+
+    private read(request: StandInRequest, response: ServerResponse): void {
+        const { from = "", limit = String(DEFAULT_LIMIT), table, target } = request.query as Record<
+            string,
+            string
+        >;
+        const rows = [...this.rows.values()]
+            .filter(row => row.table === table && !row.deleted && row.key >= from)
+            .filter(row => target === undefined || row.key < target)
+            .sort((one, other) => one.key < other.key ? -1 : 1);
+        const page = rows.slice(0, Number(limit));
+        this.answer(
+            response,
+            "rows-get",
+            200,
+            this.newReply({ rows: page, "has-more": page.length < rows.length }),
+        );
+    }
+
+    private async feed(request: StandInRequest, response: ServerResponse): Promise<void> {
+        const { after, table, "wait-ms": wait = "0" } = request.query as Record<string, string>;
+        if (Number(after) < this.forgotten) {
+            this.answer(response, "rows-feed", 410, { error: "history is gone" });
+            return;
+        }
+        const end = this.clock.now() + Math.min(MAX_WAIT_MS, Number(wait));
+        let rows = this.listChanges(table, Number(after));
+        while (rows.length === 0 && this.clock.now() < end && !response.destroyed) {
+            await this.clock.sleep(POLL_MS);
+            rows = this.listChanges(table, Number(after));
+        }
+        this.answer(response, "rows-feed", 200, this.newReply({ rows }));
+    }
+
+    private listChanges(table: string | undefined, after: number): readonly StoredRow[] {
+        return [...this.rows.values()]
+            .filter(row => row.table === table && row.ver > after)
+            .sort((one, other) => one.ver - other.ver);
+    }
+
+    private store(row: { table: string; part: string; key: string; }, value: string | undefined): void {
+        const { key, part, table } = row;
+        const common = { table, part, key, ver: this.version };
+        this.rows.set(
+            getName(row),
+            value === undefined ? { ...common, deleted: true } : { ...common, value },
+        );
+    }
+
+    private getVersion(row: { table: string; part: string; key: string; }): number {
+        const stored = this.rows.get(getName(row));
+        return !stored || stored.deleted ? 0 : stored.ver;
+    }
+
+    private newReply(parts: object): object {
+        return { ...parts, ver: this.version, now: `${Math.round(this.clock.now())}ms` };
+    }
+
+    private answer(response: ServerResponse, call: string, status: number, value: object): void {
+        this.journal.add({ time: this.clock.wallTime(), call, status });
+        sendJson(response, status, value);
+    }
+}
+
+function getName({ key, part, table }: { table: string; part: string; key: string; }): string {
+    return [table, part, key].join("\n");
+}
