--- a/packages/gateway/src/coordination/leaseKeeper.ts
+++ b/packages/gateway/src/coordination/leaseKeeper.ts
@@ -28,7 +28,8 @@
     readonly isLooking: () => boolean;
     /** Whether this host may take the lease. */
     readonly isEligible: () => boolean;
-    readonly onTaken: (term: number) => void;
+    /** This host coordinates now; the lease before is given if its holder may still renew grants. */
+    readonly onTaken: (term: number, predecessor: CoordinatorLease | undefined) => void;
     /** Another host coordinates; its lease was read from the store. */
     readonly onOther: (lease: CoordinatorLease) => void;
 };
@@ -48,6 +49,7 @@
         | undefined;
     private contact: ReturnType<typeof awakeTime.mark> | undefined;
     private announced: number | undefined;
+    private replaced: CoordinatorLease | undefined;
     private isStopped = false;
 
     constructor(parts: LeaseKeeperParts) {
@@ -116,7 +118,7 @@
         const lease = getLease(read.row);
         if (lease?.incarnation === incarnation && lease.expiresAt > 0) {
             this.own = { term: lease.term, version: read.row.version, expiresAt: lease.expiresAt };
-            this.announce(lease.term);
+            this.announce(lease.term, this.replaced);
             return RETRY_MS;
         }
         if (this.own && lease) {
@@ -133,18 +135,20 @@
             return RETRY_MS;
         }
         const term = (lease?.term ?? 0) + 1;
+        // A holder that gave its lease up sends nothing more, nor does an earlier run on this host.
+        this.replaced = lease && lease.expiresAt > 0 && lease.host !== host ? lease : undefined;
         const isTaken = await this.write(term, read.row.version, this.getStoreTimeFloor() + LEASE_MS);
         if (isTaken) {
-            this.announce(term);
+            this.announce(term, this.replaced);
         }
         return isTaken ? RENEW_MS : RETRY_MS * (1 + random.nextFraction());
     }
 
-    private announce(term: number): void {
+    private announce(term: number, predecessor: CoordinatorLease | undefined): void {
         if (term !== this.announced) {
             this.announced = term;
             this.parts.logger.log("coordinatorElected", { term });
-            this.parts.onTaken(term);
+            this.parts.onTaken(term, predecessor);
         }
     }
 
--- a/packages/gateway/src/host/gatewayHost.ts
+++ b/packages/gateway/src/host/gatewayHost.ts
@@ -91,10 +91,10 @@
             logger,
             isLooking: () => !this.isLinked(),
             isEligible: () => !this.isStopping && this.knowledge.routes !== undefined,
-            onTaken: term => this.becomeCoordinator(term),
+            onTaken: (term, predecessor) => this.becomeCoordinator(term, predecessor),
             onOther: lease => this.follow(lease),
         });
-        this.loads = new LoadReporter(settings.host);
+        this.loads = new LoadReporter(settings.host, incarnation);
         this.keys = new KeyRouting(
             this.knowledge.keys,
             directory,
@@ -203,9 +203,9 @@
         return this.link.isUp && this.storeAge < STORE_AGE_LIMIT_MS;
     }
 
-    private becomeCoordinator(term: number): void {
+    private becomeCoordinator(term: number, predecessor: CoordinatorLease | undefined): void {
         this.link.disconnect();
-        this.coordinator.start(term);
+        this.coordinator.start(term, predecessor);
     }
 
     private follow(lease: CoordinatorLease): void {
--- a/packages/gateway/src/links/upMessage.ts
+++ b/packages/gateway/src/links/upMessage.ts
@@ -6,6 +6,8 @@
 const UpMessage = z.object({
     kind: z.literal("report"),
     host: z.string(),
+    /** Names the run of the host's process. */
+    incarnation: z.string(),
     /** Requests of each key since the last report: service, key, requests. */
     keys: z.array(z.tuple([z.string(), z.int(), z.int()])).max(MAX_ENTRIES),
     /** Answers of each server since the last report: id, answers, sum of their durations in ms. */
--- a/packages/gateway/src/ownership/keyCoordinator.ts
+++ b/packages/gateway/src/ownership/keyCoordinator.ts
@@ -1,5 +1,6 @@
 import type { Clock, Logger, Metrics, Milliseconds, ServerId, ServiceId } from "@arbutusdoor/common";
 import type { RoutedConfiguration } from "../configuration/routedConfiguration.js";
+import type { CoordinatorLease } from "../coordination/coordinatorLease.js";
 import type { ServerDirectory } from "../discovery/serverDirectory.js";
 import type { UpMessage } from "../links/upMessage.js";
 import type { KeyOrders } from "../orders/keyOrders.js";
@@ -42,6 +43,7 @@
     private readonly speeds = new ServerSpeeds();
     private readonly services = new Map<ServiceId, ServiceKeeper>();
     private term: number | undefined;
+    private predecessor: CoordinatorLease | undefined;
     private isRenewingOnly = false;
 
     constructor(parts: CoordinatorParts) {
@@ -54,11 +56,16 @@
         return this.term !== undefined;
     }
 
-    /** Begins to coordinate in a new term. */
-    start(term: number): void {
+    /**
+     * Begins to coordinate in a new term.
+     *
+     * @param predecessor lease of a coordinator that may still renew grants; `undefined` when there is none
+     */
+    start(term: number, predecessor: CoordinatorLease | undefined): void {
         const wasActive = this.isActive;
         this.services.clear();
         this.term = term;
+        this.predecessor = predecessor;
         if (!wasActive) {
             this.schedule();
         }
@@ -71,8 +78,13 @@
     }
 
     /** Takes a host's report in. */
-    noteReport({ keys, misdirected, servers }: UpMessage): void {
+    noteReport({ host, incarnation, keys, misdirected, servers }: UpMessage): void {
         const now = this.parts.clock.now();
+        if (this.predecessor?.host === host && this.predecessor.incarnation !== incarnation) {
+            // Its host runs a new process: the one that coordinated has ended.
+            this.predecessor = undefined;
+            this.services.forEach(service => service.endInheritance());
+        }
         for (const [service, key, requests] of keys) {
             this.services.get(service as ServiceId)?.noteLoad(key, requests);
         }
@@ -122,6 +134,7 @@
             evidence: this.evidence,
             speeds: this.speeds,
             isCurrent: () => this.term === term,
+            hasPredecessor: () => this.predecessor !== undefined,
         });
     }
 }
--- a/packages/gateway/src/ownership/rangeKeeper.ts
+++ b/packages/gateway/src/ownership/rangeKeeper.ts
@@ -30,8 +30,9 @@
     private progress = new Map<number, RangeProgress>();
     private readonly refused = new Set<number>();
     private readonly failingSince = new Map<string, Milliseconds>();
-    /** Until then grants of a predecessor may have been sent. */
-    private readonly inheritedUntil: Milliseconds;
+    /** Until then grants of a predecessor may have been sent, with fences up to the inherited one. */
+    private inheritedUntil: Milliseconds;
+    private readonly inheritedFence: number;
 
     /**
      * @param isInherited whether another coordinator may have sent grants of this map
@@ -49,6 +50,7 @@
         this.committed = map;
         this.distinctOwners = listOwners(map);
         this.inheritedUntil = isInherited ? now + settings.renewalAuthorityMs : -Infinity;
+        this.inheritedFence = isInherited ? map.fence : -1;
         map.ranges.forEach(range => this.progress.set(range.first, this.newProgress(range, undefined)));
     }
 
@@ -172,6 +174,13 @@
             .map(({ first, last, owner }) => ({ first, last, owner }));
     }
 
+    /** The predecessor is known to send nothing more. */
+    endInheritance(now: Milliseconds): void {
+        if (now < this.inheritedUntil) {
+            this.inheritedUntil = now;
+        }
+    }
+
     /** Makes the grant of a key's range due: its owner was seen not to hold it. */
     renewSoon(key: number, now: Milliseconds): void {
         const range = this.find(key);
@@ -202,17 +211,17 @@
             return false;
         }
         if (isSameHolder(holder, range.owner)) {
-            return now >= this.getLapse(progress.grantSentAt);
+            return now >= this.getLapse(progress.grantSentAt, range.fence);
         }
         const name = getHolderName(holder);
-        const lapse = progress.lapses.get(name) ?? this.getLapse(-Infinity);
-        return progress.cleared.has(name) || now >= lapse;
+        const sent = progress.lastGrants.get(name) ?? { at: -Infinity, fence: range.fence - 1 };
+        return progress.cleared.has(name) || now >= this.getLapse(sent.at, sent.fence);
     }
 
     /** When a grant has lapsed that was last sent at a time by this coordinator, or by its predecessor. */
-    private getLapse(sentAt: Milliseconds): Milliseconds {
+    private getLapse(sentAt: Milliseconds, fence: number): Milliseconds {
         const { clockSlowness, holdMs, lapseMarginMs, orderTimeoutMs } = this.settings;
-        const last = Math.max(sentAt, this.inheritedUntil);
+        const last = fence <= this.inheritedFence ? Math.max(sentAt, this.inheritedUntil) : sentAt;
         return last + orderTimeoutMs + holdMs * (1 + clockSlowness) + lapseMarginMs;
     }
 
@@ -260,11 +269,11 @@
         before: { readonly source: OwnedRange; readonly progress: RangeProgress; } | undefined,
     ): RangeProgress {
         const isSameGrant = before?.source.fence === range.fence;
-        const lapses = new Map(before?.progress.lapses);
+        const lastGrants = new Map(before?.progress.lastGrants);
         if (before && !isSameGrant) {
-            const lapse = this.getLapse(before.progress.grantSentAt);
             const name = getHolderName(before.source.owner);
-            lapses.set(name, Math.max(lapse, lapses.get(name) ?? -Infinity));
+            const at = Math.max(before.progress.grantSentAt, lastGrants.get(name)?.at ?? -Infinity);
+            lastGrants.set(name, { at, fence: before.source.fence });
         }
         return {
             isHeld: isSameGrant && before.progress.isHeld,
@@ -275,7 +284,7 @@
             handover: isSameGrant ? before.progress.handover : undefined,
             // A release clears a holder for grants below its own fence only.
             cleared: isSameGrant ? new Set(before.progress.cleared) : new Set(),
-            lapses,
+            lastGrants,
         };
     }
 
--- a/packages/gateway/src/ownership/rangeProgress.ts
+++ b/packages/gateway/src/ownership/rangeProgress.ts
@@ -16,6 +16,6 @@
     handover: string | undefined;
     /** Earlier owners that hold nothing more, by name. */
     readonly cleared: Set<string>;
-    /** By which time the grants of each earlier owner have lapsed, by name. */
-    readonly lapses: Map<string, Milliseconds>;
+    /** When a grant was last sent to each earlier owner, and under which fence, by name. */
+    readonly lastGrants: Map<string, { readonly at: Milliseconds; readonly fence: number; }>;
 };
--- a/packages/gateway/src/ownership/serverEvidence.ts
+++ b/packages/gateway/src/ownership/serverEvidence.ts
@@ -6,8 +6,10 @@
 import type { KeyHolder } from "./keyHolder.js";
 
 const MAX_HOLDERS = 4_096;
-/** Refused connections must have been seen over this long; hosts report answers every 200 ms. */
-const REFUSED_MS = 800;
+/** Refused connections must have been seen over this long. */
+const REFUSED_MS = 1_200;
+/** Answers that are noted this long after the first refusal were given after it: hosts report every 200 ms. */
+const REPORT_LAG_MS = 600;
 
 /** Tells whether a life of a server goes on, from the registry and from how it answers orders and requests. */
 export class ServerEvidence {
@@ -67,7 +69,7 @@
         const since = this.refusedSince.get(name) ?? now;
         this.refusedSince.set(name, since);
         forgetOldest(this.refusedSince.keys(), this.refusedSince);
-        const hasAnswered = (this.answeredAt.get(holder.id) ?? -Infinity) >= since;
+        const hasAnswered = (this.answeredAt.get(holder.id) ?? -Infinity) >= since + REPORT_LAG_MS;
         const isLongEnough = now - since >= REFUSED_MS;
         if (
             isLongEnough && !hasAnswered && this.directory.isMissing(holder.id)
@@ -77,13 +79,13 @@
         }
     }
 
-    /** Whether another server of the holder's data centre has answered since a time. */
+    /** Whether another server of the holder's data centre has answered after a time, not merely before it. */
     private isReachable(holder: KeyHolder, since: Milliseconds): boolean {
         const dataCentre = this.directory.findNewest(holder.id)?.dataCentre;
         for (const [server, answeredAt] of this.answeredAt) {
             const isNeighbour = server !== holder.id
                 && this.directory.findNewest(server)?.dataCentre === dataCentre;
-            if (isNeighbour && answeredAt > since) {
+            if (isNeighbour && answeredAt >= since + REPORT_LAG_MS) {
                 return true;
             }
         }
--- a/packages/gateway/src/ownership/serviceKeeper.ts
+++ b/packages/gateway/src/ownership/serviceKeeper.ts
@@ -39,6 +39,8 @@
 type ServiceKeeperParts = {
     readonly service: ServiceId;
     readonly term: number;
+    /** Whether the coordinator before may still renew grants. */
+    readonly hasPredecessor: () => boolean;
     readonly clock: Clock;
     readonly logger: Logger;
     readonly metrics: Metrics;
@@ -86,6 +88,11 @@
         this.keeper?.renewSoon(key, this.parts.clock.now());
     }
 
+    /** The coordinator before is known to send nothing more. */
+    endInheritance(): void {
+        this.keeper?.endInheritance(this.parts.clock.now());
+    }
+
     /** Sends the orders that are due and commits what has to change. */
     tick(mayMove: boolean): void {
         const now = this.parts.clock.now();
@@ -125,6 +132,9 @@
         const map = { ...committed, term };
         if (await this.write(map)) {
             this.keeper = this.newKeeper(map, committed.ranges.length > 0, clock.now());
+            if (!this.parts.hasPredecessor()) {
+                this.endInheritance();
+            }
             logger.log("keysInherited", { service, term, fence: map.fence, ranges: map.ranges.length });
         }
     }
--- a/packages/gateway/src/routing/loadReporter.ts
+++ b/packages/gateway/src/routing/loadReporter.ts
@@ -1,4 +1,4 @@
-import type { HostId, ServerId, ServiceId } from "@arbutusdoor/common";
+import type { HostId, HostIncarnation, ServerId, ServiceId } from "@arbutusdoor/common";
 import type { UpMessage } from "../links/upMessage.js";
 
 const MAX_ENTRIES = 2_048;
@@ -6,12 +6,14 @@
 /** Collects what this host saw of keys and servers until the next report to the coordinator. */
 export class LoadReporter {
     private readonly host: HostId;
+    private readonly incarnation: HostIncarnation;
     private keys = new Map<string, [string, number, number]>();
     private servers = new Map<ServerId, [string, number, number]>();
     private misdirected = new Map<string, [string, number]>();
 
-    constructor(host: HostId) {
+    constructor(host: HostId, incarnation: HostIncarnation) {
         this.host = host;
+        this.incarnation = incarnation;
     }
 
     /** Counts a request for a key. */
@@ -50,6 +52,7 @@
         const report: UpMessage = {
             kind: "report",
             host: this.host,
+            incarnation: this.incarnation,
             keys: [...this.keys.values()],
             servers: [...this.servers.values()],
             misdirected: [...this.misdirected.values()],
--- a/packages/gateway/tests/keyMap.test.ts
+++ b/packages/gateway/tests/keyMap.test.ts
@@ -65,7 +65,7 @@
     const { ranges } = layOutKeys(HOLDERS, 2_048, 1, 1);
     const cut = encodeKeyMap({ term: 1, fence: 1, ranges: ranges.slice(0, 3) });
     expect(() => decodeKeyMap(cut)).toThrowErrorMatchingInlineSnapshot(
-        `[InputError: the ranges do not cover all keys]`,
+        "[InputError: the ranges do not cover all keys]",
     );
     expect(() => decodeKeyMap(Buffer.from([1]))).toThrow("not a map of keys");
 });
