--- a/packages/common/src/logging/logEvent.ts
+++ b/packages/common/src/logging/logEvent.ts
@@ -68,6 +68,7 @@
         level: "info",
         text: "an attempt of a request failed; another one follows",
     },
+    requestAnswered: { number: 505, level: "info", text: "a request was answered; some lines stand for all" },
     linesLeftOut: { number: 504, level: "warn", text: "log lines were left out" },
     tableHistoryLost: {
         number: 605,
--- a/packages/common/src/logging/logger.ts
+++ b/packages/common/src/logging/logger.ts
@@ -12,11 +12,22 @@
     private readonly origin: string;
     private readonly listeners = new Set<LogListener>();
 
-    /** @param origin name of the process, printed on each line */
-    constructor(clock: Clock, origin: string, level: loglevel.LogLevelDesc = "info") {
+    /**
+     * @param origin name of the process, printed on each line
+     * @param write takes each line; the console when left out
+     */
+    constructor(
+        clock: Clock,
+        origin: string,
+        level: loglevel.LogLevelDesc = "info",
+        write?: (line: string) => void,
+    ) {
         this.clock = clock;
         this.origin = origin;
         this.sink = loglevel.getLogger(`arbutusdoor:${origin}`);
+        if (write) {
+            this.sink.methodFactory = () => write;
+        }
         this.sink.setLevel(level, false);
     }
 
--- a/packages/gateway/src/host/gatewayHost.ts
+++ b/packages/gateway/src/host/gatewayHost.ts
@@ -60,6 +60,7 @@
 /** One host on the platform: takes callers' requests, and coordinates the keyed services while it holds the lease. */
 export class GatewayHost {
     private readonly parts: GatewayParts;
+    private settings: HostSettings;
     private readonly knowledge: Knowledge;
     private readonly followers: readonly TableFollower<unknown>[];
     private readonly lease: LeaseKeeper;
@@ -76,6 +77,7 @@
 
     constructor(parts: GatewayParts) {
         this.parts = parts;
+        this.settings = parts.settings;
         const { adapters, clock, incarnation, logger, metrics, options, random, settings } = parts;
         this.startedAt = clock.now();
         this.knowledge = new Knowledge(clock, logger);
@@ -99,7 +101,7 @@
             this.knowledge.keys,
             directory,
             clock,
-            settings.bounds.drainMs - DRAIN_MARGIN_MS,
+            () => this.settings.bounds.drainMs - DRAIN_MARGIN_MS,
         );
         this.coordinator = new KeyCoordinator({
             clock,
@@ -135,6 +137,7 @@
         });
         this.front = newFrontPort({
             ...parts,
+            getSettings: () => this.settings,
             knowledge: this.knowledge,
             keys: this.keys,
             loads: this.loads,
@@ -174,14 +177,19 @@
         this.repeat(BEAT_MS, () => this.beat());
     }
 
+    /** Takes changed settings over. Addresses and names of this host stay as they were until it starts again. */
+    applySettings(settings: HostSettings): void {
+        this.settings = { ...this.settings, bounds: settings.bounds };
+    }
+
     /** Stops gracefully: hands the lease on, lets the balancer notice, and finishes every request that was read. */
     async stop(): Promise<void> {
-        const { clock, settings } = this.parts;
+        const { clock } = this.parts;
         this.isStopping = true;
         this.front.announceClose();
         const resigned = this.resign();
         await clock.sleep(LISTEN_AFTER_STOP_MS);
-        const rest = settings.bounds.graceMs - LISTEN_AFTER_STOP_MS - STOP_MARGIN_MS;
+        const rest = this.settings.bounds.graceMs - LISTEN_AFTER_STOP_MS - STOP_MARGIN_MS;
         await Promise.race([Promise.all([this.front.close(), resigned]), clock.sleep(rest)]);
     }
 
--- a/packages/gateway/src/host/newFrontPort.ts
+++ b/packages/gateway/src/host/newFrontPort.ts
@@ -12,7 +12,7 @@
 
 /** What the callers' port of a host is made of. */
 type FrontParts = {
-    readonly settings: HostSettings;
+    readonly getSettings: () => HostSettings;
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly logger: Logger;
@@ -27,14 +27,19 @@
 
 /** The callers' port with everything that routes its requests. */
 export function newFrontPort(parts: FrontParts): FrontPort {
-    const { adapters, clock, getHosts, keys, knowledge, loads, logger, metrics, random, settings } = parts;
-    const { retryAllowance, retryShare, retryWindowMs } = settings.bounds;
-    const budget = new SharedRetryBudget(
-        { share: retryShare, windowMs: retryWindowMs, allowance: retryAllowance },
-        getHosts,
-    );
+    const { adapters, clock, getHosts, getSettings, keys, knowledge, loads, logger, metrics, random } = parts;
+    const budget = new SharedRetryBudget(() => {
+        const { retryAllowance, retryShare, retryWindowMs } = getSettings().bounds;
+        return { share: retryShare, windowMs: retryWindowMs, allowance: retryAllowance };
+    }, getHosts);
     const { directory } = knowledge;
-    const pools = new PoolRouting({ directory, dataCentre: settings.dataCentre, clock, random, getHosts });
+    const pools = new PoolRouting({
+        directory,
+        dataCentre: getSettings().dataCentre,
+        clock,
+        random,
+        getHosts,
+    });
     const { backends, dialect } = adapters;
     const router = new RequestRouter({ clock, logger, metrics, backends, keys, pools, budget, loads });
     const rotation = new TargetRotation();
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -13,6 +13,8 @@
 export * from "./host/gatewayAdapters.js";
 export * from "./host/gatewayHost.js";
 export * from "./host/gatewayOptions.js";
+export * from "./observability/boundedLogger.js";
+export * from "./observability/lineWriter.js";
 export * from "./orders/keyGrant.js";
 export * from "./orders/keyOrders.js";
 export * from "./orders/keyRange.js";
--- /dev/null
+++ b/packages/gateway/src/observability/lineWriter.ts
@@ -0,0 +1,61 @@
+import { write } from "node:fs";
+
+/** Bytes that wait for the output; what comes beyond is dropped and counted. */
+const WAITING_LIMIT_BYTES = 1_048_576;
+/** Pause after the output took nothing, or failed. */
+const RETRY_MS = 50;
+
+/** Writes lines to a file descriptor without ever blocking the loop: one write at a time, in a thread of the runtime. */
+export class LineWriter {
+    private readonly descriptor: number;
+    private waiting: string[] = [];
+    private waitingBytes = 0;
+    private isWriting = false;
+    private dropped = 0;
+
+    /** @param descriptor 1 for the standard output */
+    constructor(descriptor: number) {
+        this.descriptor = descriptor;
+    }
+
+    /** Adds a line, or drops it when too many wait. */
+    write(line: string): void {
+        if (this.waitingBytes > WAITING_LIMIT_BYTES) {
+            this.dropped++;
+            return;
+        }
+        this.waiting.push(line);
+        this.waitingBytes += line.length;
+        this.flush();
+    }
+
+    /** Lines dropped since the last call. */
+    takeDropped(): number {
+        const { dropped } = this;
+        this.dropped = 0;
+        return dropped;
+    }
+
+    private flush(): void {
+        if (this.isWriting || this.waiting.length === 0) {
+            return;
+        }
+        const bytes = Buffer.from(`${this.waiting.join("\n")}\n`);
+        this.waiting = [];
+        this.writeFrom(bytes, 0);
+    }
+
+    private writeFrom(bytes: Buffer, offset: number): void {
+        this.isWriting = true;
+        write(this.descriptor, bytes, offset, bytes.length - offset, undefined, (error, written) => {
+            const next = offset + (error ? 0 : written);
+            if (next < bytes.length) {
+                setTimeout(() => this.writeFrom(bytes, next), RETRY_MS).unref();
+                return;
+            }
+            this.isWriting = false;
+            this.waitingBytes = this.waiting.reduce((total, line) => total + line.length, 0);
+            this.flush();
+        });
+    }
+}
--- a/packages/gateway/src/ownership/rangeKeeper.ts
+++ b/packages/gateway/src/ownership/rangeKeeper.ts
@@ -28,6 +28,8 @@
     private committed: KeyMap;
     private distinctOwners: readonly KeyHolder[];
     private progress = new Map<number, RangeProgress>();
+    /** First keys of the ranges that get no grant until a proposal has ended. */
+    private readonly frozen = new Set<number>();
     private readonly refused = new Set<number>();
     private readonly failingSince = new Map<string, Milliseconds>();
     /** Until then grants of a predecessor may have been sent, with fences up to the inherited one. */
@@ -69,14 +71,35 @@
         return this.refused.size > 0;
     }
 
-    /** The map with changes made, to be written; orders follow only once it is committed. */
+    /** Whether ranges wait for the end of a proposal. */
+    get hasFrozen(): boolean {
+        return this.frozen.size > 0;
+    }
+
+    /**
+     * The map with changes made, to be written; orders follow only once it is committed. A range whose owner the new map no longer
+     * names gets no grant until the proposal is committed, replaced by a later commit, or abandoned: a grant that went out
+     * meanwhile would be unknown to the map.
+     */
     propose(term: number, changes: readonly RangeChange[], now: Milliseconds): KeyMap {
-        return applyChanges(
+        const map = applyChanges(
             this.committed,
             term,
             changes,
             (holder, range) => this.isCleared(holder, range, now),
         );
+        for (const { first, owner } of changes) {
+            const range = this.find(first)!;
+            if (!isSameHolder(owner, range.owner) && this.isCleared(range.owner, range, now)) {
+                this.frozen.add(range.first);
+            }
+        }
+        return map;
+    }
+
+    /** The proposal was surely not written. */
+    abandon(): void {
+        this.frozen.clear();
     }
 
     /** Takes a committed map over. */
@@ -101,6 +124,7 @@
         this.distinctOwners = listOwners(map);
         this.progress = next;
         this.refused.clear();
+        this.frozen.clear();
     }
 
     /**
@@ -127,7 +151,7 @@
                     orders.push(...holding.map(holder => this.newRelease(range, holder, progress, now)));
                 }
             }
-            else if (this.mayGrant(range, probed, mayMove, progress)) {
+            else if (!this.frozen.has(range.first) && this.mayGrant(range, probed, mayMove, progress)) {
                 renewals += progress.isHeld ? 1 : 0;
                 orders.push(this.newGrant(range, progress, now));
             }
--- a/packages/gateway/src/ownership/serviceKeeper.ts
+++ b/packages/gateway/src/ownership/serviceKeeper.ts
@@ -162,7 +162,7 @@
     private async change(keeper: RangeKeeper, now: Milliseconds): Promise<void> {
         const { logger, service, term } = this.parts;
         const { cause, changes } = this.plan(keeper, now);
-        if (changes.length === 0) {
+        if (changes.length === 0 && !keeper.hasFrozen) {
             return;
         }
         const map = keeper.propose(term, changes, now);
@@ -229,6 +229,9 @@
         if (outcome === "replaced") {
             await this.readBack();
         }
+        else {
+            this.keeper?.abandon();
+        }
         return false;
     }
 
--- a/packages/gateway/src/requests/frontPort.ts
+++ b/packages/gateway/src/requests/frontPort.ts
@@ -113,6 +113,9 @@
         const reading = await this.read(message, arrivedAt, gone.signal);
         const reply = reading.kind === "request" ? await router.route(reading.request) : reading.reply;
         const route = reading.kind === "request" ? reading.request.route.name : "none";
+        if (reading.kind === "reply" && reply.kind === "refusal") {
+            this.logRefusal(message, reply);
+        }
         const result = reply.kind === "gone" ? "gone" : String(reply.status);
         metrics.record(
             "arbutusdoor_request_us",
@@ -159,6 +162,7 @@
             kind: "request",
             request: {
                 id,
+                configurationVersion: routes.configuration.version,
                 route,
                 service,
                 key,
@@ -206,6 +210,18 @@
         response.end(body);
     }
 
+    /** A request that was refused before it could be routed. */
+    private logRefusal(message: IncomingMessage, reply: Extract<GatewayReply, { kind: "refusal"; }>): void {
+        this.parts.logger.log("requestRefused", {
+            request: this.parts.dialect.readTerms(message.headers as HeaderFields).id,
+            host: message.headers.host,
+            path: message.url,
+            status: reply.status,
+            reason: reply.reason,
+            configuration: this.parts.getRoutes()?.configuration.version,
+        });
+    }
+
     private end(): void {
         this.open--;
         if (this.open === 0) {
--- a/packages/gateway/src/requests/gatewayRequest.ts
+++ b/packages/gateway/src/requests/gatewayRequest.ts
@@ -6,6 +6,8 @@
 /** A caller's request that can be sent on. */
 export type GatewayRequest = {
     readonly id: RequestId;
+    /** Version of the configuration by which it is routed. */
+    readonly configurationVersion: number;
     readonly route: Route;
     readonly service: RoutedService & { readonly id: ServiceId; };
     /** Key of a keyed service's request; `undefined` when the caller sent none. */
--- a/packages/gateway/src/requests/requestRouter.ts
+++ b/packages/gateway/src/requests/requestRouter.ts
@@ -48,6 +48,8 @@
     /** Servers on which it may have run. */
     runs: number;
     lastFailure: Failure | undefined;
+    /** What the last choice of a server was based on. */
+    basis: Record<string, string | number>;
     /** A failure that a server answered, kept in case no other server does better. */
     answered: ReadAnswer | undefined;
 };
@@ -69,6 +71,7 @@
             sends: 0,
             runs: 0,
             lastFailure: undefined,
+            basis: {},
             answered: undefined,
         };
         budget.noteRequest(request.service.id, clock.now());
@@ -166,6 +169,7 @@
             this.noteFailure(state, server, "serverError", `status ${answer.status}`);
             return undefined;
         }
+        this.log("requestAnswered", state, { server: server.id, status: answer.status });
         return newAnswer(answer);
     }
 
@@ -215,6 +219,7 @@
         for (;;) {
             const lookup = keys.find(request.service.id, request.key);
             if (lookup.kind === "owner") {
+                state.basis = { fence: lookup.fence, ownerKnownMs: Math.round(lookup.knownMs) };
                 return lookup.server;
             }
             const wait = waitUntil - this.parts.clock.now();
@@ -297,7 +302,7 @@
     }
 
     private log(
-        event: "attemptFailed" | "requestRefused" | "requestFailed",
+        event: "attemptFailed" | "requestRefused" | "requestFailed" | "requestAnswered",
         state: RequestState,
         fields: Record<string, string | number | undefined>,
     ): void {
@@ -305,7 +310,7 @@
         const ageMs = Math.round(this.parts.clock.now() - state.request.arrivedAt);
         this.parts.metrics.count(`arbutusdoor_${event}_total`, {
             service: service.id,
-            reason: String(fields["reason"]),
+            reason: String(fields["reason"] ?? "none"),
         });
         this.parts.logger.log(event, {
             request: id,
@@ -314,6 +319,8 @@
             key,
             sends: state.sends,
             ageMs,
+            configuration: state.request.configurationVersion,
+            ...state.basis,
             ...fields,
         });
     }
--- a/packages/gateway/src/routing/keyRouting.ts
+++ b/packages/gateway/src/routing/keyRouting.ts
@@ -15,7 +15,13 @@
  * owner is gone).
  */
 type KeyLookup =
-    | { readonly kind: "owner"; readonly server: RegisteredServer; }
+    | {
+        readonly kind: "owner";
+        readonly server: RegisteredServer;
+        readonly fence: number;
+        /** How long this host has known of this owner. */
+        readonly knownMs: Milliseconds;
+    }
     | { readonly kind: "moving"; }
     | { readonly kind: "none"; };
 
@@ -34,16 +40,21 @@
     private readonly view: TableView<KeyMap>;
     private readonly directory: ServerDirectory;
     private readonly clock: Clock;
-    private readonly drainMs: Milliseconds;
+    private readonly getDrainMs: () => Milliseconds;
     private readonly services = new Map<ServiceId, RoutedKeys>();
     private readonly waiting = new Set<() => void>();
 
-    /** @param drainMs how long a leaving server may still get requests for the keys that it holds */
-    constructor(view: TableView<KeyMap>, directory: ServerDirectory, clock: Clock, drainMs: Milliseconds) {
+    /** @param getDrainMs how long a leaving server may still get requests for the keys that it holds */
+    constructor(
+        view: TableView<KeyMap>,
+        directory: ServerDirectory,
+        clock: Clock,
+        getDrainMs: () => Milliseconds,
+    ) {
         this.view = view;
         this.directory = directory;
         this.clock = clock;
-        this.drainMs = drainMs;
+        this.getDrainMs = getDrainMs;
         view.onChange(changed => {
             for (const { content, key } of changed) {
                 if (content.kind === "value") {
@@ -73,10 +84,15 @@
         }
         const server = this.directory.find(range.owner);
         const leavingMs = this.directory.getLeavingTime(range.owner.id);
-        if (!server || (leavingMs !== undefined && leavingMs >= this.drainMs)) {
+        if (!server || (leavingMs !== undefined && leavingMs >= this.getDrainMs())) {
             return { kind: "moving" };
         }
-        return { kind: "owner", server };
+        return {
+            kind: "owner",
+            server,
+            fence: range.fence,
+            knownMs: this.clock.now() - routed.since[position]!,
+        };
     }
 
     /** Takes the coordinator's word that owners hold ranges. */
--- a/packages/gateway/src/routing/sharedRetryBudget.ts
+++ b/packages/gateway/src/routing/sharedRetryBudget.ts
@@ -19,13 +19,13 @@
 
 /** This host's part of the repeats that a service may get from all hosts together. Hosts ask each other nothing. */
 export class SharedRetryBudget {
-    private readonly bounds: BudgetBounds;
+    private readonly getBounds: () => BudgetBounds;
     private readonly getHosts: () => number;
     private readonly windows = new Map<ServiceId, Window>();
 
     /** @param getHosts hosts that share the budget */
-    constructor(bounds: BudgetBounds, getHosts: () => number) {
-        this.bounds = bounds;
+    constructor(getBounds: () => BudgetBounds, getHosts: () => number) {
+        this.getBounds = getBounds;
         this.getHosts = getHosts;
     }
 
@@ -38,7 +38,7 @@
     /** Counts a repeat. Returns false, and counts nothing, when the service may get no more now. */
     spend(service: ServiceId, now: Milliseconds): boolean {
         const window = this.getWindow(service, now);
-        const { allowance, share } = this.bounds;
+        const { allowance, share } = this.getBounds();
         const limit = SPENT_SHARE * (share * sum(window.requests) + allowance / Math.max(1, this.getHosts()));
         if (sum(window.repeats) + 1 > limit) {
             return false;
@@ -48,7 +48,7 @@
     }
 
     private getWindow(service: ServiceId, now: Milliseconds): Window {
-        const slice = Math.floor(now / (this.bounds.windowMs / BUCKETS));
+        const slice = Math.floor(now / (this.getBounds().windowMs / BUCKETS));
         let window = this.windows.get(service);
         if (!window) {
             window = { requests: newSlices(), repeats: newSlices(), slice };
--- a/packages/gateway/tests/support/ownershipWalk.ts
+++ b/packages/gateway/tests/support/ownershipWalk.ts
@@ -14,6 +14,7 @@
 const STEP_MS = 20;
 const HOLD_MS = 2_000;
 const LATE_MS = 4_000;
+const WRITE_MS = 200;
 const KEYS = 8;
 const SERVERS = 4;
 
@@ -55,6 +56,7 @@
     private committed: KeyMap;
     private keeper: RangeKeeper;
     private retired: { readonly keeper: RangeKeeper; readonly until: Milliseconds; }[] = [];
+    private write: { readonly map: KeyMap; readonly landsAt: Milliseconds; } | undefined;
     private term = 1;
     private now: Milliseconds = 0;
 
@@ -79,7 +81,10 @@
     run(duration: Milliseconds): void {
         for (const end = this.now + duration; this.now < end; this.now += STEP_MS) {
             this.trouble();
-            this.plan();
+            this.land();
+            if (!this.write) {
+                this.plan();
+            }
             this.send(this.keeper, true);
             this.retired.filter(({ until }) => this.now < until).forEach(({ keeper }) =>
                 this.send(keeper, false)
@@ -103,6 +108,11 @@
         if (this.random.nextFraction() < takeover) {
             this.retired = [{ keeper: this.keeper, until: this.now + this.settings.renewalAuthorityMs }];
             this.term++;
+            // A write that was under way took effect before the next coordinator wrote, or never will.
+            if (this.write && this.random.nextFraction() < 0.5) {
+                this.committed = this.write.map;
+            }
+            this.write = undefined;
             this.committed = { ...this.committed, term: this.term };
             this.keeper = this.newKeeper(true);
         }
@@ -119,7 +129,16 @@
         });
         const all = changes.length > 0 ? changes : this.keeper.listRefused();
         if (all.length > 0) {
-            this.committed = this.keeper.propose(this.term, all, this.now);
+            const map = this.keeper.propose(this.term, all, this.now);
+            this.write = { map, landsAt: this.now + this.random.nextInteger(WRITE_MS) };
+        }
+    }
+
+    /** The write that is under way is committed; orders went out meanwhile. */
+    private land(): void {
+        if (this.write && this.write.landsAt <= this.now) {
+            this.committed = this.write.map;
+            this.write = undefined;
             this.keeper.commit(this.committed);
         }
     }
