--- /dev/null
+++ b/packages/gateway/tests/serverEvidence.test.ts
@@ -0,0 +1,92 @@
+import { type DataCentreId, Logger, ManualClock, type ServerId, type ServiceId } from "@arbutusdoor/common";
+import { expect, test } from "vitest";
+import type { RegisteredServer } from "../src/discovery/registeredServer.js";
+import { ServerDirectory } from "../src/discovery/serverDirectory.js";
+import { ServerEvidence } from "../src/ownership/serverEvidence.js";
+import { TableView } from "../src/store/tableView.js";
+import { newHolder } from "./support/newHolder.js";
+
+function newServer(id: string, parts: Partial<RegisteredServer> = {}): RegisteredServer {
+    return {
+        id: id as ServerId,
+        startedAt: 1,
+        service: "board" as ServiceId,
+        address: `10.0.0.1:${id.length}`,
+        dataCentre: "north" as DataCentreId,
+        slots: 4,
+        isDraining: false,
+        warmupLeftMs: 0,
+        ...parts,
+    };
+}
+
+/** A registry with servers a and b of one data centre and c of another. */
+function start() {
+    const clock = new ManualClock();
+    const view = new TableView<RegisteredServer>();
+    const directory = new ServerDirectory(view, clock);
+    const evidence = new ServerEvidence(directory, new Logger(clock, "test", "silent"));
+    let version = 0;
+    const put = (key: string, server: RegisteredServer | undefined) => {
+        version++;
+        const content = server ? { kind: "value", value: server } as const : { kind: "absent" } as const;
+        view.applyChanges(version - 1, [{ key, version, content }], version);
+    };
+    view.applySnapshot([], 0);
+    put("a", newServer("a"));
+    put("b", newServer("b"));
+    put("c", newServer("c", { dataCentre: "south" as DataCentreId }));
+    return { clock, directory, evidence, put };
+}
+
+const A = newHolder("a");
+const REFUSED = { kind: "notListening" } as const;
+
+test("a newer life proves the end of the one before; a missing entry alone does not", () => {
+    const { evidence, put } = start();
+    expect(evidence.getState(A)).toBe("live");
+    put("a", undefined);
+    expect(evidence.getState(A)).toBe("leaving");
+    put("a", newServer("a", { startedAt: 2 }));
+    expect(evidence.getState(A)).toBe("dead");
+    expect(evidence.getState(newHolder("a", 2))).toBe("live");
+});
+
+test("a refused connection, a missing entry and a neighbour that answers later prove the end together", () => {
+    const { clock, evidence, put } = start();
+    put("a", undefined);
+    evidence.note(A, REFUSED, clock.now());
+    clock.advance(1_000);
+    evidence.noteAnswer("b" as ServerId, clock.now());
+    clock.advance(300);
+    evidence.note(A, REFUSED, clock.now());
+    expect(evidence.getState(A)).toBe("dead");
+});
+
+test.each([
+    ["its entry is still there", { isMissing: false, answers: "b", at: 1_000 }],
+    ["its whole data centre is silent", { isMissing: true, answers: "c", at: 1_000 }],
+    ["the neighbour's answer was given before the cut and reported after it", {
+        isMissing: true,
+        answers: "b",
+        at: 100,
+    }],
+    ["somebody had an answer of it meanwhile", { isMissing: true, answers: "a", at: 1_000 }],
+])("a refused connection proves nothing while %s", (_, { answers, at, isMissing }) => {
+    const { clock, evidence, put } = start();
+    if (isMissing) {
+        put("a", undefined);
+    }
+    evidence.note(A, REFUSED, clock.now());
+    clock.advance(at);
+    evidence.noteAnswer(answers as ServerId, clock.now());
+    clock.advance(1_300);
+    evidence.note(A, REFUSED, clock.now());
+    expect(evidence.getState(A)).not.toBe("dead");
+});
+
+test("another server at the address proves the end at once", () => {
+    const { clock, evidence } = start();
+    evidence.note(A, { kind: "otherServer" }, clock.now());
+    expect(evidence.getState(A)).toBe("dead");
+});
