--- a/packages/gateway/src/requests/readAnswer.ts
+++ b/packages/gateway/src/requests/readAnswer.ts
@@ -1,6 +1,6 @@
-import type { HeaderFields } from "@arbutusdoor/common";
-import type { Readable } from "node:stream";
 import type { BackendOutcome } from "../backends/backendOutcome.js";
+import type { BrokenAnswer } from "./brokenAnswer.js";
+import type { PassableAnswer } from "./passableAnswer.js";
 
 /** Longer answers are passed on as they arrive. */
 const BUFFERED_BYTES = 65_536;
@@ -8,29 +8,11 @@
 /** Statuses that would tell the caller that its request did not run; a server says so in another way. */
 const PROMISES_NOT_RUN = new Set([408, 421, 429, 503]);
 
-/** An answer that can be passed on: read whole, or longer and still arriving. */
-export type ReadAnswer =
-    | {
-        readonly kind: "whole";
-        readonly status: number;
-        readonly headers: HeaderFields;
-        readonly body: Uint8Array;
-    }
-    | {
-        readonly kind: "stream";
-        readonly status: number;
-        readonly headers: HeaderFields;
-        readonly body: Readable;
-    };
-
-/** An answer that must not be passed on. */
-type BrokenAnswer = { readonly kind: "broken"; readonly reason: string; };
-
 /** Reads a short answer whole, so that one that breaks off can be told from a complete one before anything is passed on. */
 export async function readAnswer(
     outcome: Extract<BackendOutcome, { kind: "answered"; }>,
     method: string,
-): Promise<ReadAnswer | BrokenAnswer> {
+): Promise<PassableAnswer | BrokenAnswer> {
     const { body, headers, isSigned, status } = outcome;
     if (!isSigned && (status < FIRST_REDIRECT_STATUS || PROMISES_NOT_RUN.has(status))) {
         body.destroy();
--- a/packages/gateway/src/requests/requestRouter.ts
+++ b/packages/gateway/src/requests/requestRouter.ts
@@ -6,9 +6,11 @@
 import type { LoadReporter } from "../routing/loadReporter.js";
 import type { PoolRouting } from "../routing/poolRouting.js";
 import type { SharedRetryBudget } from "../routing/sharedRetryBudget.js";
+import type { BrokenAnswer } from "./brokenAnswer.js";
 import type { GatewayReply } from "./gatewayReply.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
-import { type ReadAnswer, readAnswer } from "./readAnswer.js";
+import type { PassableAnswer } from "./passableAnswer.js";
+import { readAnswer } from "./readAnswer.js";
 
 /** A request with less time left is not worth sending. */
 const LEAST_TIME_MS = 5;
@@ -51,7 +53,7 @@
     /** What the last choice of a server was based on. */
     basis: Record<string, string | number>;
     /** A failure that a server answered, kept in case no other server does better. */
-    answered: ReadAnswer | undefined;
+    answered: PassableAnswer | undefined;
 };
 
 /** Brings a request to a server and its answer back: chooses, sends, repeats where that is safe and within the budget. */
@@ -159,7 +161,7 @@
     private takeAnswer(
         state: RequestState,
         server: RegisteredServer,
-        answer: ReadAnswer,
+        answer: PassableAnswer,
     ): GatewayReply | undefined {
         const isFailure = answer.status >= FIRST_FAILURE_STATUS;
         state.runs++;
@@ -177,7 +179,7 @@
         state: RequestState,
         server: RegisteredServer,
         outcome: BackendOutcome,
-        answer: Extract<Awaited<ReturnType<typeof readAnswer>>, { kind: "broken"; }> | undefined,
+        answer: BrokenAnswer | undefined,
         isOverdue: boolean,
     ): GatewayReply | undefined {
         const { loads } = this.parts;
@@ -267,7 +269,7 @@
         request: GatewayRequest,
         server: RegisteredServer,
         outcome: BackendOutcome,
-        answer: Awaited<ReturnType<typeof readAnswer>> | undefined,
+        answer: PassableAnswer | BrokenAnswer | undefined,
         durationMs: Milliseconds,
         isOverdue: boolean,
     ): void {
@@ -333,6 +335,6 @@
     return body.kind === "whole" ? body.bytes : body.stream;
 }
 
-function newAnswer({ body, headers, status }: ReadAnswer): GatewayReply {
+function newAnswer({ body, headers, status }: PassableAnswer): GatewayReply {
     return { kind: "answer", status, headers, body };
 }
--- a/packages/gateway/tests/requestRouter.test.ts
+++ b/packages/gateway/tests/requestRouter.test.ts
@@ -7,7 +7,6 @@
     Metrics,
     RandomSource,
     type RequestId,
-    type ServerId,
     type ServiceId,
 } from "@arbutusdoor/common";
 import { Readable } from "node:stream";
@@ -25,8 +24,10 @@
 import { SharedRetryBudget } from "../src/routing/sharedRetryBudget.js";
 import { TableView } from "../src/store/tableView.js";
 import { newHolder } from "./support/newHolder.js";
+import { newRegisteredServer } from "./support/newRegisteredServer.js";
 import { newRoute } from "./support/newRoute.js";
-import { type Script, ScriptedBackends } from "./support/scriptedBackends.js";
+import type { Script } from "./support/script.js";
+import { ScriptedBackends } from "./support/scriptedBackends.js";
 
 const SERVICE = "board" as ServiceId;
 const NORTH = "north" as DataCentreId;
@@ -52,7 +53,10 @@
     const rows = ["a", "b", "c"].map(id => ({
         key: id,
         version: 1,
-        content: { kind: "value", value: newServer(id) } as const,
+        content: {
+            kind: "value",
+            value: newRegisteredServer(id, { address: `10.0.0.1:${id.charCodeAt(0)}` }),
+        } as const,
     }));
     servers.applySnapshot(rows, 1);
     const map = layOutKeys([newHolder("a")], 65_536, 1, 1);
@@ -102,19 +106,6 @@
     return { reply: describe(reply), sent: backends.sent };
 }
 
-function newServer(id: string): RegisteredServer {
-    return {
-        id: id as ServerId,
-        startedAt: 1,
-        service: SERVICE,
-        address: `10.0.0.1:${id.charCodeAt(0)}`,
-        dataCentre: NORTH,
-        slots: 4,
-        isDraining: false,
-        warmupLeftMs: 0,
-    };
-}
-
 function describe(reply: GatewayReply): string {
     if (reply.kind === "gone") {
         return "gone";
--- a/packages/gateway/tests/serverEvidence.test.ts
+++ b/packages/gateway/tests/serverEvidence.test.ts
@@ -1,24 +1,11 @@
-import { type DataCentreId, Logger, ManualClock, type ServerId, type ServiceId } from "@arbutusdoor/common";
+import { type DataCentreId, Logger, ManualClock, type ServerId } from "@arbutusdoor/common";
 import { expect, test } from "vitest";
 import type { RegisteredServer } from "../src/discovery/registeredServer.js";
 import { ServerDirectory } from "../src/discovery/serverDirectory.js";
 import { ServerEvidence } from "../src/ownership/serverEvidence.js";
 import { TableView } from "../src/store/tableView.js";
 import { newHolder } from "./support/newHolder.js";
-
-function newServer(id: string, parts: Partial<RegisteredServer> = {}): RegisteredServer {
-    return {
-        id: id as ServerId,
-        startedAt: 1,
-        service: "board" as ServiceId,
-        address: `10.0.0.1:${id.length}`,
-        dataCentre: "north" as DataCentreId,
-        slots: 4,
-        isDraining: false,
-        warmupLeftMs: 0,
-        ...parts,
-    };
-}
+import { newRegisteredServer } from "./support/newRegisteredServer.js";
 
 /** A registry with servers a and b of one data centre and c of another. */
 function start() {
@@ -33,9 +20,9 @@
         view.applyChanges(version - 1, [{ key, version, content }], version);
     };
     view.applySnapshot([], 0);
-    put("a", newServer("a"));
-    put("b", newServer("b"));
-    put("c", newServer("c", { dataCentre: "south" as DataCentreId }));
+    put("a", newRegisteredServer("a"));
+    put("b", newRegisteredServer("b"));
+    put("c", newRegisteredServer("c", { dataCentre: "south" as DataCentreId }));
     return { clock, directory, evidence, put };
 }
 
@@ -47,7 +34,7 @@
     expect(evidence.getState(A)).toBe("live");
     put("a", undefined);
     expect(evidence.getState(A)).toBe("leaving");
-    put("a", newServer("a", { startedAt: 2 }));
+    put("a", newRegisteredServer("a", { startedAt: 2 }));
     expect(evidence.getState(A)).toBe("dead");
     expect(evidence.getState(newHolder("a", 2))).toBe("live");
 });
--- /dev/null
+++ b/packages/gateway/tests/support/script.ts
@@ -0,0 +1,11 @@
+/** What a server does with its next request. */
+export type Script =
+    | "ok"
+    | "error"
+    | "shed"
+    | "misdirected"
+    | "unreachable"
+    | "lost"
+    | "broken"
+    | "unsigned"
+    | "silent";
--- a/packages/gateway/tests/support/scriptedBackends.ts
+++ b/packages/gateway/tests/support/scriptedBackends.ts
@@ -3,18 +3,7 @@
 import { BackendClient } from "../../src/backends/backendClient.js";
 import type { BackendOutcome } from "../../src/backends/backendOutcome.js";
 import type { BackendSend } from "../../src/backends/backendSend.js";
-
-/** What a server does with its next request. */
-export type Script =
-    | "ok"
-    | "error"
-    | "shed"
-    | "misdirected"
-    | "unreachable"
-    | "lost"
-    | "broken"
-    | "unsigned"
-    | "silent";
+import type { Script } from "./script.js";
 
 const HEADERS: HeaderFields = { "x-request-id": "r1" };
 
