A caller's leaving is seen before its request is sent on

Cause: on a process whose loop is seconds behind (all hosts start again at once), a request and the end of its connection are read in neighbouring turns, and the request was sent in the first of them. A test shows it: request and end written together, the request reached a server. Change: two turns of the loop pass before a request is routed, and one whose connection has ended is not.

--- a/packages/gateway/src/requests/frontPort.ts
+++ b/packages/gateway/src/requests/frontPort.ts
@@ -7,6 +7,7 @@
 } from "@arbutusdoor/common";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { pipeline, Readable } from "node:stream";
+import { setImmediate } from "node:timers/promises";
 import polka from "polka";
 import type { RouteTable } from "../configuration/routeTable.js";
 import type { TargetRotation } from "../configuration/targetRotation.js";
@@ -99,7 +100,7 @@
     }
 
     private async take(message: IncomingMessage, response: ServerResponse): Promise<void> {
-        const { clock, metrics, router } = this.parts;
+        const { clock, metrics } = this.parts;
         const arrivedAt = clock.now();
         const gone = new AbortController();
         this.open++;
@@ -111,7 +112,11 @@
         });
         message.on("error", () => gone.abort(CALLER_GONE));
         const reading = await this.read(message, arrivedAt, gone.signal);
-        const reply = reading.kind === "request" ? await router.route(reading.request) : reading.reply;
+        await readSockets();
+        if (message.socket.readableEnded || message.socket.destroyed) {
+            gone.abort(CALLER_GONE);
+        }
+        const reply = reading.kind === "request" ? await this.route(reading.request) : reading.reply;
         const route = reading.kind === "request" ? reading.request.route.name : "none";
         if (reading.kind === "reply" && reply.kind === "refusal") {
             this.logRefusal(message, reply);
@@ -125,6 +130,10 @@
         this.write(message, response, reply);
     }
 
+    private async route(request: GatewayRequest): Promise<GatewayReply> {
+        return request.gone.aborted ? { kind: "gone" } : await this.parts.router.route(request);
+    }
+
     private async read(message: IncomingMessage, arrivedAt: number, gone: AbortSignal): Promise<Reading> {
         const { dialect, getRoutes, rotation } = this.parts;
         const routes = getRoutes();
@@ -230,6 +239,15 @@
     }
 }
 
+/**
+ * Waits until the loop has read its sockets once more. On a process that is behind, a request and the end of its connection are both
+ * waiting to be read, and the end is read a turn later; without this the request of a caller that left would be sent on.
+ */
+async function readSockets(): Promise<void> {
+    await setImmediate();
+    await setImmediate();
+}
+
 function writeAnswer(
     message: IncomingMessage,
     response: ServerResponse,
--- /dev/null
+++ b/packages/gateway/tests/frontPort.test.ts
@@ -0,0 +1,92 @@
+import { Logger, Metrics, type RequestId, type ServiceId, SystemClock } from "@arbutusdoor/common";
+import { once } from "node:events";
+import { createServer } from "node:http";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { RouteTable } from "../src/configuration/routeTable.js";
+import { TargetRotation } from "../src/configuration/targetRotation.js";
+import { CallerDialect } from "../src/requests/callerDialect.js";
+import { FrontPort } from "../src/requests/frontPort.js";
+import { newRoute } from "./support/newRoute.js";
+import { newRouter } from "./support/newRouter.js";
+import { ScriptedBackends } from "./support/scriptedBackends.js";
+
+const LOOPBACK = "127.0.0.1";
+const SETTLE_MS = 50;
+const GET = "GET /x HTTP/1.1\r\nHost: board.example\r\n\r\n";
+const POST = "POST /x HTTP/1.1\r\nHost: board.example\r\nContent-Length: 4\r\n\r\nbody";
+
+class PlainDialect extends CallerDialect {
+    override readTerms() {
+        return { id: "r1" as RequestId, patienceMs: 1_000, key: undefined };
+    }
+
+    override newRetryHeaders(): Record<string, string> {
+        return {};
+    }
+}
+
+const clock = new SystemClock();
+let backends: ScriptedBackends;
+let front: FrontPort;
+let caller: Socket;
+
+beforeEach(async () => {
+    backends = new ScriptedBackends([]);
+    const metrics = new Metrics();
+    const routes = new RouteTable({
+        version: 1,
+        routes: [newRoute()],
+        services: [{ id: "board" as ServiceId, maxConnections: 100, isKeyed: false, coldKeysMs: 0 }],
+        limits: { headerBytes: 16_384, bodyBytes: 1_048_576, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 },
+    });
+    front = new FrontPort({
+        clock,
+        logger: new Logger(clock, "test", "silent"),
+        metrics,
+        router: newRouter({ clock, backends }),
+        dialect: new PlainDialect(),
+        rotation: new TargetRotation(),
+        getRoutes: () => routes,
+    });
+    const port = await findFreePort();
+    await front.listen(LOOPBACK, port);
+    caller = connect(port, LOOPBACK);
+    caller.on("error", () => undefined);
+    await once(caller, "connect");
+    await clock.sleep(SETTLE_MS);
+});
+
+afterEach(async () => {
+    caller.destroy();
+    await front.close();
+});
+
+test.each([["without a body", GET], ["with a body", POST]])(
+    "a request %s whose caller stays is sent on and answered",
+    async (_, text) => {
+        caller.write(text);
+        const [answer] = await once(caller, "data") as [Buffer];
+        expect(answer.toString().split("\r\n")[0]).toBe("HTTP/1.1 200 OK");
+        expect(backends.sent).toHaveLength(1);
+    },
+);
+
+test.each([["without a body", GET], ["with a body", POST]])(
+    "after all hosts were lost: a request %s that is read together with its caller's leaving is not sent on",
+    async (_, text) => {
+        caller.write(text);
+        caller.destroy();
+        await clock.sleep(SETTLE_MS);
+        expect(backends.sent).toEqual([]);
+    },
+);
+
+async function findFreePort(): Promise<number> {
+    const server = createServer().listen(0, LOOPBACK);
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    server.close();
+    await once(server, "close");
+    return port;
+}
--- a/packages/gateway/tests/requestRouter.test.ts
+++ b/packages/gateway/tests/requestRouter.test.ts
@@ -1,37 +1,13 @@
-import {
-    type DataCentreId,
-    type HostId,
-    type HostIncarnation,
-    Logger,
-    ManualClock,
-    Metrics,
-    RandomSource,
-    type RequestId,
-    type ServiceId,
-} from "@arbutusdoor/common";
+import { ManualClock, type RequestId, type ServiceId } from "@arbutusdoor/common";
 import { Readable } from "node:stream";
 import { expect, test } from "vitest";
-import type { RegisteredServer } from "../src/discovery/registeredServer.js";
-import { ServerDirectory } from "../src/discovery/serverDirectory.js";
-import type { KeyMap } from "../src/ownership/keyMap.js";
-import { layOutKeys } from "../src/ownership/layOutKeys.js";
 import type { GatewayBody } from "../src/requests/gatewayBody.js";
 import type { GatewayReply } from "../src/requests/gatewayReply.js";
-import { RequestRouter } from "../src/requests/requestRouter.js";
-import { KeyRouting } from "../src/routing/keyRouting.js";
-import { LoadReporter } from "../src/routing/loadReporter.js";
-import { PoolRouting } from "../src/routing/poolRouting.js";
-import { SharedRetryBudget } from "../src/routing/sharedRetryBudget.js";
-import { TableView } from "../src/store/tableView.js";
-import { newHolder } from "./support/newHolder.js";
-import { newRegisteredServer } from "./support/newRegisteredServer.js";
 import { newRoute } from "./support/newRoute.js";
+import { newRouter } from "./support/newRouter.js";
 import type { Script } from "./support/script.js";
 import { ScriptedBackends } from "./support/scriptedBackends.js";
 
-const SERVICE = "board" as ServiceId;
-const NORTH = "north" as DataCentreId;
-
 /** What a test sets. */
 type Situation = {
     readonly steps: readonly Script[];
@@ -45,49 +21,15 @@
     situation: Situation,
 ): Promise<{ readonly reply: string; readonly sent: readonly string[]; }> {
     const clock = new ManualClock();
-    const logger = new Logger(clock, "test", "silent");
-    const servers = new TableView<RegisteredServer>();
-    const maps = new TableView<KeyMap>();
-    const directory = new ServerDirectory(servers, clock);
-    const keys = new KeyRouting(maps, directory, clock, () => 1_700);
-    const rows = ["a", "b", "c"].map(id => ({
-        key: id,
-        version: 1,
-        content: {
-            kind: "value",
-            value: newRegisteredServer(id, { address: `10.0.0.1:${id.charCodeAt(0)}` }),
-        } as const,
-    }));
-    servers.applySnapshot(rows, 1);
-    const map = layOutKeys([newHolder("a")], 65_536, 1, 1);
-    maps.applySnapshot([{ key: SERVICE, version: 1, content: { kind: "value", value: map } }], 1);
     const backends = new ScriptedBackends(situation.steps);
-    const router = new RequestRouter({
-        clock,
-        logger,
-        metrics: new Metrics(),
-        backends,
-        keys,
-        pools: new PoolRouting({
-            directory,
-            dataCentre: NORTH,
-            clock,
-            random: new RandomSource(3),
-            getHosts: () => 1,
-        }),
-        budget: new SharedRetryBudget(
-            () => ({ share: 0, windowMs: 10_000, allowance: situation.allowance ?? 100 }),
-            () => 1,
-        ),
-        loads: new LoadReporter("h" as HostId, "h-1" as HostIncarnation),
-    });
+    const router = newRouter({ clock, backends, allowance: situation.allowance });
     const { body = { kind: "none" }, isIdempotent = true, isKeyed = false } = situation;
     let reply: GatewayReply | undefined;
     void router.route({
         id: "r1" as RequestId,
         configurationVersion: 1,
         route: newRoute({ isIdempotent, maxAttempts: 2, timeoutMs: 1_000 }),
-        service: { id: SERVICE, maxConnections: 100, isKeyed, coldKeysMs: 0 },
+        service: { id: "board" as ServiceId, maxConnections: 100, isKeyed, coldKeysMs: 0 },
         key: isKeyed ? 7 : undefined,
         method: "GET",
         path: "/x",
--- /dev/null
+++ b/packages/gateway/tests/support/newRouter.ts
@@ -0,0 +1,70 @@
+import {
+    type Clock,
+    type DataCentreId,
+    type HostId,
+    type HostIncarnation,
+    Logger,
+    Metrics,
+    RandomSource,
+} from "@arbutusdoor/common";
+import type { BackendClient } from "../../src/backends/backendClient.js";
+import type { RegisteredServer } from "../../src/discovery/registeredServer.js";
+import { ServerDirectory } from "../../src/discovery/serverDirectory.js";
+import type { KeyMap } from "../../src/ownership/keyMap.js";
+import { layOutKeys } from "../../src/ownership/layOutKeys.js";
+import { RequestRouter } from "../../src/requests/requestRouter.js";
+import { KeyRouting } from "../../src/routing/keyRouting.js";
+import { LoadReporter } from "../../src/routing/loadReporter.js";
+import { PoolRouting } from "../../src/routing/poolRouting.js";
+import { SharedRetryBudget } from "../../src/routing/sharedRetryBudget.js";
+import { TableView } from "../../src/store/tableView.js";
+import { newHolder } from "./newHolder.js";
+import { newRegisteredServer } from "./newRegisteredServer.js";
+
+const SERVERS = ["a", "b", "c"];
+const DEFAULT_ALLOWANCE = 100;
+
+/** What a test gives the router. */
+type RouterSituation = {
+    readonly clock: Clock;
+    readonly backends: BackendClient;
+    /** Repeats that the budget allows. */
+    readonly allowance?: number;
+};
+
+/** A router in data centre `north` that knows three servers of the service `board`; server `a` holds all keys. */
+export function newRouter(
+    { allowance = DEFAULT_ALLOWANCE, backends, clock }: RouterSituation,
+): RequestRouter {
+    const servers = new TableView<RegisteredServer>();
+    const maps = new TableView<KeyMap>();
+    const directory = new ServerDirectory(servers, clock);
+    const keys = new KeyRouting(maps, directory, clock, () => 1_700);
+    const rows = SERVERS.map(id => ({
+        key: id,
+        version: 1,
+        content: {
+            kind: "value",
+            value: newRegisteredServer(id, { address: `10.0.0.1:${id.charCodeAt(0)}` }),
+        } as const,
+    }));
+    servers.applySnapshot(rows, 1);
+    const map = layOutKeys([newHolder("a")], 65_536, 1, 1);
+    maps.applySnapshot([{ key: "board", version: 1, content: { kind: "value", value: map } }], 1);
+    return new RequestRouter({
+        clock,
+        logger: new Logger(clock, "test", "silent"),
+        metrics: new Metrics(),
+        backends,
+        keys,
+        pools: new PoolRouting({
+            directory,
+            dataCentre: "north" as DataCentreId,
+            clock,
+            random: new RandomSource(3),
+            getHosts: () => 1,
+        }),
+        budget: new SharedRetryBudget(() => ({ share: 0, windowMs: 10_000, allowance }), () => 1),
+        loads: new LoadReporter("h" as HostId, "h-1" as HostIncarnation),
+    });
+}
