--- a/packages/common/src/logging/logEvent.ts
+++ b/packages/common/src/logging/logEvent.ts
@@ -7,6 +7,11 @@
     processStopping: { number: 101, level: "info", text: "graceful stop began" },
     processStopped: { number: 102, level: "info", text: "graceful stop ended" },
     invariantBroken: { number: 103, level: "error", text: "an invariant is broken; the process stops" },
+    processStarting: {
+        number: 106,
+        level: "info",
+        text: "settings are read, signals are handled, ports open next",
+    },
     configurationAdopted: { number: 200, level: "info", text: "configuration version in force" },
     configurationRejected: {
         number: 201,
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,7 +1,7 @@
 import { defineConfig } from "vitest/config";
 
 const root = new URL("./packages/", import.meta.url).pathname;
-const PROCESS_TESTS = "packages/daemon/tests/process/**/*.test.ts";
+const PROCESS_TESTS = ["packages/daemon/tests/process/**/*.test.ts", "platform/tests/process/**/*.test.ts"];
 
 export default defineConfig({
     resolve: {
@@ -17,7 +17,7 @@
                 test: {
                     name: "unit",
                     include: ["packages/*/tests/**/*.test.ts", "platform/tests/**/*.test.ts"],
-                    exclude: [PROCESS_TESTS],
+                    exclude: PROCESS_TESTS,
                     testTimeout: 20_000,
                     hookTimeout: 20_000,
                     maxWorkers: 4,
@@ -29,7 +29,7 @@
                 extends: true,
                 test: {
                     name: "process",
-                    include: [PROCESS_TESTS],
+                    include: PROCESS_TESTS,
                     testTimeout: 60_000,
                     hookTimeout: 60_000,
                     fileParallelism: false,
