Stalls of a host's own loop are no service time of a server

Cause of reads refused as `shed` beside fifty uploads and three busy programs: the queue before a server measures how long a request holds its slot on the host's own clock. When the host's loop stands still, all requests that end after it count the stall as the server's slowness, mean and deviation rise, and what waits is refused as hopeless. Change: a meter of the loop's stalls; they are taken off the measured time.

--- a/packages/daemon/src/routing/pooledRouter.ts
+++ b/packages/daemon/src/routing/pooledRouter.ts
@@ -5,6 +5,7 @@
     type PoolPickerSettings,
     ServerQueue,
     type ServerQueueSettings,
+    type StallMeter,
 } from "@arbutusdoor/policy";
 import type { CallerRequest } from "../entry/callerRequest.js";
 import type { Answer } from "../serving/answer.js";
@@ -26,6 +27,7 @@
     readonly view: PoolView;
     readonly pickerSettings: PoolPickerSettings;
     readonly queueSettings: ServerQueueSettings;
+    readonly stalls: StallMeter;
 };
 
 /** The line of one pooled service on this host, and the gate behind it. */
@@ -102,12 +104,12 @@
     }
 
     private newPool({ service, tenant }: CallerRequest): Pool {
-        const { clock, metrics, pickerSettings, queueSettings, random, retryRules, sender, view } =
+        const { clock, metrics, pickerSettings, queueSettings, random, retryRules, sender, stalls, view } =
             this.parts;
         const picker = newPoolPicker(pickerSettings, random);
         const labels = { tenant, service: service.name };
         return {
-            queue: new ServerQueue(clock, metrics, 1, queueSettings, labels),
+            queue: new ServerQueue({ clock, metrics, slots: 1, settings: queueSettings, stalls, labels }),
             gate: new PoolGate({ clock, picker, sender, retryRules, view }),
         };
     }
--- a/packages/daemon/src/serving/serverGate.ts
+++ b/packages/daemon/src/serving/serverGate.ts
@@ -1,5 +1,5 @@
 import type { ClassId, Clock, Metrics, ServerId } from "@arbutusdoor/common";
-import { ServerQueue, type ServerQueueSettings } from "@arbutusdoor/policy";
+import { ServerQueue, type ServerQueueSettings, type StallMeter } from "@arbutusdoor/policy";
 import type { LoadBook } from "../balance/loadBook.js";
 import type { Answer } from "./answer.js";
 import { Deferred } from "./deferred.js";
@@ -20,6 +20,7 @@
     readonly serving: ServingPort;
     readonly sender: ServerSender;
     readonly queueSettings: ServerQueueSettings;
+    readonly stalls: StallMeter;
     readonly book: LoadBook;
     /** Requests beyond a server's slots that may be on their way to it. */
     readonly requestsOverSlots: number;
@@ -110,13 +111,8 @@
 
     private newGate(request: ServingRequest, slots: number): Gate {
         const labels = { tenant: request.tenant, service: request.service };
-        const queue = new ServerQueue(
-            this.parts.clock,
-            this.parts.metrics,
-            slots,
-            this.parts.queueSettings,
-            labels,
-        );
+        const { clock, metrics, queueSettings: settings, stalls } = this.parts;
+        const queue = new ServerQueue({ clock, metrics, slots, settings, stalls, labels });
         const gate = { queue, slots };
         this.gates.set(request.server, gate);
         return gate;
--- a/packages/daemon/src/serving/servingPlugin.ts
+++ b/packages/daemon/src/serving/servingPlugin.ts
@@ -1,4 +1,5 @@
 import type { ServerId } from "@arbutusdoor/common";
+import { StallMeter } from "@arbutusdoor/policy";
 import { LOAD_BOOK } from "../balance/loadBookService.js";
 import { CONFIGURATION } from "../configuration/configurationService.js";
 import { LISTED_HOSTS } from "../hosts/hostsService.js";
@@ -44,6 +45,7 @@
             settings.heldRequestLimit,
             settings.ownerWaitMs,
         );
+        const stalls = new StallMeter(clock);
         this.kernel = kernel;
         this.gate = new ServerGate({
             clock,
@@ -51,6 +53,7 @@
             serving: ownership,
             sender,
             queueSettings: groups.queue,
+            stalls,
             book: kernel.get(LOAD_BOOK),
             requestsOverSlots: settings.requestsOverSlots,
         });
@@ -70,6 +73,7 @@
             ),
             pickerSettings: groups.pool,
             queueSettings: groups.queue,
+            stalls,
         });
         kernel.provide(ROUTER, new ServiceRouter(keyed, this.pooled));
     }
--- a/packages/daemon/tests/pooledRouter.test.ts
+++ b/packages/daemon/tests/pooledRouter.test.ts
@@ -1,6 +1,11 @@
 import { type BackendAnswer } from "@arbutusdoor/clients";
 import { ManualClock, Metrics, RandomSource } from "@arbutusdoor/common";
-import { PoolPickerSettings, RetryBudgetSettings, ServerQueueSettings } from "@arbutusdoor/policy";
+import {
+    PoolPickerSettings,
+    RetryBudgetSettings,
+    ServerQueueSettings,
+    StallMeter,
+} from "@arbutusdoor/policy";
 import { Readable } from "node:stream";
 import { expect, test } from "vitest";
 import { RequestBody } from "../src/entry/requestBody.js";
@@ -40,6 +45,7 @@
         view: new OneHostView(),
         pickerSettings: PoolPickerSettings.parse({}),
         queueSettings: ServerQueueSettings.parse({}),
+        stalls: new StallMeter(clock),
     });
     return { clock, metrics, router, traffic };
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -20,6 +20,7 @@
 export * from "./queue/job.js";
 export * from "./queue/serverQueue.js";
 export * from "./queue/serverQueueSettings.js";
+export * from "./queue/stallMeter.js";
 export * from "./queue/submission.js";
 export * from "./retry/mayRetry.js";
 export * from "./retry/retryBudget.js";
--- a/packages/policy/src/queue/serverQueue.ts
+++ b/packages/policy/src/queue/serverQueue.ts
@@ -4,6 +4,7 @@
 import { QueueEntry } from "./queueEntry.js";
 import type { ServerQueueSettings } from "./serverQueueSettings.js";
 import { ServiceTimes } from "./serviceTimes.js";
+import type { StallMeter } from "./stallMeter.js";
 import type { Submission } from "./submission.js";
 import { WaitingLine } from "./waitingLine.js";
 
@@ -12,6 +13,18 @@
 /** Labels of the queue's metrics, for example tenant and service; the class is added. */
 type Labels = Readonly<Record<string, string>>;
 
+/** What a queue works with. */
+type ServerQueueParts = {
+    readonly clock: Clock;
+    readonly metrics: Metrics;
+    /** Jobs that may run at a time. */
+    readonly slots: number;
+    readonly settings: ServerQueueSettings;
+    /** Stalls of this process, which are no service time; left out on simulated clocks, which never stall. */
+    readonly stalls?: StallMeter;
+    readonly labels?: Labels;
+};
+
 /**
  * The line before the slots of one server (or of a pool of servers).
  *
@@ -27,22 +40,17 @@
     private readonly clock: Clock;
     private readonly metrics: Metrics;
     private readonly settings: ServerQueueSettings;
+    private readonly stalls: StallMeter | undefined;
     private readonly labels: Labels;
     private slots: number;
     private isClosed = false;
 
-    /** @param slots jobs that may run at a time */
-    constructor(
-        clock: Clock,
-        metrics: Metrics,
-        slots: number,
-        settings: ServerQueueSettings,
-        labels: Labels = {},
-    ) {
+    constructor({ clock, labels = {}, metrics, settings, slots, stalls }: ServerQueueParts) {
         this.clock = clock;
         this.metrics = metrics;
         this.slots = slots;
         this.settings = settings;
+        this.stalls = stalls;
         this.labels = labels;
         this.serviceTimes = new ServiceTimes(settings);
         this.queue = new PQueue({ concurrency: Math.max(1, slots), autoStart: slots > 0 });
@@ -221,13 +229,19 @@
         entry.startedAt = startedAt;
         this.running.add(entry);
         this.record("arbutusdoor_queue_wait_us", entry, startedAt - entry.submittedAt);
+        const stalledBefore = this.getStalled();
         await entry.run();
         this.running.delete(entry);
         const duration = this.clock.now() - startedAt;
-        this.serviceTimes.record(entry.job.classId, duration);
+        const stalled = this.getStalled() - stalledBefore;
+        this.serviceTimes.record(entry.job.classId, Math.max(0, duration - stalled));
         this.record("arbutusdoor_queue_service_us", entry, duration);
     }
 
+    private getStalled(): Milliseconds {
+        return this.stalls?.getTotal() ?? 0;
+    }
+
     /** A job that waited is checked once more; with nothing else running it starts, so that estimates stay fresh. */
     private getStartRefusal(entry: QueueEntry<unknown>): Refusal | undefined {
         const late = this.getLateRefusal(entry);
