--- a/scripts/failureRun.ts
+++ b/scripts/failureRun.ts
@@ -31,6 +31,8 @@
 const KEYS = 20;
 const TOLERANCE_MS = 25;
 const SERVED_LIMIT_MS = 20_000;
+/** Lines of a host's output that an error repeats. */
+const DESCRIBED_LINES = 20;
 const POLL_MS = 50;
 const CALL_TIMEOUT_MS = 15_000;
 const LOAD_SECONDS = 120;
@@ -261,12 +263,19 @@
                 return;
             }
             if (this.clock.now() > until) {
-                throw new Error(`${path} is not served through ${name}: ${outcome}`);
+                throw new Error(`${path} is not served through ${name}: ${outcome}\n${this.describe(name)}`);
             }
             await this.clock.sleep(POLL_MS);
         }
     }
 
+    /** Whether an entry host runs, and what it printed last. */
+    private describe(name: string): string {
+        const { program } = this.system.daemons.get(name)!;
+        const state = program.hasEnded ? `ended with code ${program.exitCode ?? "none"}` : "runs";
+        return [`${name} ${state}; it printed last:`, ...program.lines.slice(-DESCRIBED_LINES)].join("\n");
+    }
+
     private async readJournal(control: string): Promise<ServerJournal> {
         const response = await fetch(`http://${control}/journal`);
         return ServerJournal.parse(await response.json());
