A port that closes first accepts what waits for it

Change, in the daemon's and the gateway's ports: before closing, turns of the loop pass until none brings a connection or a request. Test: a connection that is not accepted yet when the port closes is answered; it was reset before.

--- /dev/null
+++ b/packages/common/src/http/acceptWaiting.ts
@@ -0,0 +1,22 @@
+import type { Server } from "node:http";
+import { readSockets } from "../time/readSockets.js";
+
+/** A port that is never quiet closes after this many looks. */
+const LOOK_LIMIT = 50;
+
+/**
+ * Resolves once a server has accepted the connections that waited for it and has read the requests on them. Closing its port would
+ * reset those: on a busy machine they may have waited since before the balancer was told.
+ */
+export async function acceptWaiting(server: Server): Promise<void> {
+    let events = 0;
+    const count = () => {
+        events++;
+    };
+    server.on("connection", count).on("request", count);
+    for (let look = 0, before = -1; events !== before && look < LOOK_LIMIT; look++) {
+        before = events;
+        await readSockets();
+    }
+    server.off("connection", count).off("request", count);
+}
--- a/packages/daemon/src/entry/callerPort.ts
+++ b/packages/daemon/src/entry/callerPort.ts
@@ -1,4 +1,11 @@
-import { ArbutusdoorError, type Clock, type Metrics, newRefusal, type Refusal } from "@arbutusdoor/common";
+import {
+    acceptWaiting,
+    ArbutusdoorError,
+    type Clock,
+    type Metrics,
+    newRefusal,
+    type Refusal,
+} from "@arbutusdoor/common";
 import type { Declaration } from "@arbutusdoor/configuration";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -86,6 +93,7 @@
     /** Takes no more connections and resolves once every request has its whole answer. */
     async close(): Promise<void> {
         this.isClosing = true;
+        await acceptWaiting(this.server);
         this.server.close();
         this.server.closeIdleConnections();
         while (this.inFlight > 0) {
--- a/packages/gateway/src/requests/frontPort.ts
+++ b/packages/gateway/src/requests/frontPort.ts
@@ -1,13 +1,14 @@
 import {
+    acceptWaiting,
     ArbutusdoorError,
     type Clock,
     type HeaderFields,
     type Logger,
     type Metrics,
+    readSockets,
 } from "@arbutusdoor/common";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { pipeline, Readable } from "node:stream";
-import { setImmediate } from "node:timers/promises";
 import polka from "polka";
 import type { RouteTable } from "../configuration/routeTable.js";
 import type { TargetRotation } from "../configuration/targetRotation.js";
@@ -89,6 +90,7 @@
     /** Takes no more connections and resolves once every request that was read has its whole answer. */
     async close(): Promise<void> {
         this.isClosing = true;
+        await acceptWaiting(this.server);
         this.server.close();
         this.server.closeIdleConnections();
         while (this.open > 0) {
@@ -112,6 +114,7 @@
         });
         message.on("error", () => gone.abort(CALLER_GONE));
         const reading = await this.read(message, arrivedAt, gone.signal);
+        // On a process that is behind, a request and its caller's leaving wait to be read together.
         await readSockets();
         if (message.socket.readableEnded || message.socket.destroyed) {
             gone.abort(CALLER_GONE);
@@ -239,15 +242,6 @@
     }
 }
 
-/**
- * Waits until the loop has read its sockets once more. On a process that is behind, a request and the end of its connection are both
- * waiting to be read, and the end is read a turn later; without this the request of a caller that left would be sent on.
- */
-async function readSockets(): Promise<void> {
-    await setImmediate();
-    await setImmediate();
-}
-
 function writeAnswer(
     message: IncomingMessage,
     response: ServerResponse,
--- a/packages/gateway/tests/frontPort.test.ts
+++ b/packages/gateway/tests/frontPort.test.ts
@@ -82,6 +82,17 @@
     },
 );
 
+test("a request whose connection has not been accepted when the port closes is answered", async () => {
+    const late = connect(caller.remotePort!, LOOPBACK);
+    late.write(GET);
+    const closed = front.close();
+    const [answer] = await once(late, "data") as [Buffer];
+    expect(answer.toString().split("\r\n")[0]).toBe("HTTP/1.1 200 OK");
+    late.destroy();
+    caller.destroy();
+    await closed;
+});
+
 async function findFreePort(): Promise<number> {
     const server = createServer().listen(0, LOOPBACK);
     await once(server, "listening");
