A soak of the platform's real program, with stand-ins that speak range orders and a loopback proxy

It judges ownership, runs, refusals and answers, that stopped hosts end in time, and that every key is served again.

--- a/packages/standins/src/backendServer/sendEcho.ts
+++ b/packages/standins/src/backendServer/sendEcho.ts
@@ -11,7 +11,7 @@
 /** Answers a request with what came in, or with as many bytes as it asks for. Resolves once all is written or the caller has left. */
 export async function sendEcho(
     response: ServerResponse,
-    settings: BackendSettings,
+    settings: Pick<BackendSettings, "server" | "incarnation" | "maxAnswerBytes">,
     service: ServiceRequest,
     received: ReceivedBody,
 ): Promise<void> {
--- a/packages/standins/src/backendServer/workList.ts
+++ b/packages/standins/src/backendServer/workList.ts
@@ -36,10 +36,10 @@
         return begun;
     }
 
-    /** Removes work and records it. */
-    end(work: Work, end: WorkEnd): void {
+    /** Removes work and records it, as ended at a wall-clock time. */
+    end(work: Work, end: WorkEnd, endedAt = this.clock.wallTime()): void {
         if (this.running.delete(work)) {
-            this.journal.add(this.getEntry(work, this.clock.wallTime(), end));
+            this.journal.add(this.getEntry(work, endedAt, end));
             this.onEnd();
         }
     }
--- a/packages/standins/src/caller/runCallers.ts
+++ b/packages/standins/src/caller/runCallers.ts
@@ -3,6 +3,7 @@
 import type { Call } from "./call.js";
 import type { CallerEntry } from "./callerEntry.js";
 import type { CallerLog } from "./callerLog.js";
+import type { CallerProtocol } from "./callerProtocol.js";
 import type { CallerSettings } from "./callerSettings.js";
 import { newCall } from "./newCall.js";
 import { sendCall } from "./sendCall.js";
@@ -14,6 +15,7 @@
     settings: CallerSettings,
     clock: Clock,
     signal: AbortSignal,
+    protocol?: CallerProtocol,
 ): Promise<CallerLog> {
     const random = new RandomSource(settings.seed);
     const dispatcher = new Agent({ connections: settings.inFlight, pipelining: 1 });
@@ -34,7 +36,7 @@
             skipped++;
             continue;
         }
-        const sending: Promise<void> = sendAttempts(call, first, settings, { clock, dispatcher })
+        const sending: Promise<void> = sendAttempts(call, first, settings, { clock, dispatcher, protocol })
             .then(attempts => void entries.push(...attempts))
             .finally(() => underWay.delete(sending));
         underWay.add(sending);
@@ -49,7 +51,11 @@
     call: Call,
     first: number,
     settings: CallerSettings,
-    parts: { readonly clock: Clock; readonly dispatcher: Agent; },
+    parts: {
+        readonly clock: Clock;
+        readonly dispatcher: Agent;
+        readonly protocol: CallerProtocol | undefined;
+    },
 ): Promise<CallerEntry[]> {
     const { entryHosts, timeoutMs, repeats } = settings;
     const entries: CallerEntry[] = [];
--- a/packages/standins/src/caller/sendCall.ts
+++ b/packages/standins/src/caller/sendCall.ts
@@ -2,13 +2,11 @@
 import { type Dispatcher, request } from "undici";
 import type { Call } from "./call.js";
 import type { CallerEntry } from "./callerEntry.js";
+import type { CallerProtocol } from "./callerProtocol.js";
+import { DaemonProtocol } from "./daemonProtocol.js";
 import { isOwnAnswer } from "./isOwnAnswer.js";
 
-const OUTCOMES: Readonly<Record<string, "answered" | "notRun" | "unknown">> = {
-    "answered": "answered",
-    "not-run": "notRun",
-    "unknown": "unknown",
-};
+const DAEMON_PROTOCOL = new DaemonProtocol();
 
 /** Where and how an attempt is sent. */
 type Attempt = {
@@ -16,6 +14,8 @@
     readonly attempt: number;
     readonly dispatcher: Dispatcher;
     readonly timeoutMs: number;
+    /** The daemon's own interface when left out. */
+    readonly protocol?: CallerProtocol;
     readonly clock: Clock;
 };
 
@@ -45,9 +45,11 @@
     to: Attempt,
     signal: AbortSignal,
 ): Promise<Pick<CallerEntry, "outcome" | "status" | "reason" | "requestId" | "isOwn">> {
+    const { protocol = DAEMON_PROTOCOL } = to;
     let answer: Dispatcher.ResponseData;
     try {
-        const { method, path, headers, body } = call;
+        const { method, path, body } = call;
+        const headers = { ...call.headers, ...protocol.newHeaders(call, to.attempt, to.timeoutMs) };
         const url = `http://${to.entryHost}${path}`;
         answer = await request(url, { method, headers, body, signal, dispatcher: to.dispatcher });
     }
@@ -55,14 +57,10 @@
         return { outcome: "none", status: 0, reason: getCode(error), isOwn: false };
     }
     const { statusCode: status, headers } = answer;
-    const seen = {
-        status,
-        reason: getText(headers["arbutusdoor-reason"]),
-        requestId: getText(headers["arbutusdoor-request-id"]),
-    };
+    const { outcome, ...rest } = protocol.readHead(call, to.attempt, status, headers);
+    const seen = { status, ...rest };
     try {
         const body = Buffer.from(await answer.body.arrayBuffer());
-        const outcome = OUTCOMES[String(headers["arbutusdoor-outcome"])] ?? "none";
         return { outcome, ...seen, isOwn: outcome === "answered" && isOwnAnswer(call, headers, body) };
     }
     catch {
@@ -74,7 +72,3 @@
     const { code, name } = error as NodeJS.ErrnoException;
     return String(code ?? name);
 }
-
-function getText(header: string | string[] | undefined): string | undefined {
-    return Array.isArray(header) ? header.join(", ") : header;
-}
--- a/packages/standins/src/common/standIn.ts
+++ b/packages/standins/src/common/standIn.ts
@@ -106,6 +106,11 @@
         };
     }
 
+    /** Adds a call to the control interface, which faults do not touch. */
+    protected addControl(path: string, handler: Handler): void {
+        this.control.post(path, (request, response) => void handler(request as StandInRequest, response));
+    }
+
     /** Answers, or loses the answer of something that has taken effect. */
     protected answerEffect(response: ServerResponse, status: number, value: unknown): void {
         if (this.losesAnswer()) {
--- a/packages/standins/src/rowStore/rowStoreStandIn.ts
+++ b/packages/standins/src/rowStore/rowStoreStandIn.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "@arbutusdoor/common";
+import type { Clock, Timer } from "@arbutusdoor/common";
 import type { ServerResponse } from "node:http";
 import { Journal } from "../common/journal.js";
 import type { Place } from "../common/place.js";
@@ -6,6 +6,7 @@
 import { sendJson } from "../common/sendJson.js";
 import { StandIn } from "../common/standIn.js";
 import type { StandInRequest } from "../common/standInRequest.js";
+import { ForeignRow } from "./foreignRow.js";
 import { RowTransaction } from "./rowTransaction.js";
 
 const MAX_WAIT_MS = 30_000;
@@ -27,6 +28,7 @@
 export class RowStoreStandIn extends StandIn {
     private readonly rows = new Map<string, StoredRow>();
     private readonly journal: Journal<StoreEntry>;
+    private readonly lapses = new Map<string, Timer>();
     private version = 1;
     /** Changes up to this version are no longer kept. */
     private forgotten = 0;
@@ -51,6 +53,7 @@
                 (request: StandInRequest, response: ServerResponse) => this.feed(request, response),
             ],
         ] as const;
+        this.addControl("/rows", (request, response) => this.takeRow(request, response));
         for (const [method, path, handler] of routes) {
             this.app[method](path, this.withFaults(handler));
         }
@@ -69,6 +72,16 @@
         );
     }
 
+    override async stop(): Promise<void> {
+        this.cancelLapses();
+        await super.stop();
+    }
+
+    override async kill(): Promise<void> {
+        this.cancelLapses();
+        await super.kill();
+    }
+
     /** Drops the history: feeds that ask for changes up to now are told so. */
     compact(): void {
         this.forgotten = this.version;
@@ -79,6 +92,28 @@
         }
     }
 
+    /** Takes a row of the operator or of a server, which lapses unless it is written again in time. */
+    private async takeRow(request: StandInRequest, response: ServerResponse): Promise<void> {
+        const row = await readJson(request, ForeignRow);
+        if (!row) {
+            sendJson(response, 400, { error: "malformed row" });
+            return;
+        }
+        const { key, lifetimeMs, table, value } = row;
+        this.lapses.get(key)?.cancel();
+        this.lapses.delete(key);
+        this.put(table, key, value);
+        if (value !== undefined && lifetimeMs !== undefined) {
+            const lapse = this.clock.schedule(lifetimeMs, () => this.put(table, key, undefined));
+            this.lapses.set(key, lapse);
+        }
+        sendJson(response, 200, {});
+    }
+
+    private cancelLapses(): void {
+        this.lapses.forEach(lapse => lapse.cancel());
+    }
+
     private async transact(request: StandInRequest, response: ServerResponse): Promise<void> {
         const transaction = await readJson(request, RowTransaction);
         if (!transaction) {
--- a/scripts/failureRun.ts
+++ b/scripts/failureRun.ts
@@ -4,10 +4,9 @@
     type Call,
     type CallerEntry,
     CallerSettings,
-    observe,
     runCallers,
     sendCall,
-    ServerJournal,
+    type ServerJournal,
     type Verdict,
 } from "@arbutusdoor/standins";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
@@ -15,10 +14,10 @@
 import { join } from "node:path";
 import { Agent } from "undici";
 import { z } from "zod";
-import { endJournalAt } from "./endJournalAt.js";
 import { LocalSystem } from "./localSystem.js";
 import { newLocalDeclaration } from "./newLocalDeclaration.js";
 import { runTool } from "./runTool.js";
+import { ServerRecords } from "./serverRecords.js";
 
 const SERVICES = [
     { service: "gustboard", dataCentres: ["north", "north", "north"] },
@@ -29,7 +28,6 @@
 const HOSTS = ["north-1", "north-2", "north-3"].map(name => ({ name, dataCentre: "north" }));
 const KEYED = ["gustboard", "agenda"];
 const KEYS = 20;
-const TOLERANCE_MS = 25;
 const SERVED_LIMIT_MS = 20_000;
 /** Lines of a host's output that an error repeats. */
 const DESCRIBED_LINES = 20;
@@ -54,8 +52,7 @@
     readonly calls: CallerEntry[] = [];
     private readonly folder = mkdtempSync(join(tmpdir(), "arbutusdoor-run-"));
     private readonly agent = new Agent({ connections: CALLERS_IN_FLIGHT });
-    private readonly journals: ServerJournal[] = [];
-    private readonly lost: string[] = [];
+    private readonly records = new ServerRecords(this.clock);
     private loads = 0;
 
     /** @param flags further flags of every daemon */
@@ -138,31 +135,18 @@
     }
 
     /** Kills a backend server; its journal up to then is kept, and what it did in its last moment is lost. */
-    async killServer(name: string): Promise<void> {
-        const server = this.system.servers.get(name)!;
-        const journal = await this.readJournal(server.control);
-        await server.program.kill();
-        this.lost.push(name);
-        this.journals.push(endJournalAt(journal, this.clock.wallTime()));
+    killServer(name: string): Promise<void> {
+        return this.records.kill(name, this.system.servers.get(name)!);
     }
 
     /** Asks a backend server to stop, and resolves with its last journal once its process has ended. */
-    async stopServer(name: string): Promise<ServerJournal> {
-        const server = this.system.servers.get(name)!;
-        let journal = await this.readJournal(server.control);
-        server.program.signal("SIGTERM");
-        while (!server.program.hasEnded) {
-            journal = await this.readJournal(server.control).catch(() => journal);
-            await this.clock.sleep(POLL_MS / 2);
-        }
-        this.lost.push(name);
-        this.journals.push(journal);
-        return journal;
+    stopServer(name: string): Promise<ServerJournal> {
+        return this.records.stop(name, this.system.servers.get(name)!);
     }
 
     /** What a backend server that runs has recorded so far. */
     readServerJournal(name: string): Promise<ServerJournal> {
-        return this.readJournal(this.system.servers.get(name)!.control);
+        return this.records.read(this.system.servers.get(name)!);
     }
 
     /** Asks an entry host to stop, and resolves with its exit code; `onNotReady` runs once it says that it is not ready. */
@@ -192,13 +176,8 @@
     }
 
     /** The observer's verdict over everything that has happened in this run. Every load must have been stopped. */
-    async judge(): Promise<Verdict> {
-        const live = [...this.system.servers.values()].filter(server => !server.program.hasEnded);
-        const journals = await Promise.all(live.map(server => this.readJournal(server.control)));
-        return observe([...this.journals, ...journals], this.calls, {
-            toleranceMs: TOLERANCE_MS,
-            lostServers: this.lost,
-        });
+    judge(): Promise<Verdict> {
+        return this.records.judge(this.system.servers.values(), this.calls);
     }
 
     /** Resolves once every key and every pooled service is answered through every entry host that runs. */
@@ -275,11 +254,6 @@
         const state = program.hasEnded ? `ended with code ${program.exitCode ?? "none"}` : "runs";
         return [`${name} ${state}; it printed last:`, ...program.lines.slice(-DESCRIBED_LINES)].join("\n");
     }
-
-    private async readJournal(control: string): Promise<ServerJournal> {
-        const response = await fetch(`http://${control}/journal`);
-        return ServerJournal.parse(await response.json());
-    }
 }
 
 /** A path for each key of a keyed service; one for a pooled service. */
--- /dev/null
+++ b/scripts/platformFaults.ts
@@ -0,0 +1,165 @@
+import type { PlatformRun } from "./platformRun.js";
+
+/** Brings a fault about at a target, and ends it after a time in ms. */
+type Fault = (run: PlatformRun, target: string, lengthMs: number) => Promise<void>;
+
+/** A grant of keys lasts 9 s; a longer pause shows whether a holder stops at the end of its lease. */
+const PAUSE_MS = 11_000;
+const SHORT_MS = 2_000;
+const OUTAGE_MS = 5_000;
+const SLOW_MS = 300;
+const LATE_ORDER_MS = 3_000;
+const LOST_ANSWERS = 10;
+const GRACE_LIMIT_MS = 7_500;
+
+const SERVER_FAULTS: Readonly<Record<string, readonly [longestMs: number, fault: Fault]>> = {
+    serverKilled: [SHORT_MS, async (run, name, lengthMs) => {
+        await run.records.kill(name, run.system.servers.get(name)!);
+        await run.clock.sleep(lengthMs);
+        await run.system.restartServer(name);
+    }],
+    serverDrained: [SHORT_MS, async (run, name, lengthMs) => {
+        await run.records.stop(name, run.system.servers.get(name)!);
+        await run.clock.sleep(lengthMs);
+        await run.system.restartServer(name);
+    }],
+    serverPaused: [
+        PAUSE_MS,
+        (run, name, lengthMs) => pause(run, run.system.servers.get(name)!.program, lengthMs),
+    ],
+    serverOrdersLate: [OUTAGE_MS, async (run, name, lengthMs) => {
+        await run.system.setServerFaults(name, { lateOrders: LOST_ANSWERS, lateOrderMs: LATE_ORDER_MS });
+        await run.clock.sleep(lengthMs);
+        await run.system.setServerFaults(name, {});
+    }],
+    serverAnswersLost: [OUTAGE_MS, async (run, name, lengthMs) => {
+        await run.system.setServerFaults(name, { answerLostAfterCommit: LOST_ANSWERS });
+        await run.clock.sleep(lengthMs);
+        await run.system.setServerFaults(name, {});
+    }],
+    serverDelayed: [
+        OUTAGE_MS,
+        (run, name, lengthMs) => disturb(run, run.system.servers.get(name)!.proxy, "delay", lengthMs),
+    ],
+    serverReset: [
+        SHORT_MS,
+        (run, name, lengthMs) => disturb(run, run.system.servers.get(name)!.proxy, "reset", lengthMs),
+    ],
+    serverSilent: [
+        PAUSE_MS,
+        (run, name, lengthMs) => disturb(run, run.system.servers.get(name)!.proxy, "silent", lengthMs),
+    ],
+    serverCutOneWay: [
+        OUTAGE_MS,
+        (run, name, lengthMs) => disturb(run, run.system.servers.get(name)!.proxy, "loseAnswers", lengthMs),
+    ],
+};
+
+const HOST_FAULTS: Readonly<Record<string, readonly [longestMs: number, fault: Fault]>> = {
+    hostKilled: [SHORT_MS, async (run, name, lengthMs) => {
+        await run.system.hosts.get(name)!.program.kill();
+        await run.clock.sleep(lengthMs);
+        await run.system.restartHost(name);
+    }],
+    hostStopped: [SHORT_MS, async (run, name, lengthMs) => {
+        const { program } = run.system.hosts.get(name)!;
+        const signalledAt = run.clock.now();
+        program.signal("SIGTERM");
+        await program.waitForEnd();
+        const took = run.clock.now() - signalledAt;
+        if (program.exitCode !== 0 || took > GRACE_LIMIT_MS) {
+            throw new Error(`${name} ended with ${program.exitCode} after ${Math.round(took)} ms`);
+        }
+        await run.clock.sleep(lengthMs);
+        await run.system.restartHost(name);
+    }],
+    hostPaused: [
+        PAUSE_MS,
+        (run, name, lengthMs) => pause(run, run.system.hosts.get(name)!.program, lengthMs),
+    ],
+    hostReloaded: [SHORT_MS, async (run, name, lengthMs) => {
+        run.system.hosts.get(name)!.program.signal("SIGHUP");
+        await run.clock.sleep(lengthMs);
+    }],
+    hostStoreReset: [
+        OUTAGE_MS,
+        (run, name, lengthMs) => disturb(run, run.system.hosts.get(name)!.store, "reset", lengthMs),
+    ],
+    hostStoreSilent: [
+        PAUSE_MS,
+        (run, name, lengthMs) => disturb(run, run.system.hosts.get(name)!.store, "silent", lengthMs),
+    ],
+    hostStoreCutOneWay: [
+        OUTAGE_MS,
+        (run, name, lengthMs) => disturb(run, run.system.hosts.get(name)!.store, "loseAnswers", lengthMs),
+    ],
+};
+
+const STORE_FAULTS: Readonly<Record<string, readonly [longestMs: number, fault: Fault]>> = {
+    storeRefused: [OUTAGE_MS, (run, _, lengthMs) => troubleStore(run, { down: "refused" }, lengthMs)],
+    storeUnavailable: [PAUSE_MS, (run, _, lengthMs) => troubleStore(run, { down: "unavailable" }, lengthMs)],
+    storeSlow: [OUTAGE_MS, (run, _, lengthMs) => troubleStore(run, { slowMs: SLOW_MS }, lengthMs)],
+    storeFrozen: [OUTAGE_MS, (run, _, lengthMs) => troubleStore(run, { isFrozen: true }, lengthMs)],
+    storeAnswersLost: [
+        OUTAGE_MS,
+        (run, _, lengthMs) => troubleStore(run, { answerLostAfterCommit: LOST_ANSWERS }, lengthMs),
+    ],
+    configurationChanged: [SHORT_MS, async (run, _, lengthMs) => {
+        await run.system.configure();
+        await run.clock.sleep(lengthMs);
+    }],
+};
+
+const ALL = { ...SERVER_FAULTS, ...HOST_FAULTS, ...STORE_FAULTS };
+const STORE = "store";
+
+/** Faults of the network, processes, clocks and storage that a soak of the platform's program brings about, by target. */
+export const platformFaults = {
+    /** Faults that may come to each target, with the longest time of each in ms. */
+    list(run: PlatformRun): Readonly<Record<string, Readonly<Record<string, number>>>> {
+        const each = (names: Iterable<string>, faults: typeof ALL | typeof SERVER_FAULTS) =>
+            [...names].map(
+                name => [
+                    name,
+                    Object.fromEntries(Object.entries(faults).map(([fault, [ms]]) => [fault, ms])),
+                ],
+            );
+        return Object.fromEntries([
+            ...each(run.system.servers.keys(), SERVER_FAULTS),
+            ...each(run.system.hosts.keys(), HOST_FAULTS),
+            ...each([STORE], STORE_FAULTS),
+        ]) as Record<string, Record<string, number>>;
+    },
+
+    /** Brings a fault about; resolves once it is over. Rejects when the target does not come back, or stops badly. */
+    async play(run: PlatformRun, fault: string, target: string, lengthMs: number): Promise<void> {
+        await (ALL as Record<string, readonly [number, Fault]>)[fault]![1](run, target, lengthMs);
+    },
+};
+
+async function pause(
+    run: PlatformRun,
+    program: { signal(name: NodeJS.Signals): void; },
+    lengthMs: number,
+): Promise<void> {
+    program.signal("SIGSTOP");
+    await run.clock.sleep(lengthMs);
+    program.signal("SIGCONT");
+}
+
+async function disturb(
+    run: PlatformRun,
+    proxy: { setMode(mode: "pass" | "delay" | "reset" | "silent" | "loseAnswers", delayMs?: number): void; },
+    mode: "delay" | "reset" | "silent" | "loseAnswers",
+    lengthMs: number,
+): Promise<void> {
+    proxy.setMode(mode, SLOW_MS);
+    await run.clock.sleep(lengthMs);
+    proxy.setMode("pass");
+}
+
+async function troubleStore(run: PlatformRun, faults: object, lengthMs: number): Promise<void> {
+    await run.system.setStoreFaults(faults);
+    await run.clock.sleep(lengthMs);
+    await run.system.setStoreFaults({});
+}
--- /dev/null
+++ b/scripts/platformRun.ts
@@ -0,0 +1,144 @@
+import { SystemClock } from "@arbutusdoor/common";
+import {
+    type CallerEntry,
+    CallerSettings,
+    PlatformProtocol,
+    runCallers,
+    sendCall,
+    type Verdict,
+} from "@arbutusdoor/standins";
+import { Agent } from "undici";
+import type { z } from "zod";
+import { PlatformSystem } from "./platformSystem.js";
+import { ServerRecords } from "./serverRecords.js";
+
+const SERVICES = [
+    { name: "gustboard", isKeyed: true, kind: "safe", dataCentres: ["north", "north", "south"] },
+    { name: "agenda", isKeyed: true, kind: "unsafe", dataCentres: ["north", "south"] },
+    { name: "shorepermit", isKeyed: false, kind: "unsafe", dataCentres: ["north", "south"] },
+    { name: "loghold", isKeyed: false, kind: "upload", dataCentres: ["north", "south"] },
+] as const;
+const HOSTS = { "north-1": "north", "north-2": "north", "south-1": "south" };
+const KEYS = 20;
+const POLL_MS = 50;
+/** A host that has come back follows the store, and keys of a dead server wait for their grants to lapse (9 s) at worst. */
+const SERVED_LIMIT_MS = 20_000;
+const CALL_TIMEOUT_MS = 5_000;
+const PROBE_TIMEOUT_MS = 1_500;
+const LOAD_RATE = 120;
+const LOAD_COUNT = 1_000_000;
+const LOAD_SECONDS = 3_600;
+const IN_FLIGHT = 300;
+const UPLOAD_BYTES = 100_000;
+
+/** Hosts on the platform under load, whose servers and callers are judged by the observer at the end. */
+export class PlatformRun {
+    readonly clock = new SystemClock();
+    readonly system = new PlatformSystem(SERVICES);
+    readonly records = new ServerRecords(this.clock);
+    private readonly calls: CallerEntry[] = [];
+    private readonly protocol = new PlatformProtocol(this.system.authority);
+    private readonly agent = new Agent({ connections: IN_FLIGHT });
+    private probes = 0;
+
+    /** Starts everything, and resolves once every service is served through every host. */
+    async start(): Promise<void> {
+        await this.system.start(HOSTS);
+        await this.waitUntilServed();
+    }
+
+    /** Begins to send requests to all hosts; the function that is returned stops that and resolves once all have ended. */
+    startLoad(settings: Partial<z.input<typeof CallerSettings>>): () => Promise<readonly CallerEntry[]> {
+        const stopping = new AbortController();
+        const parsed = CallerSettings.parse({
+            name: "load",
+            entryHosts: [...this.system.hosts.values()].map(({ callers }) => callers),
+            reads: ["gustboard", "agenda"],
+            filings: ["shorepermit", "agenda"],
+            uploads: ["loghold"],
+            count: LOAD_COUNT,
+            seconds: LOAD_SECONDS,
+            requestsPerSecond: LOAD_RATE,
+            inFlight: IN_FLIGHT,
+            keys: KEYS,
+            uploadBytes: UPLOAD_BYTES,
+            timeoutMs: CALL_TIMEOUT_MS,
+            // A caller that sends a filing again after an unknown outcome may run it twice by itself.
+            repeats: 0,
+            ...settings,
+        });
+        const running = runCallers(parsed, this.clock, stopping.signal, this.protocol);
+        return async () => {
+            stopping.abort();
+            const { entries } = await running;
+            this.calls.push(...entries);
+            return entries;
+        };
+    }
+
+    /** Whether a host says that it is ready. */
+    async isReady(name: string): Promise<boolean> {
+        try {
+            const response = await fetch(`http://${this.system.hosts.get(name)!.readiness}/-/readiness`);
+            await response.text();
+            return response.ok;
+        }
+        catch {
+            return false;
+        }
+    }
+
+    /** Resolves once some keys of each service are served through every host that runs; rejects when that takes too long. */
+    async waitUntilServed(): Promise<void> {
+        const until = this.clock.now() + SERVED_LIMIT_MS;
+        const hosts = [...this.system.hosts].filter(([, { program }]) => !program.hasEnded);
+        await Promise.all(hosts.flatMap(([host, { callers }]) =>
+            SERVICES.flatMap(({ name }) =>
+                Array.from(
+                    { length: KEYS },
+                    (_, key) => this.waitForAnswer(host, callers, `/${name}/key-${key}/probe`, until),
+                )
+            )
+        ));
+    }
+
+    /** The observer's verdict. The load must have been stopped. */
+    judge(): Promise<Verdict> {
+        return this.records.judge(this.system.servers.values(), this.calls);
+    }
+
+    /** Ends every process at once. */
+    async stop(): Promise<void> {
+        await this.system.stop();
+        await this.agent.destroy();
+    }
+
+    private async waitForAnswer(host: string, callers: string, path: string, until: number): Promise<void> {
+        for (;;) {
+            const name = `probe-${this.probes++}`;
+            const call = {
+                name,
+                kind: "read",
+                method: "GET",
+                path: `${path}?call=${name}`,
+                headers: {},
+                body: undefined,
+            } as const;
+            const { outcome, reason, status } = await sendCall(call, {
+                clock: this.clock,
+                dispatcher: this.agent,
+                entryHost: callers,
+                attempt: 1,
+                timeoutMs: PROBE_TIMEOUT_MS,
+                protocol: this.protocol,
+            });
+            if (outcome === "answered") {
+                return;
+            }
+            if (this.clock.now() > until) {
+                throw new Error(`${path} is not served through ${host}: ${status} ${reason ?? ""}`);
+            }
+            await this.clock.sleep(POLL_MS);
+        }
+    }
+}
--- /dev/null
+++ b/scripts/platformSystem.ts
@@ -0,0 +1,216 @@
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { ChildProgram } from "./childProgram.js";
+import { getFreePorts } from "./getFreePorts.js";
+import { LoopbackProxy } from "./loopbackProxy.js";
+
+const ROOT = new URL("../", import.meta.url).pathname;
+const LOOPBACK = "127.0.0.1";
+const PORTS_PER_HOST = 4;
+const BOUNDS = {
+    "drain": "2500ms",
+    "grace": "6s",
+    "hold-max": "10000ms",
+    "retry-budget-ratio": 0.2,
+    "budget-window": "10s",
+    "retry-budget-extra": 58,
+};
+const LIMITS = {
+    "max-header-bytes": 16_384,
+    "max-body-bytes": 33_554_432,
+    "header-timeout": "5000ms",
+    "idle-timeout": "10000ms",
+};
+
+/** A service of a platform system. */
+type PlatformService = {
+    readonly name: string;
+    readonly isKeyed: boolean;
+    /** Kind of its route, in the platform's words. */
+    readonly kind: "safe" | "unsafe" | "upload";
+    /** Data centre of each of its servers. */
+    readonly dataCentres: readonly string[];
+};
+
+/** A program with its control interface, behind a proxy that callers of it use. */
+type PlatformProgram = {
+    readonly program: ChildProgram;
+    readonly control: string;
+    readonly proxy: LoopbackProxy;
+    readonly flags: readonly string[];
+};
+
+/** An entry host with the proxy through which it reaches the store. */
+type PlatformHost = {
+    readonly program: ChildProgram;
+    readonly store: LoopbackProxy;
+    readonly callers: string;
+    readonly readiness: string;
+    readonly ports: readonly number[];
+    readonly settings: string;
+};
+
+/** The gateway's real program as several hosts, with stand-ins of the platform's store and of backend servers, all on the loopback address. */
+export class PlatformSystem {
+    /** Host name of all routes. */
+    readonly authority = "soak.example";
+    readonly hosts = new Map<string, PlatformHost>();
+    readonly servers = new Map<string, PlatformProgram>();
+    private readonly services: readonly PlatformService[];
+    private readonly folder = mkdtempSync(join(tmpdir(), "arbutusdoor-platform-"));
+    private storeProgram: ChildProgram | undefined;
+    private storeAddress = "";
+    private storeControl = "";
+    private version = 0;
+
+    constructor(services: readonly PlatformService[]) {
+        this.services = services;
+    }
+
+    /** Starts the store, all servers and the hosts; each host is given with its data centre. */
+    async start(hosts: Readonly<Record<string, string>>): Promise<void> {
+        this.storeProgram = newStandIn("store", "rowStoreMain.js", []);
+        const { address, controlAddress } = await readAddresses(this.storeProgram);
+        this.storeAddress = address;
+        this.storeControl = controlAddress;
+        await this.configure();
+        for (const { dataCentres, isKeyed, name } of this.services) {
+            for (const [index, dataCentre] of dataCentres.entries()) {
+                const flags = [
+                    ...["--service", name, "--data-centre", dataCentre, "--store", controlAddress],
+                    ...isKeyed ? ["--keyed"] : [],
+                ];
+                await this.startServer(`${name}-${index + 1}`, flags);
+            }
+        }
+        await Promise.all(
+            Object.entries(hosts).map(([name, dataCentre]) => this.addHost(name, dataCentre)),
+        );
+    }
+
+    /** Writes the next version of the operator's configuration. */
+    async configure(): Promise<void> {
+        this.version += 3;
+        const columns = ["name", "hostname", "prefix", "route-type", "service", "timeout", "max-attempts"];
+        const routes = this.services.map((
+            { kind, name },
+        ) => [name, this.authority, `/${name}/`, kind, name, "10s", 2]);
+        const services = this.services.map(({ isKeyed, name }) => [name, 64, isKeyed]);
+        const value = JSON.stringify({
+            "config-version": this.version,
+            "routes": { columns, rows: routes },
+            "services": { columns: ["name", "max-conns", "sharded"], rows: services },
+            "limits": LIMITS,
+        });
+        await post(`${this.storeControl}/rows`, { table: "op", key: "config", value });
+    }
+
+    /** Sets fault switches of the store. */
+    setStoreFaults(faults: object): Promise<void> {
+        return post(`${this.storeControl}/faults`, faults);
+    }
+
+    /** Sets fault switches of a server. */
+    setServerFaults(name: string, faults: object): Promise<void> {
+        return post(`${this.servers.get(name)!.control}/faults`, faults);
+    }
+
+    /** Starts a server that has ended again: another life behind the same proxy. */
+    restartServer(name: string): Promise<void> {
+        return this.startServer(name, this.servers.get(name)!.flags);
+    }
+
+    /** Starts a host that has ended again at its ports, and resolves once it listens. */
+    async restartHost(name: string): Promise<void> {
+        const host = this.hosts.get(name)!;
+        const program = this.newHostProgram(name, host);
+        this.hosts.set(name, { ...host, program });
+        await program.waitForLine(/"event":"processStarted"/);
+    }
+
+    /** Kills everything that still runs and removes what was written. */
+    async stop(): Promise<void> {
+        const parts = [...this.hosts.values(), ...this.servers.values()];
+        await Promise.all(
+            [this.storeProgram, ...parts.map(({ program }) => program)].map(program => program?.kill()),
+        );
+        const proxies = [
+            ...[...this.hosts.values()].map(({ store }) => store),
+            ...[...this.servers.values()].map(({ proxy }) => proxy),
+        ];
+        await Promise.all(proxies.map(proxy => proxy.stop()));
+        rmSync(this.folder, { recursive: true, force: true });
+    }
+
+    private async startServer(name: string, flags: readonly string[]): Promise<void> {
+        const known = this.servers.get(name)?.proxy;
+        const proxy = known ?? new LoopbackProxy("");
+        if (!known) {
+            await proxy.start();
+        }
+        const all = ["--server", name, "--advertised", proxy.address, ...flags];
+        const program = newStandIn(name, "rangeServerMain.js", all);
+        const { address, controlAddress } = await readAddresses(program);
+        proxy.target = address;
+        this.servers.set(name, { program, control: controlAddress, proxy, flags });
+    }
+
+    private async addHost(name: string, dataCentre: string): Promise<void> {
+        const ports = await getFreePorts(PORTS_PER_HOST);
+        const [front, readiness, links] = ports;
+        const store = new LoopbackProxy(this.storeAddress);
+        await store.start();
+        const settings = join(this.folder, `${name}.json`);
+        writeFileSync(
+            settings,
+            JSON.stringify({
+                "node-name": name,
+                "ip": LOOPBACK,
+                "zone": dataCentre,
+                "listen": { front: `${LOOPBACK}:${front}`, readiness: `${LOOPBACK}:${readiness}` },
+                "internal-ports": [links, links],
+                "limits": { "max-fds": 4_096, "memory-mb": 350 },
+                "bounds": BOUNDS,
+                "provider": { address: store.address },
+            }),
+        );
+        const place = {
+            store,
+            ports,
+            settings,
+            callers: `${LOOPBACK}:${front}`,
+            readiness: `${LOOPBACK}:${readiness}`,
+        };
+        const program = this.newHostProgram(name, place);
+        this.hosts.set(name, { ...place, program });
+        await program.waitForLine(/"event":"processStarted"/);
+    }
+
+    private newHostProgram(
+        name: string,
+        { ports, settings }: Pick<PlatformHost, "ports" | "settings">,
+    ): ChildProgram {
+        const flags = ["--metrics-port", String(ports[PORTS_PER_HOST - 1])];
+        return new ChildProgram(name, `${ROOT}platform/dist/main.js`, flags, {
+            ARBUTUSDOOR_CONFIG: settings,
+        });
+    }
+}
+
+function newStandIn(name: string, file: string, flags: readonly string[]): ChildProgram {
+    return new ChildProgram(name, `${ROOT}packages/standins/dist/${file}`, flags);
+}
+
+async function readAddresses(program: ChildProgram): Promise<{ address: string; controlAddress: string; }> {
+    const line = await program.waitForLine(/"controlAddress"/);
+    return JSON.parse(line) as { address: string; controlAddress: string; };
+}
+
+async function post(url: string, value: object): Promise<void> {
+    const response = await fetch(`http://${url}`, { method: "POST", body: JSON.stringify(value) });
+    await response.text();
+    if (!response.ok) {
+        throw new Error(`${url} answered ${response.status}`);
+    }
+}
