A host learns all maps of keys from the coordinator's greeting, not the newest only

Also: each heartbeat of a server wrote a line `serverRegistered`; now only what an entry says anew is logged, with a test.

--- a/packages/gateway/src/host/knowledge.ts
+++ b/packages/gateway/src/host/knowledge.ts
@@ -24,6 +24,8 @@
     readonly keys = new TableView<KeyMap>();
     readonly directory: ServerDirectory;
     private readonly logger: Logger;
+    /** By server, as many as there are entries. */
+    private readonly loggedStates = new Map<string, string>();
     private table: RouteTable | undefined;
     private readonly listeners = new Set<(routes: RouteTable) => void>();
 
@@ -70,12 +72,7 @@
 
     /** Takes a committed map of keys in. */
     noteKeys(row: WatchedRow<KeyMap>): void {
-        if (this.keys.asOf < 0) {
-            this.keys.applySnapshot([row], row.version);
-        }
-        else {
-            this.keys.applyChanges(Math.min(this.keys.asOf, row.version - 1), [row], row.version);
-        }
+        this.keys.applyRow(row);
     }
 
     /** All that is known, for a host that has just linked. */
@@ -139,7 +136,18 @@
         this.listeners.forEach(listener => listener(this.table!));
     }
 
+    /** Logs what a server's entry says anew; most writes of an entry are heartbeats that change nothing. */
     private logServer({ content, key, version }: WatchedRow<RegisteredServer>): void {
+        const state = describe(content);
+        if (this.loggedStates.get(key) === state) {
+            return;
+        }
+        if (content.kind === "absent") {
+            this.loggedStates.delete(key);
+        }
+        else {
+            this.loggedStates.set(key, state);
+        }
         if (content.kind === "unreadable") {
             this.logger.log("entryUnreadable", { server: key, row: version, reason: content.reason });
         }
@@ -148,12 +156,20 @@
             this.logger.log("serverRegistered", { server: key, service, address, startedAt, row: version });
         }
         else {
-            const state = content.kind === "value" ? "draining" : "entry gone";
             this.logger.log("serverLeaving", { server: key, state, row: version });
         }
     }
 }
 
+/** What of an entry is worth a log line, as a text. */
+function describe(content: WatchedRow<RegisteredServer>["content"]): string {
+    if (content.kind !== "value") {
+        return content.kind === "absent" ? "entry gone" : content.reason;
+    }
+    const { address, isDraining, startedAt } = content.value;
+    return isDraining ? "draining" : `ready at ${address} since ${startedAt}`;
+}
+
 function newKeysMessage(
     service: string,
     version: number,
--- a/packages/gateway/src/routing/keyRouting.ts
+++ b/packages/gateway/src/routing/keyRouting.ts
@@ -66,7 +66,7 @@
 
     /** Whether any map of keys is known, or known to be missing. */
     get isKnown(): boolean {
-        return this.view.asOf >= 0;
+        return this.view.asOf >= 0 || this.services.size > 0;
     }
 
     /** Where a request for a key can go now. */
--- a/packages/gateway/src/store/tableView.ts
+++ b/packages/gateway/src/store/tableView.ts
@@ -22,11 +22,14 @@
             return;
         }
         const before = this.rows;
-        const next = new Map(rows.map(row => [row.key, row]));
+        const newer = [...before.values()].filter(row => row.version > asOf);
+        const next = new Map([...rows, ...newer].map(row => [row.key, row]));
         const removed = [...before.keys()].filter(key => !next.has(key)).map(
             (key): WatchedRow<Value> => ({ key, version: asOf, content: { kind: "absent" } }),
         );
-        const changed = rows.filter(row => before.get(row.key)?.version !== row.version);
+        const changed = rows.filter(row =>
+            next.get(row.key) === row && before.get(row.key)?.version !== row.version
+        );
         const isFirst = this.version < 0;
         this.rows = next;
         this.version = asOf;
@@ -54,6 +57,14 @@
         return true;
     }
 
+    /** Takes one row in that came by itself: it says nothing of other rows. An older one than what is known changes nothing. */
+    applyRow(row: WatchedRow<Value>): void {
+        if (row.version > (this.rows.get(row.key)?.version ?? -1)) {
+            this.rows.set(row.key, row);
+            this.notify([row], false);
+        }
+    }
+
     /** Calls the listener with the rows of each change until the returned function is called. */
     onChange(listener: (changed: readonly WatchedRow<Value>[]) => void): () => void {
         this.listeners.add(listener);
--- /dev/null
+++ b/packages/gateway/tests/knowledge.test.ts
@@ -0,0 +1,73 @@
+import { Logger, ManualClock, type ServiceId } from "@arbutusdoor/common";
+import { expect, test } from "vitest";
+import { Knowledge } from "../src/host/knowledge.js";
+import type { DownMessage } from "../src/links/downMessage.js";
+import { layOutKeys } from "../src/ownership/layOutKeys.js";
+import { KeyRouting } from "../src/routing/keyRouting.js";
+import { newHolder } from "./support/newHolder.js";
+import { newRegisteredServer } from "./support/newRegisteredServer.js";
+
+function newKnowledge(events: string[] = []): Knowledge {
+    const clock = new ManualClock();
+    const logger = new Logger(clock, "host", "silent");
+    logger.onEvent(event => events.push(event));
+    return new Knowledge(clock, logger);
+}
+
+test("a host that started while cut off from the store learns the keys of all services from the coordinator", () => {
+    const coordinator = newKnowledge();
+    const map = layOutKeys([newHolder("a")], 65_536, 1, 1);
+    const add = (service: string, version: number) =>
+        coordinator.noteKeys({ key: service, version, content: { kind: "value", value: map } });
+    add("agenda", 40);
+    add("gustboard", 30);
+    coordinator.servers.applySnapshot([
+        { key: "a", version: 1, content: { kind: "value", value: newRegisteredServer("a") } },
+    ], 1);
+    const host = newKnowledge();
+    const keys = new KeyRouting(host.keys, host.directory, new ManualClock(10_000), () => 1_700);
+    for (const message of coordinator.newSnapshots()) {
+        take(host, message);
+    }
+    for (const service of ["agenda", "gustboard"]) {
+        expect(keys.find(service as ServiceId, 7).kind).not.toBe("none");
+    }
+    expect(keys.isKnown).toBe(true);
+});
+
+test("a server's heartbeats are not logged, its coming, new life, draining and end are", () => {
+    const events: string[] = [];
+    const knowledge = newKnowledge(events);
+    const server = newRegisteredServer("a");
+    const rows = [
+        server,
+        server,
+        { ...server, warmupLeftMs: 50 },
+        { ...server, startedAt: server.startedAt + 1 },
+        { ...server, startedAt: server.startedAt + 1, isDraining: true },
+        { ...server, startedAt: server.startedAt + 1, isDraining: true },
+        undefined,
+    ];
+    knowledge.servers.applySnapshot([], 1);
+    rows.forEach((value, index) =>
+        knowledge.servers.applyChanges(
+            1 + index,
+            [{
+                key: "a",
+                version: 2 + index,
+                content: value ? { kind: "value", value } : { kind: "absent" },
+            }],
+            2 + index,
+        )
+    );
+    expect(events).toEqual(["serverRegistered", "serverRegistered", "serverLeaving", "serverLeaving"]);
+});
+
+function take(host: Knowledge, message: DownMessage): void {
+    if (message.kind === "rows") {
+        host.takeRows(message);
+    }
+    else if (message.kind === "keys") {
+        expect(host.takeKeys(message)).toBe(true);
+    }
+}
--- a/packages/gateway/tests/store.test.ts
+++ b/packages/gateway/tests/store.test.ts
@@ -29,6 +29,16 @@
     expect([list(view), view.asOf]).toEqual(["a=five", 8]);
 });
 
+test("a row that comes by itself is newer or ignored, and says nothing of other rows", () => {
+    const view = new TableView<string>();
+    view.applyRow(newRow("a", 9, "nine"));
+    view.applyRow(newRow("b", 4, "four"));
+    view.applyRow(newRow("a", 8, "eight"));
+    expect([list(view), view.asOf]).toEqual(["a=nine b=four", -1]);
+    view.applySnapshot([newRow("a", 5, "five"), newRow("b", 6, "six"), newRow("c", 1, "one")], 6);
+    expect([list(view), view.asOf]).toEqual(["a=nine b=six c=one", 6]);
+});
+
 test("listeners hear of what changed, and of rows that a new snapshot lacks", () => {
     const view = new TableView<string>();
     const heard: string[] = [];
