--- a/packages/standins/src/caller/platformProtocol.ts
+++ b/packages/standins/src/caller/platformProtocol.ts
@@ -4,6 +4,7 @@
 const KEYS = 65_536;
 /** Spreads the few keys of a load over the whole range. */
 const KEY_STEP = 3_301;
+const FIRST_FAILURE = 500;
 /** Statuses by which a host says that no server has run the request. */
 const NOT_RUN = new Set([408, 421, 429, 503]);
 
@@ -27,8 +28,15 @@
     }
 
     override readHead(...[call, attempt, status, headers]: Parameters<CallerProtocol["readHead"]>) {
-        const isAnswer = headers["x-response-signature"] !== undefined;
-        const outcome = isAnswer ? "answered" : NOT_RUN.has(status) ? "notRun" : "unknown";
+        const isSigned = headers["x-response-signature"] !== undefined;
+        // A server's own failure is a true answer, but not the echo that shows what ran.
+        const outcome = isSigned && status >= FIRST_FAILURE
+            ? "unknown"
+            : isSigned
+            ? "answered"
+            : NOT_RUN.has(status)
+            ? "notRun"
+            : "unknown";
         return { outcome, reason: undefined, requestId: getId(call, attempt) } as const;
     }
 }
--- a/packages/standins/src/rangeServer/keyRanges.ts
+++ b/packages/standins/src/rangeServer/keyRanges.ts
@@ -62,10 +62,10 @@
         }
     }
 
-    /** Records the ends of tenures of released keys. */
+    /** Ends the tenures of released keys. */
     endTenures({ first, last }: Span): void {
-        for (const key of this.used) {
-            if (key >= first && key <= last && !this.isHeld(key)) {
+        for (let key = first; key <= last; key++) {
+            if (!this.isHeld(key)) {
                 this.end(key);
             }
         }
