--- a/scripts/serverRecords.ts
+++ b/scripts/serverRecords.ts
@@ -43,7 +43,8 @@
             await this.clock.sleep(POLL_MS);
         }
         this.lost.push(name);
-        this.journals.push(journal);
+        // What ran at the last reading has ended with the process.
+        this.journals.push(endJournalAt(journal, this.clock.wallTime()));
         return journal;
     }
 
