--- a/packages/standins/src/common/faults.ts
+++ b/packages/standins/src/common/faults.ts
@@ -8,9 +8,9 @@
     slowMs: z.int().min(0).max(600_000).default(0),
     /** Requests whose effect takes place while their answer is lost with the connection. */
     answerLostAfterCommit: z.int().min(0).default(0),
-    /** Orders for keys that take effect `lateOrderMs` later, while their answers are lost. */
-    lateOrders: z.int().min(0).default(0),
-    lateOrderMs: z.int().min(0).max(60_000).default(2_000),
+    /** Orders for keys, and writes of rows, that take effect `lateMs` later, while their answers are lost. */
+    lateEffects: z.int().min(0).default(0),
+    lateMs: z.int().min(0).max(60_000).default(2_000),
     /**
      * A promise that the server breaks on purpose, to show that the observer notices: it runs each request twice, says of one that ran that
      * it did not, answers with another request's answer, or goes on holding keys that it has released.
--- a/packages/standins/src/common/standIn.ts
+++ b/packages/standins/src/common/standIn.ts
@@ -120,6 +120,16 @@
         sendJson(response, status, value);
     }
 
+    /** Loses the answer and waits before the effect, when that fault is set. */
+    protected async delayEffect(response: ServerResponse): Promise<void> {
+        const { lateEffects, lateMs } = this.faults;
+        if (lateEffects > 0) {
+            this.faults = { ...this.faults, lateEffects: lateEffects - 1 };
+            response.destroy();
+            await this.clock.sleep(lateMs);
+        }
+    }
+
     /** Whether the answer that is about to be sent is to be lost. */
     protected losesAnswer(): boolean {
         const { answerLostAfterCommit } = this.faults;
--- a/packages/standins/src/rangeServer/rangeServerStandIn.ts
+++ b/packages/standins/src/rangeServer/rangeServerStandIn.ts
@@ -129,12 +129,7 @@
 
     private async takeGrant(order: Order, response: ServerResponse): Promise<void> {
         const until = this.clock.now() + Number.parseInt(order.hold_time!, 10);
-        const { lateOrderMs, lateOrders } = this.faults;
-        if (lateOrders > 0) {
-            this.faults = { ...this.faults, lateOrders: lateOrders - 1 };
-            response.destroy();
-            await this.clock.sleep(lateOrderMs);
-        }
+        await this.delayEffect(response);
         const span = { first: order.from, last: order.target };
         const isFenced = this.keys.isFenced(span, order.fence);
         if (!isFenced) {
--- a/packages/standins/src/rowStore/rowStoreStandIn.ts
+++ b/packages/standins/src/rowStore/rowStoreStandIn.ts
@@ -125,6 +125,7 @@
             this.answer(response, "rows-tx", 403, { error: "this table belongs to others" });
             return;
         }
+        await this.delayEffect(response);
         const isMatching = transaction["expected-rev"].every(row => this.getVersion(row) === row.ver);
         if (isMatching) {
             this.version++;
--- a/scripts/platformFaults.ts
+++ b/scripts/platformFaults.ts
@@ -8,8 +8,9 @@
 const SHORT_MS = 2_000;
 const OUTAGE_MS = 5_000;
 const SLOW_MS = 300;
-const LATE_ORDER_MS = 3_000;
+const LATE_MS = 3_000;
 const LOST_ANSWERS = 10;
+const LATE_WRITES = 3;
 const GRACE_LIMIT_MS = 7_500;
 
 const SERVER_FAULTS: Readonly<Record<string, readonly [longestMs: number, fault: Fault]>> = {
@@ -28,7 +29,7 @@
         (run, name, lengthMs) => pause(run, run.system.servers.get(name)!.program, lengthMs),
     ],
     serverOrdersLate: [OUTAGE_MS, async (run, name, lengthMs) => {
-        await run.system.setServerFaults(name, { lateOrders: LOST_ANSWERS, lateOrderMs: LATE_ORDER_MS });
+        await run.system.setServerFaults(name, { lateEffects: LOST_ANSWERS, lateMs: LATE_MS });
         await run.clock.sleep(lengthMs);
         await run.system.setServerFaults(name, {});
     }],
@@ -104,6 +105,10 @@
         OUTAGE_MS,
         (run, _, lengthMs) => troubleStore(run, { answerLostAfterCommit: LOST_ANSWERS }, lengthMs),
     ],
+    storeWritesLate: [
+        OUTAGE_MS,
+        (run, _, lengthMs) => troubleStore(run, { lateEffects: LATE_WRITES, lateMs: LATE_MS }, lengthMs),
+    ],
     configurationChanged: [SHORT_MS, async (run, _, lengthMs) => {
         await run.system.configure();
         await run.clock.sleep(lengthMs);
