--- a/scripts/platformRun.ts
+++ b/scripts/platformRun.ts
@@ -20,6 +20,8 @@
 ] as const;
 const HOSTS = { "north-1": "north", "north-2": "north", "south-1": "south" };
 const KEYS = 20;
+/** Lines of a host's output that an error repeats. */
+const DESCRIBED_LINES = 20;
 const POLL_MS = 50;
 /** A host that has come back follows the store, and keys of a dead server wait for their grants to lapse (9 s) at worst. */
 const SERVED_LIMIT_MS = 20_000;
@@ -136,7 +138,13 @@
                 return;
             }
             if (this.clock.now() > until) {
-                throw new Error(`${path} is not served through ${host}: ${status} ${reason ?? ""}`);
+                const { lines } = this.system.hosts.get(host)!.program;
+                const last = lines.slice(-DESCRIBED_LINES).join("\n");
+                throw new Error(
+                    `${path} is not served through ${host}: ${status} ${
+                        reason ?? ""
+                    }; it printed last:\n${last}`,
+                );
             }
             await this.clock.sleep(POLL_MS);
         }
--- a/scripts/soakPlatform.ts
+++ b/scripts/soakPlatform.ts
@@ -10,38 +10,38 @@
     readonly steps: number;
     readonly findings: readonly Finding[];
     readonly counts: object;
-    /** What did not come back or stopped badly; `undefined` when nothing. */
-    readonly error: string | undefined;
+    /** What did not start, did not come back or stopped badly. */
+    readonly errors: readonly string[];
 };
 
 /** Plays the faults of a seed against the platform's program under load, and judges the whole. */
 export async function soakPlatform(seed: number, durationMs: number): Promise<SoakResult> {
     const run = new PlatformRun();
+    const errors: string[] = [];
     let steps = 0;
-    let error: string | undefined;
     try {
         await run.start();
         const plan = planSoak(seed, durationMs, platformFaults.list(run));
+        steps = plan.length;
         const stopLoad = run.startLoad({ seed });
         const outcomes = await Promise.allSettled(plan.map(async ({ at, fault, lengthMs, target }) => {
             await run.clock.sleep(at);
             await platformFaults.play(run, fault, target, lengthMs);
         }));
-        steps = plan.length;
-        const failed = outcomes.flatMap(({ status, ...rest }) =>
-            status === "rejected" ? [describe(rest)] : []
+        errors.push(
+            ...outcomes.flatMap(outcome => outcome.status === "rejected" ? [String(outcome.reason)] : []),
         );
-        await run.waitUntilServed().catch((reason: unknown) => failed.push(String(reason)));
+        await run.waitUntilServed().catch((reason: unknown) => errors.push(String(reason)));
         await stopLoad();
-        error = failed.length > 0 ? failed.join("\n") : undefined;
+    }
+    catch (error) {
+        errors.push(String(error));
+    }
+    try {
         const { counts, findings, isClean } = await run.judge();
-        return { seed, isClean: isClean && error === undefined, steps, findings, counts, error };
+        return { seed, isClean: isClean && errors.length === 0, steps, findings, counts, errors };
     }
     finally {
         await run.stop();
     }
 }
-
-function describe(rest: object): string {
-    return String((rest as { reason?: unknown; }).reason);
-}
