--- a/scripts/soakPlan.ts
+++ b/scripts/soakPlan.ts
@@ -1,7 +1,7 @@
 import { RandomSource } from "@arbutusdoor/common";
 
 /** A fault of the plan: what happens, to whom, when and for how long, in ms from the start of the faults. */
-export type SoakStep = {
+type SoakStep = {
     readonly fault: string;
     readonly target: string;
     readonly at: number;
