--- a/scripts/loopbackProxy.ts
+++ b/scripts/loopbackProxy.ts
@@ -11,7 +11,7 @@
 
 /** Stands between a program and another, and brings faults of the network about from outside of both. */
 export class LoopbackProxy {
-    /** Address that the proxy leads to; may change when the program behind it starts again. */
+    /** Address that the proxy leads to, empty while there is none; may change when the program behind it starts again. */
     target: string;
     private readonly server: Server;
     private readonly sockets = new Set<Socket>();
@@ -54,7 +54,8 @@
     private join(near: Socket): void {
         const [host, port] = this.target.split(":");
         this.keep(near);
-        if (this.mode === "reset") {
+        // Nothing is behind the proxy yet when callers of an earlier program at its port are still about.
+        if (this.mode === "reset" || this.target === "") {
             near.resetAndDestroy();
             return;
         }
