--- a/packages/standins/src/caller/platformProtocol.ts
+++ b/packages/standins/src/caller/platformProtocol.ts
@@ -29,8 +29,9 @@
 
     override readHead(...[call, attempt, status, headers]: Parameters<CallerProtocol["readHead"]>) {
         const isSigned = headers["x-response-signature"] !== undefined;
-        // A server's own failure is a true answer, but not the echo that shows what ran.
-        const outcome = isSigned && status >= FIRST_FAILURE
+        // A server's own failure is no echo that could show whose it is, so it has to repeat the request's id.
+        const isOwnFailure = status >= FIRST_FAILURE && headers["x-request-id"] === getId(call, attempt);
+        const outcome = isSigned && isOwnFailure
             ? "unknown"
             : isSigned
             ? "answered"
--- a/packages/standins/src/rangeServer/rangeServerStandIn.ts
+++ b/packages/standins/src/rangeServer/rangeServerStandIn.ts
@@ -18,6 +18,7 @@
 import type { StandInRequest } from "../common/standInRequest.js";
 import { KeyRanges } from "./keyRanges.js";
 import type { RangeServerSettings } from "./rangeServerSettings.js";
+import { RegisteredEntry } from "./registeredEntry.js";
 
 const RELEASE_POLL_MS = 5;
 const LEAVE_POLL_MS = 20;
@@ -25,8 +26,6 @@
 const MAX_ANSWER_BYTES = 1_048_576;
 const NOT_RUN = { "x-not-executed": "1" };
 const SIGNATURE = { "x-response-signature": "stand-in" };
-/** Heartbeats after which a silent server's entry is dropped. */
-const LIFETIME_BEATS = 3;
 
 const key = z.int().min(0).max(LAST_KEY);
 const Order = z.object({
@@ -45,15 +44,14 @@
     private readonly slots: WorkSlots;
     private readonly work: WorkList;
     private readonly keys: KeyRanges;
-    private readonly startedAt: number;
-    private beats = 0;
-    private isLeaving = false;
+    private readonly entry: RegisteredEntry;
 
     constructor(clock: Clock, settings: RangeServerSettings, place: Place) {
         super(clock, place);
         this.settings = settings;
-        this.startedAt = Math.floor(clock.wallTime());
-        this.id = `${settings.server}-${this.startedAt}`;
+        const startedAt = Math.floor(clock.wallTime());
+        this.id = `${settings.server}-${startedAt}`;
+        this.entry = new RegisteredEntry(clock, settings, this.id, startedAt, () => this.address);
         this.journal = new Journal(settings.journalLimit);
         this.slots = new WorkSlots(settings.slots, settings.waitingLimit);
         this.work = new WorkList(clock, this.journal, () => undefined);
@@ -71,7 +69,7 @@
 
     override async start(): Promise<void> {
         await super.start();
-        await this.beat();
+        await this.entry.begin();
     }
 
     override readJournal(): unknown {
@@ -95,13 +93,12 @@
 
     /** Says that it leaves, goes on serving for the drain time, ends its work and stops. */
     async leave(): Promise<void> {
-        this.isLeaving = true;
-        await this.writeEntry();
+        await this.entry.announceLeaving();
         await this.clock.sleep(this.settings.drainMs);
         while (this.work.size > 0) {
             await this.clock.sleep(LEAVE_POLL_MS);
         }
-        await this.writeRow(undefined);
+        await this.entry.drop();
         await this.stop();
     }
 
@@ -281,38 +278,6 @@
     private getSlice(key: number): string {
         return `${this.settings.service}/${key}`;
     }
-
-    private async beat(): Promise<void> {
-        await this.writeEntry();
-        this.clock.schedule(this.settings.heartbeatMs, () => {
-            if (!this.isLeaving) {
-                void this.beat();
-            }
-        });
-    }
-
-    private writeEntry(): Promise<void> {
-        const { dataCentre, service, slots } = this.settings;
-        this.beats++;
-        return this.writeRow({
-            address: this.settings.advertised ?? this.address,
-            born: this.startedAt,
-            info: { service, zone: dataCentre, slots, "config-version": "1" },
-            status: { state: this.isLeaving ? "draining" : "ready", seq: this.beats },
-        });
-    }
-
-    private async writeRow(value: object | undefined): Promise<void> {
-        const lifetimeMs = LIFETIME_BEATS * this.settings.heartbeatMs;
-        const row = { table: "servers", key: this.id, value: value && JSON.stringify(value), lifetimeMs };
-        try {
-            const body = JSON.stringify(row);
-            await (await fetch(`http://${this.settings.store}/rows`, { method: "POST", body })).text();
-        }
-        catch (error) {
-            process.stderr.write(`the entry was not written: ${(error as Error).message}\n`);
-        }
-    }
 }
 
 function getKey(header: string | string[] | undefined): number {
--- a/scripts/platformSystem.ts
+++ b/scripts/platformSystem.ts
@@ -1,3 +1,4 @@
+import { type ConfiguredService, newConfigurationText } from "@arbutusdoor/standins";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -16,19 +17,9 @@
     "budget-window": "10s",
     "retry-budget-extra": 58,
 };
-const LIMITS = {
-    "max-header-bytes": 16_384,
-    "max-body-bytes": 33_554_432,
-    "header-timeout": "5000ms",
-    "idle-timeout": "10000ms",
-};
 
 /** A service of a platform system. */
-type PlatformService = {
-    readonly name: string;
-    readonly isKeyed: boolean;
-    /** Kind of its route, in the platform's words. */
-    readonly kind: "safe" | "unsafe" | "upload";
+type PlatformService = ConfiguredService & {
     /** Data centre of each of its servers. */
     readonly dataCentres: readonly string[];
 };
@@ -92,17 +83,7 @@
     /** Writes the next version of the operator's configuration. */
     async configure(): Promise<void> {
         this.version += 3;
-        const columns = ["name", "hostname", "prefix", "route-type", "service", "timeout", "max-attempts"];
-        const routes = this.services.map((
-            { kind, name },
-        ) => [name, this.authority, `/${name}/`, kind, name, "10s", 2]);
-        const services = this.services.map(({ isKeyed, name }) => [name, 64, isKeyed]);
-        const value = JSON.stringify({
-            "config-version": this.version,
-            "routes": { columns, rows: routes },
-            "services": { columns: ["name", "max-conns", "sharded"], rows: services },
-            "limits": LIMITS,
-        });
+        const value = newConfigurationText(this.version, this.authority, this.services);
         await post(`${this.storeControl}/rows`, { table: "op", key: "config", value });
     }
 
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -30,7 +30,7 @@
                 test: {
                     name: "process",
                     include: PROCESS_TESTS,
-                    testTimeout: 120_000,
+                    testTimeout: 60_000,
                     hookTimeout: 60_000,
                     fileParallelism: false,
                     sequence: { groupOrder: 1 },
