--- a/packages/bench/src/systems/sliceMap.ts
+++ b/packages/bench/src/systems/sliceMap.ts
@@ -1,4 +1,5 @@
-import { getKeyHash, type ServerId, type SliceId } from "@arbutusdoor/common";
+import type { ServerId, SliceId } from "@arbutusdoor/common";
+import { getKeyHash } from "@arbutusdoor/common/keyHash";
 import type { PlacedSlice } from "@arbutusdoor/policy";
 
 const HASH_SPACE = 2 ** 32;
--- a/packages/clients/src/backend/backendTrafficSettings.ts
+++ b/packages/clients/src/backend/backendTrafficSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const DEFAULT_CONNECTIONS = 8;
 const DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
--- a/packages/clients/src/hosts/httpHostList.ts
+++ b/packages/clients/src/hosts/httpHostList.ts
@@ -1,5 +1,5 @@
 import type { DataCentreId, HostId, ServerId } from "@arbutusdoor/common";
-import { z } from "zod";
+import * as z from "zod";
 import type { AdapterOptions } from "../http/adapterOptions.js";
 import { HttpClient } from "../http/httpClient.js";
 import { parseJson } from "../http/parseJson.js";
--- a/packages/clients/src/http/httpLimits.ts
+++ b/packages/clients/src/http/httpLimits.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const DEFAULT_TIMEOUT_MS = 1_000;
 const DEFAULT_REQUESTS_PER_SECOND = 200;
--- a/packages/clients/src/http/parseJson.ts
+++ b/packages/clients/src/http/parseJson.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 
 /** Parses bytes as JSON of a schema, with null as `undefined`. Returns `undefined` when they are invalid. */
 export function parseJson<Value>(bytes: Uint8Array, schema: z.ZodType<Value>): Value | undefined {
--- a/packages/clients/src/orders/httpServerOrders.ts
+++ b/packages/clients/src/orders/httpServerOrders.ts
@@ -6,7 +6,7 @@
     ServiceId,
     SliceId,
 } from "@arbutusdoor/common";
-import { z } from "zod";
+import * as z from "zod";
 import { bufferBody } from "../http/bufferBody.js";
 import { HttpExchange } from "../http/httpExchange.js";
 import type { HttpOutcome } from "../http/httpOutcome.js";
--- a/packages/clients/src/table/httpTableService.ts
+++ b/packages/clients/src/table/httpTableService.ts
@@ -1,5 +1,5 @@
 import type { RowKey } from "@arbutusdoor/common";
-import { z } from "zod";
+import * as z from "zod";
 import type { AdapterOptions } from "../http/adapterOptions.js";
 import type { HttpAnswer } from "../http/httpAnswer.js";
 import { HttpClient } from "../http/httpClient.js";
--- a/packages/clients/tests/support/createAdapterOptions.ts
+++ b/packages/clients/tests/support/createAdapterOptions.ts
@@ -1,6 +1,6 @@
 import { HttpLimits } from "@arbutusdoor/clients";
 import { ManualClock, Metrics } from "@arbutusdoor/common";
-import type { z } from "zod";
+import type * as z from "zod";
 
 /** Creates adapter options with a manual clock and the limits of the test. */
 export function createAdapterOptions(limits: z.input<typeof HttpLimits> = {}): {
--- a/packages/configuration/src/api/configurationView.ts
+++ b/packages/configuration/src/api/configurationView.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Body of `GET /v1/configuration`; version 0 without a declaration means that there is none yet. */
 const ConfigurationView = z.object({
--- a/packages/configuration/src/api/diffAnswer.ts
+++ b/packages/configuration/src/api/diffAnswer.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { Difference } from "../change/difference.js";
 
 /** Body of the answer to `POST /v1/diff`. */
--- a/packages/configuration/src/api/diffRequest.ts
+++ b/packages/configuration/src/api/diffRequest.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Body of `POST /v1/diff`. */
 const DiffRequest = z.strictObject({ declaration: z.unknown() });
--- a/packages/configuration/src/api/keyExplanation.ts
+++ b/packages/configuration/src/api/keyExplanation.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Body of `GET /v1/explain`: where a key is and why, as seen by one entry host. */
 const KeyExplanation = z.discriminatedUnion("kind", [
--- a/packages/configuration/src/api/submitRequest.ts
+++ b/packages/configuration/src/api/submitRequest.ts
@@ -1,5 +1,5 @@
 import type { OperationId } from "@arbutusdoor/common";
-import { z } from "zod";
+import * as z from "zod";
 
 const MAX_OPERATION_ID_LENGTH = 128;
 
--- a/packages/configuration/src/api/systemStatus.ts
+++ b/packages/configuration/src/api/systemStatus.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const reference = z.object({ version: z.int(), digest: z.string() });
 
--- a/packages/configuration/src/api/watchEvent.ts
+++ b/packages/configuration/src/api/watchEvent.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** One line of `GET /v1/watch`: a numbered event of the log catalogue. */
 const WatchEvent = z.object({
--- a/packages/configuration/src/attestation/attestOutcome.ts
+++ b/packages/configuration/src/attestation/attestOutcome.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { Attestation } from "./attestation.js";
 
 /**
--- a/packages/configuration/src/attestation/attestation.ts
+++ b/packages/configuration/src/attestation/attestation.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { Loss } from "./loss.js";
 
 const record = z.object({
--- a/packages/configuration/src/attestation/loss.ts
+++ b/packages/configuration/src/attestation/loss.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { nameSchema } from "../declaration/names.js";
 
 const INCARNATION_PATTERN = /^\S{1,256}$/;
--- a/packages/configuration/src/change/difference.ts
+++ b/packages/configuration/src/change/difference.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const path = z.array(z.string());
 const names = z.array(z.string());
--- a/packages/configuration/src/check/getShapeProblems.ts
+++ b/packages/configuration/src/check/getShapeProblems.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { Problem } from "./problem.js";
 
 /** Converts the issues of a schema to problems, with paths such as `services[0].name`. */
--- a/packages/configuration/src/declaration/declaration.ts
+++ b/packages/configuration/src/declaration/declaration.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { nameSchema } from "./names.js";
 import { Server } from "./server.js";
 import { Service } from "./service.js";
--- a/packages/configuration/src/declaration/names.ts
+++ b/packages/configuration/src/declaration/names.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const NAME_PATTERN = /^[a-z0-9][a-z0-9-]{0,62}$/;
 
--- a/packages/configuration/src/declaration/objective.ts
+++ b/packages/configuration/src/declaration/objective.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const DEFAULT_PATIENCE_MS = 0;
 const DEFAULT_REST_MS = 60_000;
--- a/packages/configuration/src/declaration/requestClass.ts
+++ b/packages/configuration/src/declaration/requestClass.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { nameSchema } from "./names.js";
 
 const DEFAULT_DEADLINE_MS = 2_000;
--- a/packages/configuration/src/declaration/server.ts
+++ b/packages/configuration/src/declaration/server.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { nameSchema } from "./names.js";
 
 const ADDRESS_PATTERN = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/i;
--- a/packages/configuration/src/declaration/service.ts
+++ b/packages/configuration/src/declaration/service.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { nameSchema } from "./names.js";
 import { Objective } from "./objective.js";
 import { RequestClass } from "./requestClass.js";
--- a/packages/configuration/src/library/declaration.ts
+++ b/packages/configuration/src/library/declaration.ts
@@ -1,5 +1,5 @@
 import { InputError } from "@arbutusdoor/common";
-import type { z } from "zod";
+import type * as z from "zod";
 import { checkDeclaration } from "../check/checkDeclaration.js";
 import type { Declaration } from "../declaration/declaration.js";
 
--- a/packages/configuration/src/library/objective.ts
+++ b/packages/configuration/src/library/objective.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import { Objective } from "../declaration/objective.js";
 import { parseInput } from "./parseInput.js";
 
--- a/packages/configuration/src/library/parseInput.ts
+++ b/packages/configuration/src/library/parseInput.ts
@@ -1,5 +1,5 @@
 import { InputError } from "@arbutusdoor/common";
-import type { z } from "zod";
+import type * as z from "zod";
 import { getShapeProblems } from "../check/getShapeProblems.js";
 
 /** Parses input from an operator's program. Throws InputError that names each invalid field of `subject`. */
--- a/packages/configuration/src/library/requestClass.ts
+++ b/packages/configuration/src/library/requestClass.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import { RequestClass } from "../declaration/requestClass.js";
 import { parseInput } from "./parseInput.js";
 
--- a/packages/configuration/src/manager/configurationSettings.ts
+++ b/packages/configuration/src/manager/configurationSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const DEFAULT_POLL_INTERVAL_MS = 1_000;
 const DEFAULT_BACKOFF_MIN_MS = 50;
--- a/packages/configuration/src/manager/submitOutcome.ts
+++ b/packages/configuration/src/manager/submitOutcome.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { Difference } from "../change/difference.js";
 
 const problems = z.array(z.object({ path: z.string(), message: z.string() }));
--- a/packages/configuration/src/store/configurationHead.ts
+++ b/packages/configuration/src/store/configurationHead.ts
@@ -1,5 +1,5 @@
 import type { Digest } from "@arbutusdoor/common";
-import { z } from "zod";
+import * as z from "zod";
 
 const DIGEST_PATTERN = /^[0-9a-f]{64}$/;
 
--- a/packages/configuration/src/store/configurationHistory.ts
+++ b/packages/configuration/src/store/configurationHistory.ts
@@ -1,5 +1,5 @@
 import type { Digest, OperationId } from "@arbutusdoor/common";
-import { z } from "zod";
+import * as z from "zod";
 
 const acceptedOperation = z.object({
     operationId: z.string().transform(text => text as OperationId),
--- a/packages/daemon/src/balance/balanceSettings.ts
+++ b/packages/daemon/src/balance/balanceSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Intervals and limits of balancing load between the servers of a keyed service. */
 const BalanceSettings = z.strictObject({
--- a/packages/daemon/src/balance/loadMessage.ts
+++ b/packages/daemon/src/balance/loadMessage.ts
@@ -1,5 +1,5 @@
 import type { ServiceId, SliceId } from "@arbutusdoor/common";
-import { z } from "zod";
+import * as z from "zod";
 
 const MAX_SLICES = 65_536;
 const MAX_KEYS = 1_024;
--- a/packages/daemon/src/intents/intentRow.ts
+++ b/packages/daemon/src/intents/intentRow.ts
@@ -1,5 +1,5 @@
 import type { Digest, OperationId, RequestId } from "@arbutusdoor/common";
-import { z } from "zod";
+import * as z from "zod";
 import { RecordedAnswer } from "./recordedAnswer.js";
 
 const rowFields = {
--- a/packages/daemon/src/intents/recordedAnswer.ts
+++ b/packages/daemon/src/intents/recordedAnswer.ts
@@ -1,5 +1,5 @@
 import type { Digest } from "@arbutusdoor/common";
-import { z } from "zod";
+import * as z from "zod";
 
 /** A backend server's answer as recorded in an intent. */
 const RecordedAnswer = z.strictObject({
--- a/packages/daemon/src/operator/createMalformedReply.ts
+++ b/packages/daemon/src/operator/createMalformedReply.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { OperatorReply } from "./operatorReply.js";
 
 /** Creates the reply to a call whose body has the wrong shape. */
--- a/packages/daemon/src/operator/operatorSettings.ts
+++ b/packages/daemon/src/operator/operatorSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const DEFAULT_PORT = 7_003;
 const DEFAULT_BODY_LIMIT_BYTES = 8_388_608;
--- a/packages/daemon/src/routing/grantorSelector.ts
+++ b/packages/daemon/src/routing/grantorSelector.ts
@@ -1,4 +1,5 @@
-import { getKeyHash, type HostId, type RefusalReason } from "@arbutusdoor/common";
+import type { HostId, RefusalReason } from "@arbutusdoor/common";
+import { getKeyHash } from "@arbutusdoor/common/keyHash";
 import type { Route } from "@arbutusdoor/ownership";
 
 type OpenRoute = Extract<Route, { kind: "route"; }>;
--- a/packages/daemon/src/settings/daemonSettings.ts
+++ b/packages/daemon/src/settings/daemonSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const ADDRESS_PATTERN = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/;
 const NAME_PATTERN = /^[a-z0-9][a-z0-9-]{0,62}$/;
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { DaemonSettings } from "./daemonSettings.js";
 import type { SETTING_GROUPS } from "./settingGroups.js";
 
--- a/packages/daemon/tests/process/support/uploadSlowly.ts
+++ b/packages/daemon/tests/process/support/uploadSlowly.ts
@@ -1,5 +1,5 @@
 import { createHash } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 
 const Echo = z.object({ path: z.string(), bodyBytes: z.int(), bodySha256: z.string() });
 
--- a/packages/gateway/src/coordination/coordinatorLeaseCodec.ts
+++ b/packages/gateway/src/coordination/coordinatorLeaseCodec.ts
@@ -1,5 +1,5 @@
 import { InputError } from "@arbutusdoor/common";
-import { z } from "zod";
+import * as z from "zod";
 import type { CoordinatorLease } from "./coordinatorLease.js";
 import type { Predecessor } from "./predecessor.js";
 
--- a/packages/gateway/src/ownership/decodeKeyMap.ts
+++ b/packages/gateway/src/ownership/decodeKeyMap.ts
@@ -1,6 +1,6 @@
 import { InputError } from "@arbutusdoor/common";
 import { unpack } from "msgpackr";
-import { z } from "zod";
+import * as z from "zod";
 import { KEY_COUNT } from "./keyCount.js";
 import type { KeyHolder } from "./keyHolder.js";
 import type { KeyMap } from "./keyMap.js";
--- a/packages/mesh/src/handshake/handshakeMessage.ts
+++ b/packages/mesh/src/handshake/handshakeMessage.ts
@@ -1,5 +1,5 @@
 import type { DataCentreId, HostId, HostIncarnation } from "@arbutusdoor/common";
-import { z } from "zod";
+import * as z from "zod";
 
 const MAX_NAME_LENGTH = 255;
 const nameSchema = z.string().min(1).max(MAX_NAME_LENGTH);
--- a/packages/mesh/src/handshake/readHandshakeMessage.ts
+++ b/packages/mesh/src/handshake/readHandshakeMessage.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { PROTOCOL_VERSION } from "../protocol/protocolVersion.js";
 import { HandshakeMessage } from "./handshakeMessage.js";
 
--- a/packages/mesh/src/settings/meshSettings.ts
+++ b/packages/mesh/src/settings/meshSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const KIBIBYTE = 1_024;
 const MEBIBYTE = 1_048_576;
--- a/packages/ownership/src/coordinator/createInitialRows.ts
+++ b/packages/ownership/src/coordinator/createInitialRows.ts
@@ -1,4 +1,5 @@
-import { type DataCentreId, getKeyHash, type ServiceId, type SliceId } from "@arbutusdoor/common";
+import type { DataCentreId, ServiceId, SliceId } from "@arbutusdoor/common";
+import { getKeyHash } from "@arbutusdoor/common/keyHash";
 import type { Declaration, Service } from "@arbutusdoor/configuration";
 import type { AssignmentRow } from "../rows/assignmentRow.js";
 import type { Slice } from "../rows/slice.js";
--- a/packages/ownership/src/lookups/getSliceOf.ts
+++ b/packages/ownership/src/lookups/getSliceOf.ts
@@ -1,4 +1,5 @@
-import { getKeyHash, type ServiceId } from "@arbutusdoor/common";
+import type { ServiceId } from "@arbutusdoor/common";
+import { getKeyHash } from "@arbutusdoor/common/keyHash";
 import type { Slice } from "../rows/slice.js";
 import type { HostState } from "../state/hostState.js";
 
--- a/packages/ownership/src/rows/assignmentRow.ts
+++ b/packages/ownership/src/rows/assignmentRow.ts
@@ -1,5 +1,5 @@
 import type { ServiceId } from "@arbutusdoor/common";
-import { z } from "zod";
+import * as z from "zod";
 import { Slice } from "./slice.js";
 
 /** Value of an assignment row: the owners of one shard of a service's slices. */
--- a/packages/ownership/src/rows/coordinatorRow.ts
+++ b/packages/ownership/src/rows/coordinatorRow.ts
@@ -1,5 +1,5 @@
 import type { DataCentreId, HostId, HostIncarnation } from "@arbutusdoor/common";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Value of a coordinator row. It only keeps two hosts from making conflicting decisions; safety rests on compare-and-set. */
 const CoordinatorRow = z.object({
--- a/packages/ownership/src/rows/formerHolder.ts
+++ b/packages/ownership/src/rows/formerHolder.ts
@@ -1,5 +1,5 @@
 import type { SliceId } from "@arbutusdoor/common";
-import { z } from "zod";
+import * as z from "zod";
 import { Holder } from "./holder.js";
 
 /** A holder that may still run work of a slice until there is a stop proof. */
--- a/packages/ownership/src/rows/grantorList.ts
+++ b/packages/ownership/src/rows/grantorList.ts
@@ -1,5 +1,5 @@
 import type { HostId, HostIncarnation } from "@arbutusdoor/common";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Entry hosts that may renew a server's lease, under a version that only grows. */
 const GrantorList = z.object({
--- a/packages/ownership/src/rows/holder.ts
+++ b/packages/ownership/src/rows/holder.ts
@@ -1,5 +1,5 @@
 import type { ServerId, ServerIncarnation } from "@arbutusdoor/common";
-import { z } from "zod";
+import * as z from "zod";
 
 /** A server's right to hold slices: one incarnation of it, under one epoch of its lease. It ends for good when the epoch grows. */
 const Holder = z.object({
--- a/packages/ownership/src/rows/serverRow.ts
+++ b/packages/ownership/src/rows/serverRow.ts
@@ -1,5 +1,5 @@
 import type { DataCentreId, ServerId, ServerIncarnation, ServiceId } from "@arbutusdoor/common";
-import { z } from "zod";
+import * as z from "zod";
 import { GrantorList } from "./grantorList.js";
 
 /** Value of a server row: which incarnation of the server holds a lease, under which epoch, and who may renew it. */
--- a/packages/ownership/src/rows/slice.ts
+++ b/packages/ownership/src/rows/slice.ts
@@ -1,5 +1,5 @@
 import type { DataCentreId, SliceId } from "@arbutusdoor/common";
-import { z } from "zod";
+import * as z from "zod";
 import { FormerHolder } from "./formerHolder.js";
 import { Holder } from "./holder.js";
 
--- a/packages/ownership/src/settings/ownershipSettings.ts
+++ b/packages/ownership/src/settings/ownershipSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Settings of the ownership kernel; every time is in milliseconds. */
 const OwnershipSettings = z.strictObject({
--- a/packages/policy/src/balance/movePlanSettings.ts
+++ b/packages/policy/src/balance/movePlanSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Cost factors and limits of move planning. Loads are in units of a server's fair share. */
 const MovePlanSettings = z.strictObject({
--- a/packages/policy/src/balance/sliceLoadSettings.ts
+++ b/packages/policy/src/balance/sliceLoadSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Memory limits and decay of the measured load of slices. */
 const SliceLoadSettings = z.strictObject({
--- a/packages/policy/src/pool/poolPickerSettings.ts
+++ b/packages/policy/src/pool/poolPickerSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** How a host chooses among the servers of a pooled service. */
 const PoolPickerSettings = z.strictObject({
--- a/packages/policy/src/queue/serverQueueSettings.ts
+++ b/packages/policy/src/queue/serverQueueSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Limits and estimates of a server's queue. */
 const ServerQueueSettings = z.strictObject({
--- a/packages/policy/src/retry/retryBudgetSettings.ts
+++ b/packages/policy/src/retry/retryBudgetSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Limits of retries. */
 const RetryBudgetSettings = z.strictObject({
--- a/packages/standins/src/backendServer/backendStandIn.ts
+++ b/packages/standins/src/backendServer/backendStandIn.ts
@@ -1,7 +1,7 @@
 import { type Clock, RandomSource, type ServerId, type ServerIncarnation } from "@arbutusdoor/common";
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
-import type { z } from "zod";
+import type * as z from "zod";
 import type { Faults } from "../common/faults.js";
 import { Journal } from "../common/journal.js";
 import type { Place } from "../common/place.js";
--- a/packages/standins/src/backendServer/orderSchema.ts
+++ b/packages/standins/src/backendServer/orderSchema.ts
@@ -7,7 +7,7 @@
     ServiceId,
     SliceId,
 } from "@arbutusdoor/common";
-import { z } from "zod";
+import * as z from "zod";
 
 const MAX_GRANTORS = 64;
 const MAX_SLICES = 65_536;
--- a/packages/standins/src/caller/callerEntry.ts
+++ b/packages/standins/src/caller/callerEntry.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** One attempt of a caller, as the caller saw it. Times are wall-clock times in ms. */
 const CallerEntry = z.strictObject({
--- a/packages/standins/src/caller/callerLog.ts
+++ b/packages/standins/src/caller/callerLog.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { CallerEntry } from "./callerEntry.js";
 
 /** What the callers of one run saw. */
--- a/packages/standins/src/caller/callerSettings.ts
+++ b/packages/standins/src/caller/callerSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const DEFAULT_COUNT = 300;
 const DEFAULT_RATE = 50;
--- a/packages/standins/src/caller/isOwnAnswer.ts
+++ b/packages/standins/src/caller/isOwnAnswer.ts
@@ -1,5 +1,5 @@
 import { createHash } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 import type { Call } from "./call.js";
 
 const echoSchema = z.object({
--- a/packages/standins/src/common/faults.ts
+++ b/packages/standins/src/common/faults.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Failures that a stand-in brings about on demand; each posted object replaces the one before. */
 const Faults = z.strictObject({
--- a/packages/standins/src/common/readJson.ts
+++ b/packages/standins/src/common/readJson.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from "node:http";
-import type { z } from "zod";
+import type * as z from "zod";
 import { readBody } from "./readBody.js";
 
 /** Reads a request's body as JSON of a schema; `undefined` for anything else. */
--- a/packages/standins/src/common/standIn.ts
+++ b/packages/standins/src/common/standIn.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "@arbutusdoor/common";
 import type { IncomingMessage, RequestListener, ServerResponse } from "node:http";
 import polka from "polka";
-import type { z } from "zod";
+import type * as z from "zod";
 import { Faults } from "./faults.js";
 import { Gate } from "./gate.js";
 import { Listener } from "./listener.js";
--- a/packages/standins/src/hostList/hostListStandIn.ts
+++ b/packages/standins/src/hostList/hostListStandIn.ts
@@ -1,6 +1,6 @@
 import type { Clock } from "@arbutusdoor/common";
 import type { ServerResponse } from "node:http";
-import { z } from "zod";
+import * as z from "zod";
 import { Journal } from "../common/journal.js";
 import type { Place } from "../common/place.js";
 import { readJson } from "../common/readJson.js";
--- a/packages/standins/src/observer/serverJournal.ts
+++ b/packages/standins/src/observer/serverJournal.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const ownedSchema = z.object({
     kind: z.literal("owned"),
--- a/packages/standins/src/rangeServer/rangeServerSettings.ts
+++ b/packages/standins/src/rangeServer/rangeServerSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const DEFAULT_SLOTS = 4;
 const DEFAULT_WAITING = 8;
--- a/packages/standins/src/rangeServer/rangeServerStandIn.ts
+++ b/packages/standins/src/rangeServer/rangeServerStandIn.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "@arbutusdoor/common";
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
-import { z } from "zod";
+import * as z from "zod";
 import { getServiceRequest } from "../backendServer/getServiceRequest.js";
 import { readBodyDigest } from "../backendServer/readBodyDigest.js";
 import { sendEcho } from "../backendServer/sendEcho.js";
--- a/packages/standins/src/rowStore/foreignRow.ts
+++ b/packages/standins/src/rowStore/foreignRow.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** A row that the operator or a server keeps in the store, as the control interface takes it. */
 const ForeignRow = z.strictObject({
--- a/packages/standins/src/rowStore/rowTransaction.ts
+++ b/packages/standins/src/rowStore/rowTransaction.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const MAX_ENTRIES = 100;
 const MAX_NAME_BYTES = 200;
--- a/packages/standins/src/tableService/transactionSchema.ts
+++ b/packages/standins/src/tableService/transactionSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const MAX_WRITES = 1_000;
 
--- a/packages/standins/tests/support/serverSession.ts
+++ b/packages/standins/tests/support/serverSession.ts
@@ -19,7 +19,7 @@
 import { BackendSettings, BackendStandIn, type ServerEntry } from "@arbutusdoor/standins";
 import { text } from "node:stream/consumers";
 import { onTestFinished } from "vitest";
-import type { z } from "zod";
+import type * as z from "zod";
 import { waitUntil } from "../../../clients/tests/support/waitUntil.js";
 import { newGrantor } from "./newGrantor.js";
 
--- a/packages/tool/src/client/operationRun.ts
+++ b/packages/tool/src/client/operationRun.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "@arbutusdoor/common";
-import type { z } from "zod";
+import type * as z from "zod";
 import type { Call } from "./call.js";
 import type { CallFailure } from "./callFailure.js";
 import type { CallReply } from "./callReply.js";
--- a/packages/tool/src/client/operatorClient.ts
+++ b/packages/tool/src/client/operatorClient.ts
@@ -1,6 +1,6 @@
 import type { Clock, Milliseconds } from "@arbutusdoor/common";
 import { Agent, type Dispatcher, request } from "undici";
-import type { z } from "zod";
+import type * as z from "zod";
 import type { Call } from "./call.js";
 import type { CallFailure } from "./callFailure.js";
 import type { CallReply } from "./callReply.js";
--- a/packages/tool/src/client/problemBody.ts
+++ b/packages/tool/src/client/problemBody.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Members of the problem document that the body of a refusal has. */
 const ProblemBody = z.object({
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,17 +1,10 @@
-// Bundles the platform's program into one file: loading files one by one takes most of the start-up time.
-import { build } from "esbuild";
+// Bundles the platform's program into few files, with a code cache: loading and compiling files one by one takes most of the start-up time.
+import { execFileSync } from "node:child_process";
+import { fileURLToPath } from "node:url";
+import { createBundle } from "./bundle/createBundle.mjs";
 
-// Packages in CommonJS load the runtime's own modules by `require`, which a module does not have.
-const REQUIRE = "import { createRequire } from \"node:module\"; const require = createRequire(import.meta.url);";
+const FOLDER = "target";
+const RECORDER = fileURLToPath(new URL("bundle/recordCodeCache.mjs", import.meta.url));
 
-await build({
-    entryPoints: ["platform/dist/main.js"],
-    bundle: true,
-    platform: "node",
-    target: "node20",
-    format: "esm",
-    minify: true,
-    banner: { js: REQUIRE },
-    outfile: "target/arbutusdoor.mjs",
-    logLevel: "warning",
-});
+await createBundle(FOLDER);
+execFileSync(process.execPath, [RECORDER, `${FOLDER}/program.cjs`, `${FOLDER}/program.cache`, "--help"]);
--- a/scripts/failureRun.ts
+++ b/scripts/failureRun.ts
@@ -13,7 +13,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { Agent } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { LocalSystem } from "./localSystem.js";
 import { newLocalDeclaration } from "./newLocalDeclaration.js";
 import { runTool } from "./runTool.js";
--- a/scripts/measureRelay.ts
+++ b/scripts/measureRelay.ts
@@ -1,11 +1,13 @@
 import { SystemClock } from "@arbutusdoor/common";
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { Agent, request } from "undici";
 import { ChildProgram } from "./childProgram.js";
 import { LocalSystem } from "./localSystem.js";
 import { newLocalDeclaration } from "./newLocalDeclaration.js";
+import { readCpuUs } from "./readCpuUs.js";
+import { readMemoryBytes } from "./readMemoryBytes.js";
 import { runTool } from "./runTool.js";
 
 const clock = new SystemClock();
@@ -23,9 +25,7 @@
 const KEYS = 40;
 const SLOTS = 48;
 const IDLE_MS = 4_000;
-const TICK_US = 10_000;
 const BYTES_IN_MB = 1_048_576;
-const PAGE_BYTES = 4_096;
 
 /** Something that answers callers, and the processes that take part in it. */
 type Subject = {
@@ -145,16 +145,6 @@
     return answered;
 }
 
-/** Processor time that a process has used, from the system's own account of it. */
-function readCpuUs(pid: number): number {
-    const fields = readFileSync(`/proc/${pid}/stat`, "utf8").split(") ")[1]!.split(" ");
-    return (Number(fields[11]) + Number(fields[12])) * TICK_US;
-}
-
-function readMemoryBytes(pid: number): number {
-    return Number(readFileSync(`/proc/${pid}/statm`, "utf8").split(" ")[1]) * PAGE_BYTES;
-}
-
 function print(line: string): void {
     process.stdout.write(`${line}\n`);
 }
--- a/scripts/platformRun.ts
+++ b/scripts/platformRun.ts
@@ -8,7 +8,7 @@
     type Verdict,
 } from "@arbutusdoor/standins";
 import { Agent } from "undici";
-import type { z } from "zod";
+import type * as z from "zod";
 import { PlatformSystem } from "./platformSystem.js";
 import { ServerRecords } from "./serverRecords.js";
 
--- a/scripts/platformSystem.ts
+++ b/scripts/platformSystem.ts
@@ -49,14 +49,20 @@
     readonly hosts = new Map<string, PlatformHost>();
     readonly servers = new Map<string, PlatformProgram>();
     private readonly services: readonly PlatformService[];
+    private readonly hostProgram: string;
     private readonly folder = mkdtempSync(join(tmpdir(), "arbutusdoor-platform-"));
     private storeProgram: ChildProgram | undefined;
     private storeAddress = "";
     private storeControl = "";
     private version = 0;
 
-    constructor(services: readonly PlatformService[]) {
+    /** @param hostProgram the program of the hosts */
+    constructor(
+        services: readonly PlatformService[],
+        hostProgram = `${ROOT}platform/dist/main.js`,
+    ) {
         this.services = services;
+        this.hostProgram = hostProgram;
     }
 
     /** Starts the store, all servers and the hosts; each host is given with its data centre. */
@@ -173,7 +179,7 @@
         { ports, settings }: Pick<PlatformHost, "ports" | "settings">,
     ): ChildProgram {
         const flags = ["--metrics-port", String(ports[PORTS_PER_HOST - 1])];
-        return new ChildProgram(name, `${ROOT}platform/dist/main.js`, flags, {
+        return new ChildProgram(name, this.hostProgram, flags, {
             ARBUTUSDOOR_CONFIG: settings,
         });
     }
