Grants in flight are limited; keys that callers ask for in vain are granted first

Only renewals were limited. Change: at most 96 grants in flight for a service and 3 for a server, 1 for a failing one; ranges of keys that hosts report as misdirected come first. Test: grantWindow.test.ts (all hosts restart, half a core for all ranges; asked keys first; a silent server).

--- a/packages/gateway/src/ownership/orderScheduler.ts
+++ b/packages/gateway/src/ownership/orderScheduler.ts
@@ -6,12 +6,14 @@
 import { findStopProof } from "./findStopProof.js";
 import { getHolderName } from "./getHolderName.js";
 import { getRenewalFactor } from "./getRenewalFactor.js";
+import { GrantWindow } from "./grantWindow.js";
 import { HolderReachability } from "./holderReachability.js";
 import type { HolderState } from "./holderState.js";
 import { isSameHolder } from "./isSameHolder.js";
 import type { KeyHolder } from "./keyHolder.js";
 import type { KeyMap } from "./keyMap.js";
 import type { KeyOrder } from "./keyOrder.js";
+import { listOwners } from "./listOwners.js";
 import type { OwnedRange } from "./ownedRange.js";
 import type { OwnershipSettings } from "./ownershipSettings.js";
 import type { RangeChange } from "./rangeChange.js";
@@ -37,6 +39,9 @@
     /** Ranges that get no grant until a proposal has ended, by first key, with the stop proof of the owner that loses the range. */
     private readonly frozen = new Map<number, StopProof>();
     private readonly refused = new Set<number>();
+    /** First keys of ranges that callers ask for and whose owners do not hold them: these are granted first. */
+    private readonly requested = new Set<number>();
+    private readonly window = new GrantWindow();
     private readonly reachability: HolderReachability;
     /** Until then a predecessor may have sent grants to the holders in its map. */
     private inheritedUntil: Milliseconds;
@@ -145,21 +150,21 @@
         this.distinctOwners = listOwners(map);
         this.progress = next;
         this.refused.clear();
+        this.requested.clear();
         this.frozen.clear();
     }
 
     /**
-     * Returns the orders that are due. Each must be sent at once and its outcome passed to `complete`. Only renewals are limited, so that
-     * orders for keys that nobody serves take precedence.
+     * Returns the orders that are due. Each must be sent at once and its outcome passed to `complete`. Grants in flight are limited, and
+     * those for keys that callers ask for in vain come first: a coordinator that takes over has to grant all ranges.
      *
      * @param mayMove whether keys may move to new owners; otherwise only renewals are due
      * @param renewalLimit maximum number of renewals, so that many that are due together do not block the loop
      */
     takeDueOrders(now: Milliseconds, mayMove: boolean, renewalLimit: number): readonly KeyOrder[] {
         const orders: KeyOrder[] = [];
-        const probed = new Set<string>();
         let renewals = 0;
-        for (const range of this.committed.ranges) {
+        for (const range of this.listByUrgency()) {
             const progress = this.progress.get(range.first)!;
             if (
                 progress.pendingOrders > 0 || now < progress.dueAt
@@ -175,7 +180,7 @@
                     );
                 }
             }
-            else if (!this.frozen.has(range.first) && this.mayGrant(range, probed, mayMove, progress)) {
+            else if (!this.frozen.has(range.first) && this.mayGrant(range, mayMove, progress)) {
                 renewals += progress.isHeld ? 1 : 0;
                 orders.push(this.createGrant(range, progress, now));
             }
@@ -186,6 +191,9 @@
     /** Records the outcome of an order. Returns the range when its owner has now confirmed its first grant. */
     complete(order: KeyOrder, outcome: OrderOutcome, now: Milliseconds): HeldRange | undefined {
         this.reachability.recordOutcome(order.holder, outcome, now);
+        if (order.kind === "grant") {
+            this.window.remove(order.holder);
+        }
         const range = findRange(this.committed.ranges, order.first);
         const progress = range && this.progress.get(range.first);
         if (!range || !progress || range.first !== order.first || range.fence !== order.fence) {
@@ -237,6 +245,7 @@
         const mayRenew = range !== undefined && !this.refused.has(range.first);
         if (progress && mayRenew && now - progress.grantSentAt >= this.settings.retryMs) {
             progress.dueAt = Math.min(progress.dueAt, now);
+            this.requested.add(range.first);
         }
     }
 
@@ -285,6 +294,14 @@
         return this.progress.get(range.first)?.isHeld === true;
     }
 
+    /** Returns all ranges, those that callers ask for in vain first, too. */
+    private listByUrgency(): readonly OwnedRange[] {
+        const { ranges } = this.committed;
+        return this.requested.size === 0
+            ? ranges
+            : [...ranges.filter(({ first }) => this.requested.has(first)), ...ranges];
+    }
+
     /** Returns the earlier owners of a range that may still hold keys of it. */
     private listPossibleHolders(range: OwnedRange, now: Milliseconds): readonly KeyHolder[] {
         return range.previous.filter(holder => !this.hasStopped(holder, range, now));
@@ -306,23 +323,14 @@
      * Whether the owner may get a grant of the range now. One whose last order failed gets only one at a time, so that its other grants can
      * expire.
      */
-    private mayGrant(
-        range: OwnedRange,
-        probed: Set<string>,
-        mayMove: boolean,
-        progress: RangeProgress,
-    ): boolean {
+    private mayGrant(range: OwnedRange, mayMove: boolean, progress: RangeProgress): boolean {
         const state = this.getState(range.owner);
         if (state === "dead" || state === "replaced" || (!mayMove && !progress.isHeld)) {
             return false;
         }
-        const name = getHolderName(range.owner);
-        if (!this.reachability.isFailing(range.owner)) {
-            return true;
-        }
-        const isFirst = !probed.has(name);
-        probed.add(name);
-        return isFirst;
+        return this.reachability.isFailing(range.owner)
+            ? this.window.isUnused(range.owner)
+            : this.window.hasRoom(range.owner);
     }
 
     private createGrant(range: OwnedRange, progress: RangeProgress, now: Milliseconds): KeyOrder {
@@ -331,6 +339,8 @@
             : undefined;
         progress.pendingOrders++;
         progress.grantSentAt = now;
+        this.window.add(range.owner);
+        this.requested.delete(range.first);
         const name = getHolderName(range.owner);
         const isInherited = progress.lastGrants.get(name)?.isInherited === true;
         progress.lastGrants.set(name, { at: now, isInherited });
@@ -370,7 +380,3 @@
         return { kind: "release", first, last, fence, holder, handover: undefined };
     }
 }
-
-function listOwners(map: KeyMap): readonly KeyHolder[] {
-    return [...new Map(map.ranges.map(({ owner }) => [getHolderName(owner), owner])).values()];
-}
