Requests sent before the first is answered: a few routed at a time, and a close only behind the last

Cause (further's wire: clients send further safe requests before the first is answered), by tests that failed: all requests read at once were routed, without a limit; on a planned stop the first answer closed the connection, and those behind it, already passed on, were cut off; a caller that left with several under way left their count open, so that a stop waited out its grace. Change: CallerConnection keeps the requests of a connection in order: at most 8 are routed, the others wait and nothing more is read meanwhile (none is refused); while the host closes down nothing is routed beside what is, and only the last routed answer closes the connection; what waits behind it was never passed on; the end of the connection ends them all. Tests: order and own answers, many at once, a planned stop (under way, waiting behind), an answer that breaks off, a deadline, a caller that leaves.

--- a/packages/gateway/src/requests/callerPort.ts
+++ b/packages/gateway/src/requests/callerPort.ts
@@ -8,10 +8,12 @@
     waitForSocketReads,
 } from "@arbutusdoor/common";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { pipeline, Readable } from "node:stream";
 import polka from "polka";
 import type { RouteTable } from "../configuration/routeTable.js";
 import type { TargetRotation } from "../configuration/targetRotation.js";
+import { CallerConnection } from "./callerConnection.js";
 import type { CallerHeaderCodec } from "./callerHeaderCodec.js";
 import type { GatewayReply } from "./gatewayReply.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
@@ -49,6 +51,7 @@
 export class CallerPort {
     private readonly parts: CallerPortParts;
     private readonly server: Server;
+    private readonly connections = new WeakMap<Socket, CallerConnection>();
     private openRequests = 0;
     private isClosing = false;
     private notifyIdle: (() => void) | undefined;
@@ -105,14 +108,28 @@
         const { clock, metrics } = this.parts;
         const arrivedAt = clock.now();
         const callerGone = new AbortController();
-        this.openRequests++;
-        response.once("close", () => {
+        const connection = this.getConnection(message.socket);
+        let isOpen = false;
+        const end = () => {
             if (!response.writableFinished) {
                 callerGone.abort(CALLER_GONE);
             }
-            this.endRequest();
-        });
+            if (isOpen) {
+                isOpen = false;
+                this.endRequest();
+            }
+        };
         message.on("error", () => callerGone.abort(CALLER_GONE));
+        const request = connection.add(end);
+        if (!await request.turn) {
+            return;
+        }
+        isOpen = true;
+        this.openRequests++;
+        response.once("close", () => {
+            end();
+            connection.remove(request);
+        });
         const parsed = await this.read(message, arrivedAt, callerGone.signal);
         // When the process lags behind, a request and its caller's disconnection may both be waiting to be read.
         await waitForSocketReads();
@@ -130,9 +147,23 @@
             { route, result },
             (clock.now() - arrivedAt) * MICROSECONDS_PER_MS,
         );
+        const isCloseDue = this.isClosing && connection.isLast(request) || !message.complete;
+        if (isCloseDue && !response.destroyed) {
+            response.setHeader("connection", "close");
+            connection.end();
+        }
         this.write(message, response, reply);
     }
 
+    private getConnection(socket: Socket): CallerConnection {
+        let connection = this.connections.get(socket);
+        if (!connection) {
+            connection = new CallerConnection(socket, () => this.isClosing);
+            this.connections.set(socket, connection);
+        }
+        return connection;
+    }
+
     private async route(request: GatewayRequest): Promise<GatewayReply> {
         return request.callerGone.aborted ? { kind: "gone" } : await this.parts.router.route(request);
     }
@@ -198,9 +229,6 @@
             response.destroy();
             return;
         }
-        if (this.isClosing || !message.complete) {
-            response.setHeader("connection", "close");
-        }
         if (reply.kind === "refusal") {
             this.writeRefusal(response, reply);
         }
--- /dev/null
+++ b/packages/gateway/tests/pipelinedRequests.test.ts
@@ -0,0 +1,179 @@
+import { Logger, Metrics, type RequestId, type ServiceId, SystemClock } from "@arbutusdoor/common";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { Readable } from "node:stream";
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { RouteTable } from "../src/configuration/routeTable.js";
+import { TargetRotation } from "../src/configuration/targetRotation.js";
+import { CallerHeaderCodec } from "../src/requests/callerHeaderCodec.js";
+import { CallerPort } from "../src/requests/callerPort.js";
+import { createRoute } from "./support/createRoute.js";
+import { createRouter } from "./support/createRouter.js";
+import { HeldBackends } from "./support/heldBackends.js";
+
+const LOOPBACK = "127.0.0.1";
+const SETTLE_MS = 50;
+const TIMEOUT_MS = 2_000;
+const SHORT_TIMEOUT_MS = 150;
+/** More than is read whole before it is passed on. */
+const LONG_BYTES = 200_000;
+
+class PathHeaderCodec extends CallerHeaderCodec {
+    override readRequestHeaders(headers: Readonly<Record<string, string | readonly string[] | undefined>>) {
+        const timeoutMs = Number(headers["x-timeout"] ?? TIMEOUT_MS);
+        return { id: String(headers["x-id"]) as RequestId, timeoutMs, key: undefined };
+    }
+
+    override createRetryHeaders(): Record<string, string> {
+        return {};
+    }
+}
+
+const clock = new SystemClock();
+let backends: HeldBackends;
+let metrics: Metrics;
+let callerPort: CallerPort;
+let caller: Socket;
+let received: string;
+let hasEnded: boolean;
+
+beforeEach(async () => {
+    backends = new HeldBackends();
+    metrics = new Metrics();
+    const routes = new RouteTable({
+        version: 1,
+        routes: [createRoute()],
+        services: [{ id: "board" as ServiceId, maxConnections: 100, isKeyed: false, coldKeysMs: 0 }],
+        limits: { headerBytes: 16_384, bodyBytes: 1_048_576, headerTimeoutMs: 5_000, idleTimeoutMs: 5_000 },
+    });
+    callerPort = new CallerPort({
+        clock,
+        logger: new Logger(clock, "test", "silent"),
+        metrics,
+        router: createRouter({ clock, backends }),
+        dialect: new PathHeaderCodec(),
+        rotation: new TargetRotation(),
+        getRoutes: () => routes,
+    });
+    const port = await findFreePort();
+    await callerPort.listen(LOOPBACK, port);
+    received = "";
+    hasEnded = false;
+    caller = connect(port, LOOPBACK);
+    caller.on("error", () => undefined);
+    caller.on("data", data => {
+        received += data.toString();
+    });
+    caller.on("close", () => {
+        hasEnded = true;
+    });
+    await once(caller, "connect");
+});
+
+afterEach(async () => {
+    caller.destroy();
+    await callerPort.close();
+});
+
+test("requests sent before the first is answered are routed together and answered in their order, each with its own answer", async () => {
+    await send(["/1", "/2", "/3"]);
+    expect(backends.sent).toEqual(["/1", "/2", "/3"]);
+    backends.answer("/3");
+    backends.answer("/2");
+    await clock.sleep(SETTLE_MS);
+    expect(received).toBe("");
+    backends.answer("/1");
+    await clock.sleep(SETTLE_MS);
+    expect(listBodies()).toEqual(["/1", "/2", "/3"]);
+});
+
+test("a caller that sends many requests at once has few routed at a time; none is refused, all are answered", async () => {
+    const paths = Array.from({ length: 40 }, (_, index) => `/${index}`);
+    await send(paths);
+    expect(backends.sent).toEqual(paths.slice(0, 8));
+    for (const path of paths) {
+        backends.answer(path);
+        await clock.sleep(5);
+    }
+    await clock.sleep(SETTLE_MS);
+    expect(listBodies()).toEqual(paths);
+    expect(backends.sent).toEqual(paths);
+});
+
+test("a planned stop with several requests under way: all of them are answered, and only the last answer closes the connection", async () => {
+    await send(["/1", "/2", "/3"]);
+    callerPort.announceClose();
+    ["/2", "/1", "/3"].forEach(path => backends.answer(path));
+    await clock.sleep(SETTLE_MS);
+    expect(listBodies()).toEqual(["/1", "/2", "/3"]);
+    expect(received.match(/connection: close/gi)).toHaveLength(1);
+    expect(hasEnded).toBe(true);
+});
+
+test("a planned stop routes nothing that waits behind the requests under way: it counts as not read", async () => {
+    const paths = Array.from({ length: 12 }, (_, index) => `/${index}`);
+    await send(paths);
+    callerPort.announceClose();
+    for (const path of paths.slice(0, 8)) {
+        backends.answer(path);
+        await clock.sleep(5);
+    }
+    await clock.sleep(SETTLE_MS);
+    expect(backends.sent).toEqual(paths.slice(0, 8));
+    expect(listBodies()).toEqual(paths.slice(0, 8));
+    expect(hasEnded).toBe(true);
+});
+
+test("an answer that breaks off halfway closes the connection, and nothing follows it", async () => {
+    await send(["/1", "/2"]);
+    backends.answer("/2");
+    const broken = new Readable({ read: () => undefined });
+    backends.answer("/1", broken, { "content-length": String(LONG_BYTES * 2) });
+    broken.push(Buffer.alloc(LONG_BYTES, "a"));
+    await clock.sleep(SETTLE_MS);
+    broken.destroy(new Error("broke off"));
+    await clock.sleep(SETTLE_MS);
+    expect(received.split("\r\n\r\n")).toHaveLength(2);
+    expect(received.split("\r\n\r\n")[1]!.length).toBeLessThan(LONG_BYTES * 2);
+    expect(hasEnded).toBe(true);
+});
+
+test("a request whose deadline passes is answered in its turn and does not end those beside it", async () => {
+    await send(["/1", "/2"], [TIMEOUT_MS, SHORT_TIMEOUT_MS]);
+    await clock.sleep(SHORT_TIMEOUT_MS + SETTLE_MS);
+    expect(received).toBe("");
+    backends.answer("/1");
+    await clock.sleep(SETTLE_MS);
+    expect(received.match(/HTTP\/1\.1 \d+/g)).toEqual(["HTTP/1.1 200", "HTTP/1.1 504"]);
+});
+
+test("a caller that leaves with several requests under way: all are cancelled, and a stop does not wait for them", async () => {
+    await send(["/1", "/2", "/3"]);
+    caller.destroy();
+    await clock.sleep(SETTLE_MS);
+    expect([...backends.cancelled].sort()).toEqual(["/1", "/2", "/3"]);
+    expect(metrics.print()).toContain("arbutusdoor_requests_in_flight 0");
+});
+
+async function send(paths: readonly string[], timeouts: readonly number[] = []): Promise<void> {
+    const texts = paths.map((path, index) =>
+        `GET ${path} HTTP/1.1\r\nHost: board.example\r\nX-Id: ${path}\r\n`
+        + `X-Timeout: ${timeouts[index] ?? TIMEOUT_MS}\r\n\r\n`
+    );
+    caller.write(texts.join(""));
+    await clock.sleep(SETTLE_MS);
+}
+
+/** Returns the bodies of the answers that were received, none of which contains an empty line. */
+function listBodies(): readonly string[] {
+    return received.split("HTTP/1.1 200 OK").slice(1).map(answer => answer.split("\r\n\r\n")[1]!);
+}
+
+async function findFreePort(): Promise<number> {
+    const server = createServer().listen(0, LOOPBACK);
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    server.close();
+    await once(server, "close");
+    return port;
+}
