The hash of keys stays in the common index; the bundle replaces it instead

The daemon's plug-ins register when their modules are evaluated; the hash of keys awaits WebAssembly at the top level, and moving it out of the index of common changed the order of evaluation: modules without it ran before the others.

--- a/packages/bench/src/systems/sliceMap.ts
+++ b/packages/bench/src/systems/sliceMap.ts
@@ -1,5 +1,4 @@
-import type { ServerId, SliceId } from "@arbutusdoor/common";
-import { getKeyHash } from "@arbutusdoor/common/keyHash";
+import { getKeyHash, type ServerId, type SliceId } from "@arbutusdoor/common";
 import type { PlacedSlice } from "@arbutusdoor/policy";
 
 const HASH_SPACE = 2 ** 32;
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./errors/inputError.js";
 export * from "./errors/invariantError.js";
 export * from "./hashing/digest.js";
+export * from "./hashing/keyHash.js";
 export * from "./http/acceptPendingConnections.js";
 export * from "./http/headerFields.js";
 export * from "./http/hopByHopHeaders.js";
--- a/packages/daemon/src/operator/daemonContext.ts
+++ b/packages/daemon/src/operator/daemonContext.ts
@@ -1,14 +1,14 @@
 import type { TableService } from "@arbutusdoor/clients";
-import type {
-    Clock,
-    LogEvent,
-    LogFields,
-    OperationId,
-    RandomSource,
-    ServerId,
-    ServiceId,
+import {
+    type Clock,
+    getKeyHash,
+    type LogEvent,
+    type LogFields,
+    type OperationId,
+    type RandomSource,
+    type ServerId,
+    type ServiceId,
 } from "@arbutusdoor/common";
-import { getKeyHash } from "@arbutusdoor/common/keyHash";
 import {
     attestLoss,
     type AttestOutcome,
--- a/packages/daemon/src/routing/grantorSelector.ts
+++ b/packages/daemon/src/routing/grantorSelector.ts
@@ -1,5 +1,4 @@
-import type { HostId, RefusalReason } from "@arbutusdoor/common";
-import { getKeyHash } from "@arbutusdoor/common/keyHash";
+import { getKeyHash, type HostId, type RefusalReason } from "@arbutusdoor/common";
 import type { Route } from "@arbutusdoor/ownership";
 
 type OpenRoute = Extract<Route, { kind: "route"; }>;
--- a/packages/ownership/src/coordinator/chooseGrantors.ts
+++ b/packages/ownership/src/coordinator/chooseGrantors.ts
@@ -1,5 +1,4 @@
-import type { Milliseconds } from "@arbutusdoor/common";
-import { getKeyHash } from "@arbutusdoor/common/keyHash";
+import { getKeyHash, type Milliseconds } from "@arbutusdoor/common";
 import type { GrantorList } from "../rows/grantorList.js";
 import type { ServerRow } from "../rows/serverRow.js";
 import type { HostIdentity } from "../state/hostIdentity.js";
--- a/packages/ownership/src/coordinator/createInitialRows.ts
+++ b/packages/ownership/src/coordinator/createInitialRows.ts
@@ -1,5 +1,4 @@
-import type { DataCentreId, ServiceId, SliceId } from "@arbutusdoor/common";
-import { getKeyHash } from "@arbutusdoor/common/keyHash";
+import { type DataCentreId, getKeyHash, type ServiceId, type SliceId } from "@arbutusdoor/common";
 import type { Declaration, Service } from "@arbutusdoor/configuration";
 import type { AssignmentRow } from "../rows/assignmentRow.js";
 import type { Slice } from "../rows/slice.js";
--- a/packages/ownership/src/coordinator/planAssignmentRow.ts
+++ b/packages/ownership/src/coordinator/planAssignmentRow.ts
@@ -1,4 +1,4 @@
-import { getKeyHash } from "@arbutusdoor/common/keyHash";
+import { getKeyHash } from "@arbutusdoor/common";
 import type { AssignmentRow } from "../rows/assignmentRow.js";
 import type { Slice } from "../rows/slice.js";
 import type { PlanningContext } from "./planningContext.js";
--- a/packages/ownership/src/kernel/getJitter.ts
+++ b/packages/ownership/src/kernel/getJitter.ts
@@ -1,4 +1,4 @@
-import { getKeyHash } from "@arbutusdoor/common/keyHash";
+import { getKeyHash } from "@arbutusdoor/common";
 import type { HostState } from "../state/hostState.js";
 
 const HASH_SPAN = 2 ** 32;
--- a/packages/ownership/src/lookups/getSliceOf.ts
+++ b/packages/ownership/src/lookups/getSliceOf.ts
@@ -1,5 +1,4 @@
-import type { ServiceId } from "@arbutusdoor/common";
-import { getKeyHash } from "@arbutusdoor/common/keyHash";
+import { getKeyHash, type ServiceId } from "@arbutusdoor/common";
 import type { Slice } from "../rows/slice.js";
 import type { HostState } from "../state/hostState.js";
 
--- a/scripts/bundle/createBundle.mjs
+++ b/scripts/bundle/createBundle.mjs
@@ -9,6 +9,7 @@
     { filter: /\/client-h2(\.js)?$/, path: resolvePath("noHttp2.mjs") },
     { filter: /^hdr-histogram-js$/, path: resolvePath("hdrHistogram.mjs") },
     { filter: /^\.\/wasm$/, importer: /hdr-histogram-js/, path: resolvePath("noWebAssembly.mjs") },
+    { filter: /\/keyHash\.js$/, path: resolvePath("noKeyHash.mjs") },
     // The entry point for browsers: the one for Node.js looks for a native addon, which a bundle cannot hold.
     { filter: /^msgpackr$/, path: resolvePath("../../node_modules/msgpackr/index.js") },
 ];
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -7,10 +7,6 @@
     resolve: {
         alias: [
             { find: "@arbutusdoor/platform", replacement: `${root}../platform/src/index.ts` },
-            {
-                find: "@arbutusdoor/common/keyHash",
-                replacement: `${root}common/src/hashing/keyHash.ts`,
-            },
             { find: /^@arbutusdoor\/(\w+)$/, replacement: `${root}$1/src/index.ts` },
         ],
     },
