--- a/packages/gateway/tests/callerPort.test.ts
+++ b/packages/gateway/tests/callerPort.test.ts
@@ -1,15 +1,11 @@
-import { Logger, Metrics, type RequestId, type ServiceId, SystemClock } from "@arbutusdoor/common";
+import { type RequestId, SystemClock } from "@arbutusdoor/common";
 import { once } from "node:events";
-import { createServer } from "node:http";
-import { type AddressInfo, connect, type Socket } from "node:net";
+import { connect, type Socket } from "node:net";
 import { afterEach, beforeEach, expect, test } from "vitest";
-import { RouteTable } from "../src/configuration/routeTable.js";
-import { TargetRotation } from "../src/configuration/targetRotation.js";
 import { CallerHeaderCodec } from "../src/requests/callerHeaderCodec.js";
-import { CallerPort } from "../src/requests/callerPort.js";
-import { createRoute } from "./support/createRoute.js";
-import { createRouter } from "./support/createRouter.js";
+import type { CallerPort } from "../src/requests/callerPort.js";
 import { ScriptedBackends } from "./support/scriptedBackends.js";
+import { startCallerPort } from "./support/startCallerPort.js";
 
 const LOOPBACK = "127.0.0.1";
 const SETTLE_MS = 50;
@@ -33,25 +29,14 @@
 
 beforeEach(async () => {
     backends = new ScriptedBackends([]);
-    const metrics = new Metrics();
-    const routes = new RouteTable({
-        version: 1,
-        routes: [createRoute()],
-        services: [{ id: "board" as ServiceId, maxConnections: 100, isKeyed: false, coldKeysMs: 0 }],
-        limits: { headerBytes: 16_384, bodyBytes: 1_048_576, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 },
-    });
-    callerPort = new CallerPort({
+    const started = await startCallerPort({
         clock,
-        logger: new Logger(clock, "test", "silent"),
-        metrics,
-        router: createRouter({ clock, backends }),
+        backends,
         dialect: new FixedHeaderCodec(),
-        rotation: new TargetRotation(),
-        getRoutes: () => routes,
+        timeoutMs: 1_000,
     });
-    const port = await findFreePort();
-    await callerPort.listen(LOOPBACK, port);
-    caller = connect(port, LOOPBACK);
+    callerPort = started.callerPort;
+    caller = connect(started.port, LOOPBACK);
     caller.on("error", () => undefined);
     await once(caller, "connect");
     await clock.sleep(SETTLE_MS);
@@ -92,12 +77,3 @@
     caller.destroy();
     await closed;
 });
-
-async function findFreePort(): Promise<number> {
-    const server = createServer().listen(0, LOOPBACK);
-    await once(server, "listening");
-    const { port } = server.address() as AddressInfo;
-    server.close();
-    await once(server, "close");
-    return port;
-}
--- a/packages/gateway/tests/pipelinedRequests.test.ts
+++ b/packages/gateway/tests/pipelinedRequests.test.ts
@@ -1,15 +1,12 @@
-import { Logger, Metrics, type RequestId, type ServiceId, SystemClock } from "@arbutusdoor/common";
+import { type Metrics, type RequestId, SystemClock } from "@arbutusdoor/common";
 import { once } from "node:events";
-import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { connect, type Socket } from "node:net";
 import { Readable } from "node:stream";
 import { afterEach, beforeEach, expect, test } from "vitest";
-import { RouteTable } from "../src/configuration/routeTable.js";
-import { TargetRotation } from "../src/configuration/targetRotation.js";
 import { CallerHeaderCodec } from "../src/requests/callerHeaderCodec.js";
-import { CallerPort } from "../src/requests/callerPort.js";
-import { createRoute } from "./support/createRoute.js";
-import { createRouter } from "./support/createRouter.js";
+import type { CallerPort } from "../src/requests/callerPort.js";
 import { HeldBackends } from "./support/heldBackends.js";
+import { startCallerPort } from "./support/startCallerPort.js";
 
 const LOOPBACK = "127.0.0.1";
 const SETTLE_MS = 50;
@@ -39,27 +36,16 @@
 
 beforeEach(async () => {
     backends = new HeldBackends();
-    metrics = new Metrics();
-    const routes = new RouteTable({
-        version: 1,
-        routes: [createRoute()],
-        services: [{ id: "board" as ServiceId, maxConnections: 100, isKeyed: false, coldKeysMs: 0 }],
-        limits: { headerBytes: 16_384, bodyBytes: 1_048_576, headerTimeoutMs: 5_000, idleTimeoutMs: 5_000 },
-    });
-    callerPort = new CallerPort({
+    const started = await startCallerPort({
         clock,
-        logger: new Logger(clock, "test", "silent"),
-        metrics,
-        router: createRouter({ clock, backends }),
+        backends,
         dialect: new PathHeaderCodec(),
-        rotation: new TargetRotation(),
-        getRoutes: () => routes,
+        timeoutMs: 5_000,
     });
-    const port = await findFreePort();
-    await callerPort.listen(LOOPBACK, port);
+    ({ callerPort, metrics } = started);
     received = "";
     hasEnded = false;
-    caller = connect(port, LOOPBACK);
+    caller = connect(started.port, LOOPBACK);
     caller.on("error", () => undefined);
     caller.on("data", data => {
         received += data.toString();
@@ -168,12 +154,3 @@
 function listBodies(): readonly string[] {
     return received.split("HTTP/1.1 200 OK").slice(1).map(answer => answer.split("\r\n\r\n")[1]!);
 }
-
-async function findFreePort(): Promise<number> {
-    const server = createServer().listen(0, LOOPBACK);
-    await once(server, "listening");
-    const { port } = server.address() as AddressInfo;
-    server.close();
-    await once(server, "close");
-    return port;
-}
