Logs and metrics that tell how late a host learns of a change

Callers' requests reached servers 2,002 and 2,031 ms after their leave was acknowledged (2,000 are allowed). The logs could not tell late news from a request that waited: serverLeaving had no age, and no line told how old a host's view of a table was.

StoreClock estimates the store's monotonic clock from the times that its answers state. serverLeaving and configurationAdopted now carry the source of the news (store or coordinator) and maxAgeMs, the longest time since the change was committed; new metrics: arbutusdoor_news_age_us by table and source, arbutusdoor_configuration_age_ms, arbutusdoor_servers_age_ms, arbutusdoor_loop_lag_us. Heartbeats carry the store's time and how complete the coordinator's tables are. No decision uses them yet.

--- a/packages/gateway/src/host/clusterState.ts
+++ b/packages/gateway/src/host/clusterState.ts
@@ -1,4 +1,4 @@
-import type { Clock, Logger } from "@arbutusdoor/common";
+import type { Clock, Logger, Metrics, Milliseconds } from "@arbutusdoor/common";
 import type { RoutedConfiguration } from "../configuration/routedConfiguration.js";
 import { RouteTable } from "../configuration/routeTable.js";
 import type { RegisteredServer } from "../discovery/registeredServer.js";
@@ -10,30 +10,44 @@
 import type { KeyMap } from "../ownership/keyMap.js";
 import { listDifferences } from "../ownership/listDifferences.js";
 import { patchKeyMap } from "../ownership/patchKeyMap.js";
+import type { RowsOrigin } from "../store/rowsOrigin.js";
+import { StoreClock } from "../store/storeClock.js";
 import { TableView } from "../store/tableView.js";
 import type { WatchedRow } from "../store/watchedRow.js";
 
 const TABLES: readonly TableName[] = ["configuration", "servers"];
+const MICROSECONDS_PER_MS = 1_000;
 
 type KeysMessage = Extract<CoordinatorMessage, { kind: "keys"; }>;
 
 /** What a host knows of the tables: the operator's configuration, the registered servers and the owners of keys. */
 export class ClusterState {
-    readonly configuration = new TableView<RoutedConfiguration>();
-    readonly servers = new TableView<RegisteredServer>();
+    readonly storeClock: StoreClock;
+    readonly configuration: TableView<RoutedConfiguration>;
+    readonly servers: TableView<RegisteredServer>;
     readonly keys = new TableView<KeyMap>();
     readonly directory: ServerDirectory;
     private readonly logger: Logger;
+    private readonly metrics: Metrics;
     /** The state last logged, by server; bounded by the number of entries. */
     private readonly loggedStates = new Map<string, string>();
     private table: RouteTable | undefined;
     private readonly listeners = new Set<(routes: RouteTable) => void>();
 
-    constructor(clock: Clock, logger: Logger) {
+    constructor(clock: Clock, logger: Logger, metrics: Metrics) {
         this.logger = logger;
+        this.metrics = metrics;
+        this.storeClock = new StoreClock(clock);
+        this.configuration = new TableView(this.storeClock);
+        this.servers = new TableView(this.storeClock);
         this.directory = new ServerDirectory(this.servers, clock);
-        this.configuration.onChange(changed => changed.forEach(row => this.handleConfiguration(row)));
-        this.servers.onChange(changed => changed.forEach(row => this.logServer(row)));
+        this.configuration.onChange((changed, origin) =>
+            changed.forEach(row => this.handleConfiguration(row, origin))
+        );
+        this.servers.onChange((changed, origin) => changed.forEach(row => this.logServer(row, origin)));
+        for (const table of TABLES) {
+            metrics.gauge(`arbutusdoor_${table}_age_ms`, () => Math.round(this.getTableAge(table)));
+        }
     }
 
     /** The routes in effect, or `undefined` before a configuration is known. */
@@ -41,17 +55,34 @@
         return this.table;
     }
 
+    /** Returns the time since a table was known to be complete; infinite before its first read. */
+    getTableAge(table: TableName): Milliseconds {
+        const { completeTime } = this.getView(table);
+        return completeTime === undefined ? Infinity : this.storeClock.getAge(completeTime) ?? Infinity;
+    }
+
+    /** Returns the store time up to which each table is known to be complete. */
+    getCompleteTimes(): Partial<Record<TableName, Milliseconds>> {
+        return Object.fromEntries(TABLES.map(table => [table, this.getView(table).completeTime]));
+    }
+
     /** Calls the listener with each configuration that takes effect. */
     onRoutes(listener: (routes: RouteTable) => void): void {
         this.listeners.add(listener);
     }
 
     /** Applies rows from the coordinator. */
-    handleRows({ after, asOf, rows, table }: Extract<CoordinatorMessage, { kind: "rows"; }>): void {
+    handleRows(
+        { after, asOf, changedAfter, completeAt, rows, table }: Extract<
+            CoordinatorMessage,
+            { kind: "rows"; }
+        >,
+    ): void {
         const view = this.getView(table);
         const typed = rows as readonly WatchedRow<never>[];
-        if (after === undefined || !view.applyChanges(after, typed, asOf)) {
-            view.applySnapshot(typed, asOf);
+        const origin = { source: "coordinator", changedAfter, completeAt } as const;
+        if (after === undefined || !view.applyChanges(after, typed, asOf, origin)) {
+            view.applySnapshot(typed, asOf, origin);
         }
     }
 
@@ -79,8 +110,9 @@
     createSnapshots(): readonly CoordinatorMessage[] {
         const tables = TABLES.filter(table => this.getView(table).asOf >= 0).map(
             (table): CoordinatorMessage => {
-                const { asOf, present } = this.getView(table);
-                return { kind: "rows", table, after: undefined, asOf, rows: [...present.values()] };
+                const { asOf, completeTime, present } = this.getView(table);
+                const rows = [...present.values()];
+                return { kind: "rows", table, after: undefined, asOf, completeAt: completeTime, rows };
             },
         );
         const maps = [...this.keys.present.values()].flatMap((
@@ -97,7 +129,9 @@
     onChange(listener: (message: CoordinatorMessage) => void): void {
         for (const table of TABLES) {
             const view = this.getView(table);
-            view.onChange(rows => listener({ kind: "rows", table, after: -1, asOf: view.asOf, rows }));
+            view.onChange((rows, { changedAfter, completeAt }) =>
+                listener({ kind: "rows", table, after: -1, asOf: view.asOf, changedAfter, completeAt, rows })
+            );
         }
         const sent = new Map<string, { readonly version: number; readonly map: KeyMap; }>();
         this.keys.onChange(rows => {
@@ -124,7 +158,10 @@
     }
 
     /** Applies a configuration, unless its version is not higher than the one in effect. */
-    private handleConfiguration({ content, version }: WatchedRow<RoutedConfiguration>): void {
+    private handleConfiguration(
+        { content, version }: WatchedRow<RoutedConfiguration>,
+        origin: RowsOrigin,
+    ): void {
         if (content.kind === "unreadable") {
             this.logger.log("configurationRejected", { row: version, reason: content.reason });
             return;
@@ -134,12 +171,20 @@
         }
         this.table = new RouteTable(content.value);
         const { routes, version: adopted } = content.value;
-        this.logger.log("configurationAdopted", { version: adopted, row: version, routes: routes.length });
+        this.logger.log("configurationAdopted", {
+            version: adopted,
+            row: version,
+            routes: routes.length,
+            ...this.recordNews("configuration", origin),
+        });
         this.listeners.forEach(listener => listener(this.table!));
     }
 
     /** Logs a server's entry when its state has changed; most writes of an entry are heartbeats that change nothing. */
-    private logServer({ content, key, version }: WatchedRow<RegisteredServer>): void {
+    private logServer(
+        { content, key, version }: WatchedRow<RegisteredServer>,
+        origin: RowsOrigin,
+    ): void {
         const state = describe(content);
         if (this.loggedStates.get(key) === state) {
             return;
@@ -158,8 +203,22 @@
             this.logger.log("serverRegistered", { server: key, service, address, startedAt, row: version });
         }
         else {
-            this.logger.log("serverLeaving", { server: key, state, row: version });
+            const news = this.recordNews("servers", origin);
+            this.logger.log("serverLeaving", { server: key, state, row: version, ...news });
+        }
+    }
+
+    /** Records how late a change was learned of. Returns fields for its log line. */
+    private recordNews(
+        table: TableName,
+        origin: RowsOrigin,
+    ): { readonly source: string; readonly maxAgeMs: Milliseconds | undefined; } {
+        const { source } = origin;
+        const age = this.getView(table).getAge(origin);
+        if (age !== undefined) {
+            this.metrics.record("arbutusdoor_news_age_us", { table, source }, age * MICROSECONDS_PER_MS);
         }
+        return { source, maxAgeMs: age === undefined ? undefined : Math.round(age) };
     }
 }
 
--- a/packages/gateway/src/host/gatewayHost.ts
+++ b/packages/gateway/src/host/gatewayHost.ts
@@ -22,14 +22,16 @@
 import { KeyRouting } from "../routing/keyRouting.js";
 import { LoadReporter } from "../routing/loadReporter.js";
 import type { HostSettings } from "../settings/hostSettings.js";
-import { TableFollower } from "../store/tableFollower.js";
+import type { TableFollower } from "../store/tableFollower.js";
 import { ClusterState } from "./clusterState.js";
 import { createCallerPort } from "./createCallerPort.js";
+import { createFollowers } from "./createFollowers.js";
 import { createOwnershipSettings } from "./createOwnershipSettings.js";
 import type { GatewayAdapters } from "./gatewayAdapters.js";
 import type { GatewayOptions } from "./gatewayOptions.js";
 import { REBALANCE } from "./rebalance.js";
 
+const MICROSECONDS_PER_MS = 1_000;
 const TICK_MS = 100;
 const REPORT_MS = 200;
 const HEARTBEAT_MS = 300;
@@ -62,7 +64,7 @@
     private readonly parts: GatewayParts;
     private settings: HostSettings;
     private readonly state: ClusterState;
-    private readonly followers: readonly TableFollower<unknown>[];
+    private readonly followers: ReturnType<typeof createFollowers>;
     private readonly lease: LeaseManager;
     private readonly hub: CoordinatorHub;
     private readonly link: CoordinatorLink;
@@ -81,10 +83,10 @@
         const { adapters, clock, incarnation, logger, metrics, options, random, settings } = parts;
         this.startedAt = clock.now();
         this.hosts = new HostCount(clock);
-        this.state = new ClusterState(clock, logger);
+        this.state = new ClusterState(clock, logger, metrics);
         const { directory } = this.state;
         const ownership = createOwnershipSettings(options.holdMs, settings.bounds.maxHoldMs);
-        this.followers = this.createFollowers();
+        this.followers = createFollowers(this.state, adapters, clock, logger);
         this.lease = new LeaseManager({
             host: settings.host,
             incarnation,
@@ -175,7 +177,7 @@
                 response.end(metrics.print());
             }),
         );
-        this.followers.forEach(follower => follower.start());
+        Object.values(this.followers).forEach(follower => follower.start());
         void this.lease.run();
         this.repeat(TICK_MS, () => this.review());
         this.repeat(REPORT_MS, () => this.sendReport());
@@ -234,7 +236,7 @@
         this.hub.dropUnresponsive();
         this.link.dropUnresponsive();
         const isCoordinating = this.coordinator.isActive;
-        const [configuration, servers, keys] = this.followers;
+        const { configuration, keys, servers } = this.followers;
         for (const follower of [configuration, servers]) {
             setRunning(follower, isCoordinating || !this.isLinked());
         }
@@ -264,6 +266,8 @@
             term: this.lease.term ?? 0,
             storeAgeMs: Math.min(this.lease.storeContactAge, Number.MAX_SAFE_INTEGER),
             hosts: this.hub.size + 1,
+            storeTime: this.state.storeClock.now,
+            completeAt: this.state.getCompleteTimes(),
         };
     }
 
@@ -283,6 +287,9 @@
         else {
             this.storeAge = message.storeAgeMs;
             this.hosts.record(Math.max(1, message.hosts));
+            if (message.storeTime !== undefined) {
+                this.state.storeClock.record(message.storeTime);
+            }
         }
     }
 
@@ -291,29 +298,16 @@
         this.hub.broadcast({ kind: "held", service, ranges });
     }
 
-    private createFollowers(): readonly TableFollower<unknown>[] {
-        const { adapters, clock, logger } = this.parts;
-        const { configuration, keys, servers } = this.state;
-        return [
-            new TableFollower({
-                table: "configuration",
-                source: adapters.configuration,
-                view: configuration,
-                clock,
-                logger,
-            }),
-            new TableFollower({ table: "servers", source: adapters.servers, view: servers, clock, logger }),
-            new TableFollower({ table: "keys", source: adapters.keys, view: keys, clock, logger }),
-        ] as unknown as readonly TableFollower<unknown>[];
-    }
-
     private listen(address: string, app: ReturnType<typeof polka>): void {
         const [host, port] = splitAddress(address);
         app.listen(port, host);
     }
 
     private repeat(period: Milliseconds, action: () => void): void {
-        this.parts.clock.schedule(period, () => {
+        const { clock, metrics } = this.parts;
+        const due = clock.now() + period;
+        clock.schedule(period, () => {
+            metrics.record("arbutusdoor_loop_lag_us", {}, (clock.now() - due) * MICROSECONDS_PER_MS);
             action();
             this.repeat(period, action);
         });
@@ -325,11 +319,11 @@
     return [address.slice(0, colon), Number(address.slice(colon + 1))];
 }
 
-function setRunning(follower: TableFollower<unknown> | undefined, isRunning: boolean): void {
+function setRunning(follower: TableFollower<never>, isRunning: boolean): void {
     if (isRunning) {
-        follower?.start();
+        follower.start();
     }
     else {
-        follower?.stop();
+        follower.stop();
     }
 }
--- a/packages/gateway/src/links/coordinatorMessage.ts
+++ b/packages/gateway/src/links/coordinatorMessage.ts
@@ -11,6 +11,9 @@
         /** Version after which the rows changed; `undefined` when they are the whole table. */
         readonly after: number | undefined;
         readonly asOf: number;
+        /** Store times between which the rows changed; absent in messages of earlier versions. */
+        readonly changedAfter?: Milliseconds;
+        readonly completeAt?: Milliseconds;
         readonly rows: readonly WatchedRow<unknown>[];
     }
     | {
@@ -34,6 +37,10 @@
         readonly storeAgeMs: Milliseconds;
         /** Number of connected hosts, including the coordinator. */
         readonly hosts: number;
+        /** The store's time by the coordinator's estimate; absent when unknown and in messages of earlier versions. */
+        readonly storeTime?: Milliseconds;
+        /** Store time up to which the coordinator knows all changes of each table. */
+        readonly completeAt?: Readonly<Partial<Record<TableName, Milliseconds>>>;
     }
     | {
         readonly kind: "held";
--- a/packages/gateway/src/store/rowsReadOutcome.ts
+++ b/packages/gateway/src/store/rowsReadOutcome.ts
@@ -11,7 +11,7 @@
         readonly rows: readonly WatchedRow<Value>[];
         /** Version of the store at the read. */
         readonly asOf: number;
-        /** Time of the store's monotonic clock at the read. */
+        /** Time of the store's monotonic clock at the read: the rows contain all changes up to then. */
         readonly storeTime: Milliseconds;
     }
     | { readonly kind: "historyLost"; }
--- a/packages/gateway/src/store/tableFollower.ts
+++ b/packages/gateway/src/store/tableFollower.ts
@@ -83,11 +83,12 @@
             logger.log("tableHistoryLost", { table, after });
             return false;
         }
+        const origin = { source: "store", changedAfter: undefined, completeAt: read.storeTime } as const;
         if (isSnapshot) {
-            view.applySnapshot(read.rows, read.asOf);
+            view.applySnapshot(read.rows, read.asOf, origin);
             return true;
         }
-        return view.applyChanges(after, read.rows, read.asOf);
+        return view.applyChanges(after, read.rows, read.asOf, origin);
     }
 
     private getDelay(): Milliseconds {
--- a/packages/gateway/src/store/tableView.ts
+++ b/packages/gateway/src/store/tableView.ts
@@ -1,26 +1,56 @@
+import type { Milliseconds } from "@arbutusdoor/common";
+import type { RowsOrigin } from "./rowsOrigin.js";
+import type { StoreClock } from "./storeClock.js";
 import type { WatchedRow } from "./watchedRow.js";
 
+const UNKNOWN_ORIGIN: RowsOrigin = { source: "store", changedAfter: undefined, completeAt: undefined };
+
+/** Handles the rows of a change. */
+type ChangeListener<Value> = (changed: readonly WatchedRow<Value>[], origin: RowsOrigin) => void;
+
 /** A local copy of one table: the newest version of each row, as of a version of the store. It never goes back in time. */
 export class TableView<Value> {
     private rows = new Map<string, WatchedRow<Value>>();
     private version = -1;
-    private readonly listeners = new Set<(changed: readonly WatchedRow<Value>[]) => void>();
+    private completeAt: Milliseconds | undefined;
+    private readonly storeClock: StoreClock | undefined;
+    private readonly listeners = new Set<ChangeListener<Value>>();
+
+    /** @param storeClock clock by which the ages of rows are determined; without one they are unknown */
+    constructor(storeClock?: StoreClock) {
+        this.storeClock = storeClock;
+    }
 
     /** Version of the store up to which all changes are known; -1 before the first snapshot. */
     get asOf(): number {
         return this.version;
     }
 
+    /** Store time up to which all changes are known; `undefined` before a read stated one. */
+    get completeTime(): Milliseconds | undefined {
+        return this.completeAt;
+    }
+
     /** The rows that are not absent, including unreadable ones, by key. */
     get present(): ReadonlyMap<string, WatchedRow<Value>> {
         return this.rows;
     }
 
+    /** Returns the longest time since the rows of a change were committed; `undefined` when it is not known. */
+    getAge({ changedAfter }: RowsOrigin): Milliseconds | undefined {
+        return changedAfter === undefined ? undefined : this.storeClock?.getAge(changedAfter);
+    }
+
     /** Applies a snapshot of the table. One older than the view is ignored. */
-    applySnapshot(rows: readonly WatchedRow<Value>[], asOf: number): void {
+    applySnapshot(
+        rows: readonly WatchedRow<Value>[],
+        asOf: number,
+        origin: RowsOrigin = UNKNOWN_ORIGIN,
+    ): void {
         if (asOf < this.version) {
             return;
         }
+        const changeOrigin = this.recordOrigin(origin);
         const before = this.rows;
         const newer = [...before.values()].filter(row => row.version > asOf);
         const next = new Map([...rows, ...newer].map(row => [row.key, row]));
@@ -33,14 +63,20 @@
         const isFirst = this.version < 0;
         this.rows = next;
         this.version = asOf;
-        this.notify([...changed, ...removed], isFirst);
+        this.notify([...changed, ...removed], changeOrigin, isFirst);
     }
 
     /** Applies the changes after version `after`. Returns false when earlier changes are missing. */
-    applyChanges(after: number, rows: readonly WatchedRow<Value>[], asOf: number): boolean {
+    applyChanges(
+        after: number,
+        rows: readonly WatchedRow<Value>[],
+        asOf: number,
+        origin: RowsOrigin = UNKNOWN_ORIGIN,
+    ): boolean {
         if (after > this.version || this.version < 0) {
             return false;
         }
+        const changeOrigin = this.recordOrigin(origin);
         const changed = rows.filter(row =>
             row.version > (this.rows.get(row.key)?.version ?? this.getFloor(after))
         );
@@ -53,7 +89,7 @@
             }
         }
         this.version = Math.max(this.version, asOf);
-        this.notify(changed, false);
+        this.notify(changed, changeOrigin, false);
         return true;
     }
 
@@ -61,12 +97,12 @@
     applyRow(row: WatchedRow<Value>): void {
         if (row.version > (this.rows.get(row.key)?.version ?? -1)) {
             this.rows.set(row.key, row);
-            this.notify([row], false);
+            this.notify([row], UNKNOWN_ORIGIN, false);
         }
     }
 
     /** Calls the listener with the rows of each change until the returned function is called. */
-    onChange(listener: (changed: readonly WatchedRow<Value>[]) => void): () => void {
+    onChange(listener: ChangeListener<Value>): () => void {
         this.listeners.add(listener);
         return () => this.listeners.delete(listener);
     }
@@ -76,9 +112,24 @@
         return Math.max(after, this.version);
     }
 
-    private notify(changed: readonly WatchedRow<Value>[], isFirst: boolean): void {
+    /** Records what a read proves. Returns the origin of the rows that it changes: they were not there at an earlier read. */
+    private recordOrigin({ changedAfter, completeAt, source }: RowsOrigin): RowsOrigin {
+        const before = this.completeAt;
+        if (completeAt !== undefined) {
+            this.storeClock?.record(completeAt);
+            this.completeAt = Math.max(completeAt, before ?? -Infinity);
+        }
+        const bounds = [changedAfter, before].filter(time => time !== undefined);
+        return {
+            source,
+            changedAfter: bounds.length > 0 ? Math.max(...bounds) : undefined,
+            completeAt: this.completeAt,
+        };
+    }
+
+    private notify(changed: readonly WatchedRow<Value>[], origin: RowsOrigin, isFirst: boolean): void {
         if (changed.length > 0 || isFirst) {
-            this.listeners.forEach(listener => listener(changed));
+            this.listeners.forEach(listener => listener(changed, origin));
         }
     }
 }
--- a/packages/gateway/tests/clusterState.test.ts
+++ b/packages/gateway/tests/clusterState.test.ts
@@ -1,4 +1,4 @@
-import { Logger, ManualClock, type ServiceId } from "@arbutusdoor/common";
+import { Logger, ManualClock, Metrics, type ServiceId } from "@arbutusdoor/common";
 import { expect, test } from "vitest";
 import { ClusterState } from "../src/host/clusterState.js";
 import type { CoordinatorMessage } from "../src/links/coordinatorMessage.js";
@@ -11,7 +11,7 @@
     const clock = new ManualClock();
     const logger = new Logger(clock, "host", "silent");
     logger.onEvent(event => events.push(event));
-    return new ClusterState(clock, logger);
+    return new ClusterState(clock, logger, new Metrics());
 }
 
 test("a host that starts while partitioned from the store gets the key maps of all services from the coordinator", () => {
