--- /dev/null
+++ b/packages/gateway/tests/support/scriptedRows.ts
@@ -0,0 +1,53 @@
+import type { Clock, Milliseconds } from "@arbutusdoor/common";
+import { RowSource } from "../../src/store/rowSource.js";
+import type { RowsReadOutcome } from "../../src/store/rowsReadOutcome.js";
+import type { WatchedRow } from "../../src/store/watchedRow.js";
+
+/** The store's monotonic clock differs from that of the hosts. */
+const STORE_OFFSET_MS = 1_000_000;
+const POLL_MS = 5;
+
+/** An in-memory table whose answers a host reads late, by a delay that the test sets. */
+export class ScriptedRows<Value> extends RowSource<Value> {
+    private readonly clock: Clock;
+    private readonly getDelay: (answeredAt: Milliseconds) => Milliseconds;
+    private readonly rows = new Map<string, WatchedRow<Value>>();
+    private version = 1;
+
+    constructor(clock: Clock, getDelay: (answeredAt: Milliseconds) => Milliseconds) {
+        super();
+        this.clock = clock;
+        this.getDelay = getDelay;
+    }
+
+    /** Writes a row. */
+    put(key: string, value: Value): void {
+        this.version++;
+        this.rows.set(key, { key, version: this.version, content: { kind: "value", value } });
+    }
+
+    override read(): Promise<RowsReadOutcome<Value>> {
+        return this.answer([...this.rows.values()]);
+    }
+
+    override async watch(after: number, wait: Milliseconds): Promise<RowsReadOutcome<Value>> {
+        const end = this.clock.now() + wait;
+        for (;;) {
+            const changed = [...this.rows.values()].filter(({ version }) => version > after);
+            if (changed.length > 0 || this.clock.now() >= end) {
+                return await this.answer(changed);
+            }
+            await this.clock.sleep(POLL_MS);
+        }
+    }
+
+    private async answer(rows: readonly WatchedRow<Value>[]): Promise<RowsReadOutcome<Value>> {
+        const answeredAt = this.clock.now();
+        const { version: asOf } = this;
+        const delay = this.getDelay(answeredAt);
+        if (delay > 0) {
+            await this.clock.sleep(delay);
+        }
+        return { kind: "rows", rows, asOf, storeTime: answeredAt + STORE_OFFSET_MS };
+    }
+}
