--- /dev/null
+++ b/packages/gateway/tests/support/hostPair.ts
@@ -0,0 +1,155 @@
+import {
+    type DataCentreId,
+    type HostId,
+    type HostIncarnation,
+    Logger,
+    ManualClock,
+    Metrics,
+    type Milliseconds,
+    RandomSource,
+} from "@arbutusdoor/common";
+import { once } from "node:events";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { setTimeout } from "node:timers/promises";
+import type { CallerLimits } from "../../src/configuration/callerLimits.js";
+import type { RoutedConfiguration } from "../../src/configuration/routedConfiguration.js";
+import type { CoordinatorLease } from "../../src/coordination/coordinatorLease.js";
+import type { RegisteredServer } from "../../src/discovery/registeredServer.js";
+import type { GatewayAdapters } from "../../src/host/gatewayAdapters.js";
+import { GatewayHost } from "../../src/host/gatewayHost.js";
+import type { KeyMap } from "../../src/ownership/keyMap.js";
+import { HeldBackends } from "./heldBackends.js";
+import { HostRowTable } from "./hostRowTable.js";
+import { MemoryRowTable } from "./memoryRowTable.js";
+import { ScriptedRows } from "./scriptedRows.js";
+import { SimulatedOrders } from "./simulatedOrders.js";
+
+const STEP_MS = 10;
+/** Real time of each step, in which messages between the hosts arrive. */
+const STEP_REAL_MS = 2;
+const LIMITS: CallerLimits = {
+    headerBytes: 16_384,
+    bodyBytes: 65_536,
+    headerTimeoutMs: 10_000,
+    idleTimeoutMs: 10_000,
+};
+
+/** One of the hosts, with its own faults on the way to the store. */
+type PairedHost = {
+    readonly host: GatewayHost;
+    readonly configuration: ScriptedRows<RoutedConfiguration>;
+    readonly servers: ScriptedRows<RegisteredServer>;
+    readonly leases: HostRowTable<CoordinatorLease>;
+};
+
+/** Two hosts on the loopback network with real links, over a store in memory and on a manual clock. The first one coordinates. */
+export class HostPair {
+    readonly clock = new ManualClock(1_000);
+    readonly hosts: readonly PairedHost[] = [];
+    private readonly leases = new MemoryRowTable<CoordinatorLease>(this.clock);
+    private readonly maps = new MemoryRowTable<KeyMap>(this.clock);
+    private readonly adopted: {
+        readonly host: number;
+        readonly version: number;
+        readonly at: Milliseconds;
+    }[] = [];
+
+    /** Starts both hosts and waits until the second one is linked to the first. */
+    async start(): Promise<void> {
+        const linkPort = await findFreePort();
+        for (const number of [1, 2]) {
+            const hosts = this.hosts as PairedHost[];
+            hosts.push(this.createHost(number, linkPort));
+            hosts.at(-1)!.configuration.put("config", createConfiguration(1));
+            await hosts.at(-1)!.host.start();
+            await this.advance(2_000);
+        }
+    }
+
+    /** Writes a configuration to the store. */
+    configure(version: number): void {
+        this.hosts.forEach(({ configuration }) => configuration.put("config", createConfiguration(version)));
+    }
+
+    /** Returns when a host has adopted a configuration; infinite when it has not. */
+    getAdoption(host: number, version: number): Milliseconds {
+        return this.adopted.find(entry => entry.host === host && entry.version === version)?.at ?? Infinity;
+    }
+
+    async advance(duration: Milliseconds): Promise<void> {
+        const end = this.clock.now() + duration;
+        while (this.clock.now() < end) {
+            this.clock.advance(STEP_MS);
+            await setTimeout(STEP_REAL_MS);
+        }
+    }
+
+    private createHost(number: number, linkPort: number): PairedHost {
+        const { clock } = this;
+        const ip = `127.0.0.${number}`;
+        const logger = new Logger(clock, `host-${number}`, "silent");
+        logger.onEvent((event, fields) => {
+            if (event === "configurationAdopted") {
+                this.adopted.push({ host: number, version: fields["version"] as number, at: clock.now() });
+            }
+        });
+        const configuration = new ScriptedRows<RoutedConfiguration>(clock);
+        const servers = new ScriptedRows<RegisteredServer>(clock);
+        const leases = new HostRowTable(this.leases);
+        const adapters: GatewayAdapters = {
+            configuration,
+            servers,
+            keys: new HostRowTable(this.maps),
+            leases,
+            orders: new SimulatedOrders(clock, () => ({ kind: "unknown", reason: "none" }), () => undefined),
+            backends: new HeldBackends(),
+            callerHeaders: {
+                readRequestHeaders: () => ({ id: undefined, timeoutMs: undefined, key: undefined }),
+                createRetryHeaders: () => ({}),
+            },
+        };
+        const host = new GatewayHost({
+            settings: {
+                host: `host-${number}` as HostId,
+                ip,
+                dataCentre: "north" as DataCentreId,
+                callerAddress: `${ip}:0`,
+                readinessAddress: `${ip}:0`,
+                linkPort,
+                storeAddress: "unused",
+                descriptorLimit: 1_000,
+                memoryBytes: 1e9,
+                bounds: {
+                    drainMs: 2_000,
+                    graceMs: 6_000,
+                    maxHoldMs: 10_000,
+                    retryShare: 0.2,
+                    retryWindowMs: 10_000,
+                    retryAllowance: 50,
+                },
+            },
+            options: { stripeKeys: 128, holdMs: 9_000, metricsPort: 0 },
+            incarnation: `host-${number}-1` as HostIncarnation,
+            clock,
+            random: new RandomSource(number),
+            logger,
+            metrics: new Metrics(),
+            adapters,
+        });
+        return { host, configuration, servers, leases };
+    }
+}
+
+function createConfiguration(version: number): RoutedConfiguration {
+    return { version, routes: [], services: [], limits: LIMITS };
+}
+
+async function findFreePort(): Promise<number> {
+    const server = createServer().listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    server.close();
+    await once(server, "close");
+    return port;
+}
--- a/packages/gateway/tests/support/scriptedRows.ts
+++ b/packages/gateway/tests/support/scriptedRows.ts
@@ -6,15 +6,19 @@
 /** The store's monotonic clock differs from that of the hosts. */
 const STORE_OFFSET_MS = 1_000_000;
 const POLL_MS = 5;
+/** Time beyond its wait after which a watch call without an answer is given up. */
+const WATCH_SLACK_MS = 600;
 
-/** An in-memory table whose answers a host reads late, by a delay that the test sets. */
+/** An in-memory table as one host reads it: answers are read late, by a delay that the test sets, or do not arrive at all. */
 export class ScriptedRows<Value> extends RowSource<Value> {
+    /** Whether calls get no answer, those that wait for one included. */
+    isSilent = false;
     private readonly clock: Clock;
     private readonly getDelay: (answeredAt: Milliseconds) => Milliseconds;
     private readonly rows = new Map<string, WatchedRow<Value>>();
     private version = 1;
 
-    constructor(clock: Clock, getDelay: (answeredAt: Milliseconds) => Milliseconds) {
+    constructor(clock: Clock, getDelay: (answeredAt: Milliseconds) => Milliseconds = () => 0) {
         super();
         this.clock = clock;
         this.getDelay = getDelay;
@@ -34,9 +38,12 @@
         const end = this.clock.now() + wait;
         for (;;) {
             const changed = [...this.rows.values()].filter(({ version }) => version > after);
-            if (changed.length > 0 || this.clock.now() >= end) {
+            if (!this.isSilent && (changed.length > 0 || this.clock.now() >= end)) {
                 return await this.answer(changed);
             }
+            if (this.clock.now() >= end + WATCH_SLACK_MS) {
+                return { kind: "unavailable", reason: "no answer" };
+            }
             await this.clock.sleep(POLL_MS);
         }
     }
