The limit of a leaving server is counted from when its leave can have been committed

Cause: hosts stop sending to a leaving server 1,700 ms after they learn of the leave. The requests themselves reached the servers 11 to 14 ms after they were sent, so no queue held them.

Change: a table's view knows the store time up to which it is complete, from the store's answers or the coordinator's heartbeats. A change was committed after that of the read before, wherever it was delayed since; the limit is counted from there. An entry that is missing after an outage of the store may only have expired, so it is counted from the read, as before. The coordinator's watch calls wait 500 ms instead of 2,500, other hosts' 1,000, since the wait is what the bound can be too early by.

Result: lateNews.test.ts failed with up to 2,590 ms (1,700 are allowed) and passes.

--- a/packages/gateway/src/discovery/serverDirectory.ts
+++ b/packages/gateway/src/discovery/serverDirectory.ts
@@ -1,5 +1,6 @@
 import type { Clock, Milliseconds, ServerId, ServiceId } from "@arbutusdoor/common";
 import type { KeyHolder } from "../ownership/keyHolder.js";
+import type { RowsOrigin } from "../store/rowsOrigin.js";
 import type { TableView } from "../store/tableView.js";
 import type { WatchedRow } from "../store/watchedRow.js";
 import type { RegisteredServer } from "./registeredServer.js";
@@ -7,7 +8,13 @@
 const MAX_SERVERS = 4_096;
 
 /** A server that announced its shutdown or whose entry is gone. */
-type Departure = { readonly server: RegisteredServer; readonly since: Milliseconds; };
+type Departure = {
+    readonly server: RegisteredServer;
+    /** When this host learned of it. */
+    readonly knownSince: Milliseconds;
+    /** Earliest time at which it can have been committed to the registry. */
+    readonly since: Milliseconds;
+};
 
 /** The backend servers in the platform's registry, and those that left recently. */
 export class ServerDirectory {
@@ -21,7 +28,7 @@
     constructor(view: TableView<RegisteredServer>, clock: Clock) {
         this.view = view;
         this.clock = clock;
-        view.onChange(changed => this.handleChanges(changed));
+        view.onChange((changed, origin) => this.handleChanges(changed, origin));
     }
 
     /** Whether the registry has been read at all. */
@@ -54,6 +61,15 @@
 
     /** Returns the time since this host learned that the server is leaving or gone; `undefined` while it is neither. */
     getLeavingTime(id: ServerId): Milliseconds | undefined {
+        const departure = this.departures.get(id);
+        return departure && this.clock.now() - departure.knownSince;
+    }
+
+    /**
+     * Returns the longest time since it was committed to the registry that the server is leaving or gone; `undefined` while it is neither. An
+     * entry that was found missing after an outage of the store may only have expired: its time is counted from the read.
+     */
+    getMaxLeavingTime(id: ServerId): Milliseconds | undefined {
         const departure = this.departures.get(id);
         return departure && this.clock.now() - departure.since;
     }
@@ -68,7 +84,8 @@
         return this.view.present.get(id)?.content.kind !== "value";
     }
 
-    private handleChanges(changed: readonly WatchedRow<RegisteredServer>[]): void {
+    private handleChanges(changed: readonly WatchedRow<RegisteredServer>[], origin: RowsOrigin): void {
+        const age = this.view.getAge(origin) ?? 0;
         for (const { content, key } of changed) {
             const id = key as ServerId;
             const server = content.kind === "value" ? content.value : undefined;
@@ -76,7 +93,8 @@
                 this.recordServer(server);
             }
             if (!server || server.isDraining) {
-                this.recordDeparture(id, server ?? this.seen.get(id));
+                const isExpired = !server && origin.isAfterOutage;
+                this.recordDeparture(id, server ?? this.seen.get(id), isExpired ? 0 : age);
             }
             else {
                 this.departures.delete(id);
@@ -99,9 +117,10 @@
         }
     }
 
-    private recordDeparture(id: ServerId, server: RegisteredServer | undefined): void {
+    private recordDeparture(id: ServerId, server: RegisteredServer | undefined, age: Milliseconds): void {
         if (server && !this.departures.has(id)) {
-            this.departures.set(id, { server, since: this.clock.now() });
+            const now = this.clock.now();
+            this.departures.set(id, { server, knownSince: now, since: now - age });
             forgetOldest(this.departures, () => true);
         }
     }
--- a/packages/gateway/src/host/clusterState.ts
+++ b/packages/gateway/src/host/clusterState.ts
@@ -73,19 +73,32 @@
 
     /** Applies rows from the coordinator. */
     handleRows(
-        { after, asOf, changedAfter, completeAt, rows, table }: Extract<
+        { after, asOf, changedAfter, completeAt, isAfterOutage = false, rows, table }: Extract<
             CoordinatorMessage,
             { kind: "rows"; }
         >,
     ): void {
         const view = this.getView(table);
         const typed = rows as readonly WatchedRow<never>[];
-        const origin = { source: "coordinator", changedAfter, completeAt } as const;
+        const origin: RowsOrigin = { source: "coordinator", changedAfter, completeAt, isAfterOutage };
         if (after === undefined || !view.applyChanges(after, typed, asOf, origin)) {
             view.applySnapshot(typed, asOf, origin);
         }
     }
 
+    /** Records what a heartbeat of the coordinator, which follows its rows on the link, says about their completeness. */
+    handleHeartbeat({ completeAt = {}, storeTime }: Extract<CoordinatorMessage, { kind: "beat"; }>): void {
+        if (storeTime !== undefined) {
+            this.storeClock.record(storeTime);
+        }
+        for (const table of TABLES) {
+            const time = completeAt[table];
+            if (time !== undefined) {
+                this.getView(table).recordComplete(time);
+            }
+        }
+    }
+
     /** Applies a key map or its changes from the coordinator. Returns false when earlier changes are missing. */
     handleKeys({ after, fence, map, ranges, service, term, version }: KeysMessage): boolean {
         const known = this.keys.present.get(service);
@@ -129,8 +142,17 @@
     onChange(listener: (message: CoordinatorMessage) => void): void {
         for (const table of TABLES) {
             const view = this.getView(table);
-            view.onChange((rows, { changedAfter, completeAt }) =>
-                listener({ kind: "rows", table, after: -1, asOf: view.asOf, changedAfter, completeAt, rows })
+            view.onChange((rows, { changedAfter, completeAt, isAfterOutage }) =>
+                listener({
+                    kind: "rows",
+                    table,
+                    after: -1,
+                    asOf: view.asOf,
+                    changedAfter,
+                    completeAt,
+                    isAfterOutage,
+                    rows,
+                })
             );
         }
         const sent = new Map<string, { readonly version: number; readonly map: KeyMap; }>();
--- a/packages/gateway/src/host/createFollowers.ts
+++ b/packages/gateway/src/host/createFollowers.ts
@@ -3,6 +3,11 @@
 import type { ClusterState } from "./clusterState.js";
 import type { GatewayAdapters } from "./gatewayAdapters.js";
 
+/** All hosts learn of changes through the coordinator's reads, so that it repeats them often. */
+const COORDINATOR_WAIT_MS = 500;
+/** A hung call, which is given up 600 ms later, delays a change by less than 2 s. */
+const HOST_WAIT_MS = 1_000;
+
 /** Followers of the store's tables, by table. */
 type Followers = Readonly<Record<"configuration" | "servers" | "keys", TableFollower<never>>>;
 
@@ -12,8 +17,10 @@
     adapters: GatewayAdapters,
     clock: Clock,
     logger: Logger,
+    isCoordinating: () => boolean,
 ): Followers {
-    const parts = { clock, logger };
+    const getWait = () => isCoordinating() ? COORDINATOR_WAIT_MS : HOST_WAIT_MS;
+    const parts = { clock, logger, getWait };
     return {
         configuration: new TableFollower({
             ...parts,
--- a/packages/gateway/src/host/gatewayHost.ts
+++ b/packages/gateway/src/host/gatewayHost.ts
@@ -86,7 +86,13 @@
         this.state = new ClusterState(clock, logger, metrics);
         const { directory } = this.state;
         const ownership = createOwnershipSettings(options.holdMs, settings.bounds.maxHoldMs);
-        this.followers = createFollowers(this.state, adapters, clock, logger);
+        this.followers = createFollowers(
+            this.state,
+            adapters,
+            clock,
+            logger,
+            () => this.coordinator.isActive,
+        );
         this.lease = new LeaseManager({
             host: settings.host,
             incarnation,
@@ -287,9 +293,7 @@
         else {
             this.storeAge = message.storeAgeMs;
             this.hosts.record(Math.max(1, message.hosts));
-            if (message.storeTime !== undefined) {
-                this.state.storeClock.record(message.storeTime);
-            }
+            this.state.handleHeartbeat(message);
         }
     }
 
--- a/packages/gateway/src/links/coordinatorMessage.ts
+++ b/packages/gateway/src/links/coordinatorMessage.ts
@@ -14,6 +14,8 @@
         /** Store times between which the rows changed; absent in messages of earlier versions. */
         readonly changedAfter?: Milliseconds;
         readonly completeAt?: Milliseconds;
+        /** Whether the coordinator's reads of the table failed before. */
+        readonly isAfterOutage?: boolean;
         readonly rows: readonly WatchedRow<unknown>[];
     }
     | {
--- a/packages/gateway/src/routing/keyRouting.ts
+++ b/packages/gateway/src/routing/keyRouting.ts
@@ -84,7 +84,7 @@
             return { kind: "moving" };
         }
         const server = this.directory.find(range.owner);
-        const leavingMs = this.directory.getLeavingTime(range.owner.id);
+        const leavingMs = this.directory.getMaxLeavingTime(range.owner.id);
         if (!server || (leavingMs !== undefined && leavingMs >= this.getDrainMs())) {
             return { kind: "moving" };
         }
--- a/packages/gateway/src/store/rowsOrigin.ts
+++ b/packages/gateway/src/store/rowsOrigin.ts
@@ -7,4 +7,6 @@
     readonly changedAfter: Milliseconds | undefined;
     /** All changes up to this time are known; `undefined` when that is not known. */
     readonly completeAt: Milliseconds | undefined;
+    /** Whether reads of the table failed before this one: entries may have expired because the store was unavailable. */
+    readonly isAfterOutage: boolean;
 };
--- a/packages/gateway/src/store/tableFollower.ts
+++ b/packages/gateway/src/store/tableFollower.ts
@@ -1,10 +1,9 @@
 import type { Clock, Logger, Milliseconds } from "@arbutusdoor/common";
+import type { RowsOrigin } from "./rowsOrigin.js";
 import type { RowSource } from "./rowSource.js";
 import type { RowsReadOutcome } from "./rowsReadOutcome.js";
 import type { TableView } from "./tableView.js";
 
-/** Timeout of one watch call; limits how long an unresponsive connection stays undetected while changes come from nowhere else. */
-const WATCH_WAIT_MS = 2_500;
 /** First delay after a failed call; doubles up to the longest, which is within the limit for applying changes. */
 const MIN_DELAY_MS = 50;
 const MAX_DELAY_MS = 400;
@@ -16,6 +15,11 @@
     readonly view: TableView<Value>;
     readonly clock: Clock;
     readonly logger: Logger;
+    /**
+     * Returns how long a watch call waits for a change. It limits how long an unresponsive connection stays undetected, and how much earlier
+     * than it was read a change can have been committed.
+     */
+    readonly getWait: () => Milliseconds;
 };
 
 /** Keeps a view of a table up to date from the store: reads a snapshot, then makes one watch call after the other. */
@@ -53,7 +57,7 @@
             const { asOf } = this.parts.view;
             const read = needsSnapshot
                 ? await this.parts.source.read()
-                : await this.parts.source.watch(asOf, WATCH_WAIT_MS, signal);
+                : await this.parts.source.watch(asOf, this.parts.getWait(), signal);
             if (signal.aborted) {
                 return;
             }
@@ -75,7 +79,8 @@
             this.failures++;
             return true;
         }
-        if (this.failures > 0) {
+        const isAfterOutage = this.failures > 0;
+        if (isAfterOutage) {
             logger.log("tableRecovered", { table, failures: this.failures, at: Math.round(clock.now()) });
             this.failures = 0;
         }
@@ -83,7 +88,12 @@
             logger.log("tableHistoryLost", { table, after });
             return false;
         }
-        const origin = { source: "store", changedAfter: undefined, completeAt: read.storeTime } as const;
+        const origin: RowsOrigin = {
+            source: "store",
+            changedAfter: undefined,
+            completeAt: read.storeTime,
+            isAfterOutage,
+        };
         if (isSnapshot) {
             view.applySnapshot(read.rows, read.asOf, origin);
             return true;
--- a/packages/gateway/src/store/tableView.ts
+++ b/packages/gateway/src/store/tableView.ts
@@ -3,7 +3,12 @@
 import type { StoreClock } from "./storeClock.js";
 import type { WatchedRow } from "./watchedRow.js";
 
-const UNKNOWN_ORIGIN: RowsOrigin = { source: "store", changedAfter: undefined, completeAt: undefined };
+const UNKNOWN_ORIGIN: RowsOrigin = {
+    source: "store",
+    changedAfter: undefined,
+    completeAt: undefined,
+    isAfterOutage: false,
+};
 
 /** Handles the rows of a change. */
 type ChangeListener<Value> = (changed: readonly WatchedRow<Value>[], origin: RowsOrigin) => void;
@@ -101,6 +106,13 @@
         }
     }
 
+    /** Records that the view contains all changes up to a store time. */
+    recordComplete(completeAt: Milliseconds): void {
+        if (this.version >= 0) {
+            this.completeAt = Math.max(completeAt, this.completeAt ?? -Infinity);
+        }
+    }
+
     /** Calls the listener with the rows of each change until the returned function is called. */
     onChange(listener: ChangeListener<Value>): () => void {
         this.listeners.add(listener);
@@ -113,7 +125,8 @@
     }
 
     /** Records what a read proves. Returns the origin of the rows that it changes: they were not there at an earlier read. */
-    private recordOrigin({ changedAfter, completeAt, source }: RowsOrigin): RowsOrigin {
+    private recordOrigin(origin: RowsOrigin): RowsOrigin {
+        const { changedAfter, completeAt } = origin;
         const before = this.completeAt;
         if (completeAt !== undefined) {
             this.storeClock?.record(completeAt);
@@ -121,7 +134,7 @@
         }
         const bounds = [changedAfter, before].filter(time => time !== undefined);
         return {
-            source,
+            ...origin,
             changedAfter: bounds.length > 0 ? Math.max(...bounds) : undefined,
             completeAt: this.completeAt,
         };
--- a/packages/gateway/tests/lateNews.test.ts
+++ b/packages/gateway/tests/lateNews.test.ts
@@ -14,6 +14,7 @@
 const LIMIT_MS = 1_700;
 const LEAVES_AT_MS = 2_000;
 const STEP_MS = 10;
+const WAIT_MS = 500;
 
 const READY = createRegisteredServer("a");
 const LEAVING = createRegisteredServer("a", { isDraining: true });
@@ -40,17 +41,21 @@
     }
     clock.schedule(LEAVES_AT_MS, () => source.put("a", LEAVING));
     const logger = new Logger(clock, "host", "silent");
-    new TableFollower({ table: "servers", source, view: state.servers, clock, logger }).start();
+    new TableFollower({
+        table: "servers",
+        source,
+        view: state.servers,
+        clock,
+        logger,
+        getWait: () => WAIT_MS,
+    }).start();
 }
 
 /** Advances the clock step by step and returns the last time at which a request for a key went to server `a`. */
 async function findLastUse(clock: ManualClock, keys: KeyRouting): Promise<Milliseconds> {
     let lastUse = -Infinity;
     while (clock.now() < LEAVES_AT_MS + 4_000) {
-        clock.advance(STEP_MS);
-        for (let turn = 0; turn < 20; turn++) {
-            await Promise.resolve();
-        }
+        await advance(clock, STEP_MS);
         if (keys.find(SERVICE, 7).kind === "owner") {
             lastUse = clock.now();
         }
@@ -93,3 +98,37 @@
         expect(lastUse).toBeGreaterThan(LEAVES_AT_MS);
     },
 );
+
+test("a server whose entry expired during an outage of the store gets requests until the limit after the outage", async () => {
+    const clock = new ManualClock();
+    const { keys, state } = createHost(clock);
+    const source = new ScriptedRows<RegisteredServer>(clock);
+    source.put("a", READY);
+    const logger = new Logger(clock, "host", "silent");
+    new TableFollower({
+        table: "servers",
+        source,
+        view: state.servers,
+        clock,
+        logger,
+        getWait: () => WAIT_MS,
+    }).start();
+    await advance(clock, 1_000);
+    source.isDown = true;
+    await advance(clock, 6_000);
+    source.remove("a");
+    source.isDown = false;
+    await advance(clock, 1_000);
+    expect(keys.find(SERVICE, 7).kind).toBe("owner");
+    await advance(clock, 1_500);
+    expect(keys.find(SERVICE, 7).kind).toBe("moving");
+});
+
+async function advance(clock: ManualClock, duration: Milliseconds): Promise<void> {
+    for (let elapsed = 0; elapsed < duration; elapsed += STEP_MS) {
+        clock.advance(STEP_MS);
+        for (let turn = 0; turn < 20; turn++) {
+            await Promise.resolve();
+        }
+    }
+}
--- a/packages/gateway/tests/support/scriptedRows.ts
+++ b/packages/gateway/tests/support/scriptedRows.ts
@@ -11,6 +11,8 @@
 
 /** An in-memory table as one host reads it: answers are read late, by a delay that the test sets, or do not arrive at all. */
 export class ScriptedRows<Value> extends RowSource<Value> {
+    /** Whether calls fail at once. */
+    isDown = false;
     /** Whether calls get no answer, those that wait for one included. */
     isSilent = false;
     private readonly clock: Clock;
@@ -30,13 +32,22 @@
         this.rows.set(key, { key, version: this.version, content: { kind: "value", value } });
     }
 
+    /** Removes a row. */
+    remove(key: string): void {
+        this.version++;
+        this.rows.set(key, { key, version: this.version, content: { kind: "absent" } });
+    }
+
     override read(): Promise<RowsReadOutcome<Value>> {
-        return this.answer([...this.rows.values()]);
+        return this.answer([...this.rows.values()].filter(({ content }) => content.kind !== "absent"));
     }
 
     override async watch(after: number, wait: Milliseconds): Promise<RowsReadOutcome<Value>> {
         const end = this.clock.now() + wait;
         for (;;) {
+            if (this.isDown) {
+                return { kind: "unavailable", reason: "down" };
+            }
             const changed = [...this.rows.values()].filter(({ version }) => version > after);
             if (!this.isSilent && (changed.length > 0 || this.clock.now() >= end)) {
                 return await this.answer(changed);
