A coordinator whose reads of a table are old does not count as up to date

Cause: hosts follow the coordinator instead of the store while its heartbeats come and say that its lease was renewed lately. Renewals are writes over other connections: they say nothing about its reads, which can hang (a watch call was given up after 3.1 s, and again) or be read late by a host without processor time.

Change: heartbeats say up to which store time the coordinator knows each table. A host reads the store itself as soon as that is older than the time for changes to take effect less 800 ms.

--- a/packages/gateway/src/host/gatewayHost.ts
+++ b/packages/gateway/src/host/gatewayHost.ts
@@ -13,6 +13,7 @@
 import type { CoordinatorLease } from "../coordination/coordinatorLease.js";
 import { LeaseManager } from "../coordination/leaseManager.js";
 import type { Predecessor } from "../coordination/predecessor.js";
+import { CoordinatorCurrency } from "../links/coordinatorCurrency.js";
 import { CoordinatorHub } from "../links/coordinatorHub.js";
 import { CoordinatorLink } from "../links/coordinatorLink.js";
 import type { CoordinatorMessage } from "../links/coordinatorMessage.js";
@@ -30,13 +31,14 @@
 import type { GatewayAdapters } from "./gatewayAdapters.js";
 import type { GatewayOptions } from "./gatewayOptions.js";
 import { REBALANCE } from "./rebalance.js";
+import { splitAddress } from "./splitAddress.js";
 
 const MICROSECONDS_PER_MS = 1_000;
 const TICK_MS = 100;
 const REPORT_MS = 200;
 const HEARTBEAT_MS = 300;
-/** A coordinator without contact to the store for longer may miss changes: each host then follows the store itself. */
-const STORE_AGE_LIMIT_MS = 1_500;
+/** Part of the time in which changes have to take effect that is left to a host that has to read the store itself. */
+const FALLBACK_MS = 800;
 const LINK_TIMEOUT_MS = 500;
 /** The load balancer stops sending connections after two failed readiness checks, a second apart. */
 const LISTEN_AFTER_STOP_MS = 2_500;
@@ -74,7 +76,7 @@
     private readonly keys: KeyRouting;
     private readonly startedAt: Milliseconds;
     private readonly hosts: HostCount;
-    private storeAge: Milliseconds = Infinity;
+    private readonly currency: CoordinatorCurrency;
     private isStopping = false;
 
     constructor(parts: GatewayParts) {
@@ -85,6 +87,10 @@
         this.hosts = new HostCount(clock);
         this.state = new ClusterState(clock, logger, metrics);
         const { directory } = this.state;
+        this.currency = new CoordinatorCurrency(this.state.storeClock, () => {
+            const { applyMs, drainMs } = this.settings.bounds;
+            return Math.min(applyMs, drainMs) - FALLBACK_MS;
+        });
         const ownership = createOwnershipSettings(options.holdMs, settings.bounds.maxHoldMs);
         this.followers = createFollowers(
             this.state,
@@ -219,9 +225,9 @@
             && hasKeys;
     }
 
-    /** Whether a coordinator with recent contact to the store sends this host all changes. */
+    /** Whether an up-to-date coordinator sends this host all changes. */
     private isLinked(): boolean {
-        return this.link.isResponsive && this.storeAge < STORE_AGE_LIMIT_MS;
+        return this.link.isResponsive && this.currency.isCurrent;
     }
 
     private becomeCoordinator(term: number, predecessors: readonly Predecessor[]): void {
@@ -291,7 +297,7 @@
             this.keys.recordHeld(message.service as ServiceId, message.ranges);
         }
         else {
-            this.storeAge = message.storeAgeMs;
+            this.currency.handleHeartbeat(message);
             this.hosts.record(Math.max(1, message.hosts));
             this.state.handleHeartbeat(message);
         }
@@ -318,11 +324,6 @@
     }
 }
 
-function splitAddress(address: string): [host: string, port: number] {
-    const colon = address.lastIndexOf(":");
-    return [address.slice(0, colon), Number(address.slice(colon + 1))];
-}
-
 function setRunning(follower: TableFollower<never>, isRunning: boolean): void {
     if (isRunning) {
         follower.start();
--- a/packages/gateway/src/settings/hostSettings.ts
+++ b/packages/gateway/src/settings/hostSettings.ts
@@ -18,6 +18,8 @@
     readonly bounds: {
         /** Time after the store's acknowledgement by which a leaving server must get no more requests. */
         readonly drainMs: Milliseconds;
+        /** Time after the store's acknowledgement by which a configuration must be in effect. */
+        readonly applyMs: Milliseconds;
         /** Time between SIGTERM and SIGKILL. */
         readonly graceMs: Milliseconds;
         /** Longest duration of a grant that servers accept. */
--- a/packages/gateway/tests/support/hostPair.ts
+++ b/packages/gateway/tests/support/hostPair.ts
@@ -122,6 +122,7 @@
                 memoryBytes: 1e9,
                 bounds: {
                     drainMs: 2_000,
+                    applyMs: 2_000,
                     graceMs: 6_000,
                     maxHoldMs: 10_000,
                     retryShare: 0.2,
