A request that waits for a connection is not sent to a server that has left meanwhile

Cause: the limit was checked where the owner is chosen, not where the request is sent; pooled requests were not checked again at all.

Change: ServerAdmission decides whether a server may get a request now. It is asked when a request is routed and again when it gets its connection; one that is withheld has not left this host, so the next attempt counts as no retry.

--- a/packages/clients/src/http/httpExchange.ts
+++ b/packages/clients/src/http/httpExchange.ts
@@ -25,6 +25,7 @@
     private body: AnswerBody | undefined;
     private isSettled = false;
     private isEnded = false;
+    private isWithheld = false;
 
     private constructor(request: HttpRequest, clock: Clock, resolve: (outcome: HttpOutcome) => void) {
         this.request = request;
@@ -45,6 +46,13 @@
             controller.abort(new Error("the request has ended or was sent before"));
             return;
         }
+        if (this.request.maySend?.() === false) {
+            this.isWithheld = true;
+            const error = new Error("the request was not to be sent any more");
+            this.fail(error.message, false, error);
+            controller.abort(error);
+            return;
+        }
         this.controller = controller;
     }
 
@@ -129,7 +137,13 @@
         this.settle(
             this.controller
                 ? { kind: "lost", isCancelled, reason }
-                : { kind: "notSent", isCancelled, isRefused: isRefused(error), reason },
+                : {
+                    kind: "notSent",
+                    isCancelled,
+                    isRefused: isRefused(error),
+                    isWithheld: this.isWithheld,
+                    reason,
+                },
         );
         this.body?.fail(error instanceof Error ? error : new Error(reason));
     }
--- a/packages/clients/src/http/httpOutcome.ts
+++ b/packages/clients/src/http/httpOutcome.ts
@@ -18,6 +18,8 @@
         readonly isCancelled: boolean;
         /** Whether the connection was refused because nothing listens at the port. */
         readonly isRefused: boolean;
+        /** Whether the request was not to be sent any more when it got its connection. */
+        readonly isWithheld: boolean;
         readonly reason: string;
     }
     | { readonly kind: "lost"; readonly isCancelled: boolean; readonly reason: string; };
--- a/packages/clients/src/http/httpRequest.ts
+++ b/packages/clients/src/http/httpRequest.ts
@@ -13,4 +13,6 @@
     readonly isMatchingAnswer?: (status: number, headers: HeaderFields) => boolean;
     /** Aborts the exchange at any point; an answer body in progress then ends with an error. */
     readonly signal?: AbortSignal;
+    /** Whether the request may still be sent; asked when it gets its connection. */
+    readonly maySend?: () => boolean;
 };
--- a/packages/gateway/src/backends/backendAttempt.ts
+++ b/packages/gateway/src/backends/backendAttempt.ts
@@ -15,4 +15,6 @@
     readonly timeLeft: Milliseconds;
     /** Aborts the request: its connection is closed, which tells the server to stop. */
     readonly signal: AbortSignal;
+    /** Whether the request may still be sent; asked when it gets its connection. */
+    readonly maySend?: () => boolean;
 };
--- a/packages/gateway/src/backends/backendOutcome.ts
+++ b/packages/gateway/src/backends/backendOutcome.ts
@@ -5,6 +5,8 @@
 type NotRunCause =
     /** No connection could be opened. */
     | "unreachable"
+    /** It was not to be sent any more when it got its connection. */
+    | "withheld"
     /** The server has no capacity, or the deadline passed in its queue. */
     | "shed"
     /** The server does not hold the key of the request, or another server has its address. */
--- a/packages/gateway/src/host/createCallerPort.ts
+++ b/packages/gateway/src/host/createCallerPort.ts
@@ -6,6 +6,7 @@
 import type { KeyRouting } from "../routing/keyRouting.js";
 import type { LoadReporter } from "../routing/loadReporter.js";
 import { PoolRouting } from "../routing/poolRouting.js";
+import type { ServerAdmission } from "../routing/serverAdmission.js";
 import { SharedRetryBudget } from "../routing/sharedRetryBudget.js";
 import type { HostSettings } from "../settings/hostSettings.js";
 import type { ClusterState } from "./clusterState.js";
@@ -24,6 +25,7 @@
     readonly adapters: GatewayAdapters;
     readonly state: ClusterState;
     readonly keys: KeyRouting;
+    readonly admission: ServerAdmission;
     readonly loads: LoadReporter;
     /** Number of hosts that share the servers' connections and the retry budget. */
     readonly hosts: HostCount;
@@ -31,7 +33,8 @@
 
 /** Creates the caller port with everything that routes its requests. */
 export function createCallerPort(parts: CallerPortParts): CallerPort {
-    const { adapters, clock, getSettings, hosts, keys, state, loads, logger, metrics, random } = parts;
+    const { adapters, admission, clock, getSettings, hosts, keys, state, loads, logger, metrics, random } =
+        parts;
     const getBudgetBounds = () => {
         const { retryAllowance, retryShare, retryWindowMs } = getSettings().bounds;
         return { share: retryShare, windowMs: retryWindowMs, allowance: retryAllowance };
@@ -47,7 +50,17 @@
         getHosts: () => hosts.recentMax ?? DEFAULT_HOSTS,
     });
     const { backends, callerHeaders } = adapters;
-    const router = new RequestRouter({ clock, logger, metrics, backends, keys, pools, budget, loads });
+    const router = new RequestRouter({
+        clock,
+        logger,
+        metrics,
+        backends,
+        keys,
+        pools,
+        admission,
+        budget,
+        loads,
+    });
     const rotation = new TargetRotation();
     return new CallerPort({
         clock,
--- a/packages/gateway/src/host/gatewayHost.ts
+++ b/packages/gateway/src/host/gatewayHost.ts
@@ -22,8 +22,8 @@
 import type { CallerPort } from "../requests/callerPort.js";
 import { KeyRouting } from "../routing/keyRouting.js";
 import { LoadReporter } from "../routing/loadReporter.js";
+import { ServerAdmission } from "../routing/serverAdmission.js";
 import type { HostSettings } from "../settings/hostSettings.js";
-import type { TableFollower } from "../store/tableFollower.js";
 import { ClusterState } from "./clusterState.js";
 import { createCallerPort } from "./createCallerPort.js";
 import { createFollowers } from "./createFollowers.js";
@@ -31,6 +31,7 @@
 import type { GatewayAdapters } from "./gatewayAdapters.js";
 import type { GatewayOptions } from "./gatewayOptions.js";
 import { REBALANCE } from "./rebalance.js";
+import { setRunning } from "./setRunning.js";
 import { splitAddress } from "./splitAddress.js";
 
 const MICROSECONDS_PER_MS = 1_000;
@@ -46,7 +47,7 @@
 const STOP_MARGIN_MS = 300;
 /** A host without a key map is ready after this time nevertheless, as it can serve pooled services. */
 const READY_WITHOUT_KEYS_MS = 4_000;
-/** A leaving server gets requests for the keys that it still holds until this long before the limit. */
+/** A leaving server gets requests until this long before the limit. */
 const DRAIN_MARGIN_MS = 300;
 
 /** Dependencies of a host. */
@@ -114,12 +115,11 @@
             onOtherCoordinator: lease => this.followCoordinator(lease),
         });
         this.loads = new LoadReporter(settings.host, incarnation);
-        this.keys = new KeyRouting(
-            this.state.keys,
+        const admission = new ServerAdmission(
             directory,
-            clock,
             () => this.settings.bounds.drainMs - DRAIN_MARGIN_MS,
         );
+        this.keys = new KeyRouting(this.state.keys, directory, clock, admission);
         this.coordinator = new KeyCoordinator({
             clock,
             logger,
@@ -159,6 +159,7 @@
             getSettings: () => this.settings,
             state: this.state,
             keys: this.keys,
+            admission,
             loads: this.loads,
             hosts: this.hosts,
         });
@@ -323,12 +324,3 @@
         });
     }
 }
-
-function setRunning(follower: TableFollower<never>, isRunning: boolean): void {
-    if (isRunning) {
-        follower.start();
-    }
-    else {
-        follower.stop();
-    }
-}
--- a/packages/gateway/src/requests/requestRouter.ts
+++ b/packages/gateway/src/requests/requestRouter.ts
@@ -5,11 +5,13 @@
 import type { KeyRouting } from "../routing/keyRouting.js";
 import type { LoadReporter } from "../routing/loadReporter.js";
 import type { PoolRouting } from "../routing/poolRouting.js";
+import type { ServerAdmission } from "../routing/serverAdmission.js";
 import type { SharedRetryBudget } from "../routing/sharedRetryBudget.js";
 import { destroyOverdueBody } from "./destroyOverdueBody.js";
 import type { ForwardableAnswer } from "./forwardableAnswer.js";
 import type { GatewayReply } from "./gatewayReply.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
+import { getSentBody } from "./getSentBody.js";
 import { readAnswer } from "./readAnswer.js";
 import type { RequestState } from "./requestState.js";
 import type { UnusableAnswer } from "./unusableAnswer.js";
@@ -37,6 +39,7 @@
     readonly backends: BackendClient;
     readonly keys: KeyRouting;
     readonly pools: PoolRouting;
+    readonly admission: ServerAdmission;
     readonly budget: SharedRetryBudget;
     readonly loads: LoadReporter;
 };
@@ -101,7 +104,7 @@
         server: RegisteredServer,
         timeLeft: Milliseconds,
     ): Promise<GatewayReply | undefined> {
-        const { backends, clock, loads, metrics } = this.parts;
+        const { admission, backends, clock, loads, metrics } = this.parts;
         const { request } = state;
         const sentAt = clock.now();
         const limit = this.getAttemptLimit(request, timeLeft);
@@ -117,9 +120,10 @@
             method: request.method,
             path: request.path,
             headers: request.headers,
-            body: getBody(request),
+            body: getSentBody(request.body),
             timeLeft,
             signal,
+            maySend: () => admission.mayReceive(server),
         });
         const answer = outcome.kind === "answered"
             ? await readAnswer(outcome, request.method)
@@ -181,6 +185,10 @@
             if (outcome.cause === "misdirected" && request.key !== undefined) {
                 loads.recordMisdirected(request.service.id, request.key);
             }
+            if (outcome.cause === "withheld") {
+                // It has not left this host, so another attempt is no retry.
+                state.sends--;
+            }
             this.saveFailure(state, server, outcome.cause, outcome.detail);
             return undefined;
         }
@@ -319,13 +327,6 @@
     }
 }
 
-function getBody({ body }: GatewayRequest) {
-    if (body.kind === "none") {
-        return undefined;
-    }
-    return body.kind === "whole" ? body.bytes : body.stream;
-}
-
 function createAnswer({ body, headers, status }: ForwardableAnswer): GatewayReply {
     return { kind: "answer", status, headers, body };
 }
--- a/packages/gateway/src/routing/keyRouting.ts
+++ b/packages/gateway/src/routing/keyRouting.ts
@@ -5,6 +5,7 @@
 import type { KeyMap } from "../ownership/keyMap.js";
 import type { OwnedRange } from "../ownership/ownedRange.js";
 import type { TableView } from "../store/tableView.js";
+import type { ServerAdmission } from "./serverAdmission.js";
 
 /** A new owner gets requests after this time even if it has not been confirmed: the confirmation is lost if the coordinator fails. */
 const PRESUMED_HELD_MS = 1_500;
@@ -41,21 +42,20 @@
     private readonly view: TableView<KeyMap>;
     private readonly directory: ServerDirectory;
     private readonly clock: Clock;
-    private readonly getDrainMs: () => Milliseconds;
+    private readonly admission: ServerAdmission;
     private readonly services = new Map<ServiceId, RoutedKeys>();
     private readonly waiting = new Set<() => void>();
 
-    /** @param getDrainMs how long a leaving server may still get requests for the keys that it holds */
     constructor(
         view: TableView<KeyMap>,
         directory: ServerDirectory,
         clock: Clock,
-        getDrainMs: () => Milliseconds,
+        admission: ServerAdmission,
     ) {
         this.view = view;
         this.directory = directory;
         this.clock = clock;
-        this.getDrainMs = getDrainMs;
+        this.admission = admission;
         view.onChange(changed => {
             for (const { content, key } of changed) {
                 if (content.kind === "value") {
@@ -84,8 +84,7 @@
             return { kind: "moving" };
         }
         const server = this.directory.find(range.owner);
-        const leavingMs = this.directory.getMaxLeavingTime(range.owner.id);
-        if (!server || (leavingMs !== undefined && leavingMs >= this.getDrainMs())) {
+        if (!server || !this.admission.mayReceive(server)) {
             return { kind: "moving" };
         }
         return {
--- a/packages/gateway/tests/support/createRouter.ts
+++ b/packages/gateway/tests/support/createRouter.ts
@@ -16,6 +16,7 @@
 import { KeyRouting } from "../../src/routing/keyRouting.js";
 import { LoadReporter } from "../../src/routing/loadReporter.js";
 import { PoolRouting } from "../../src/routing/poolRouting.js";
+import { ServerAdmission } from "../../src/routing/serverAdmission.js";
 import { SharedRetryBudget } from "../../src/routing/sharedRetryBudget.js";
 import { TableView } from "../../src/store/tableView.js";
 import { createHolder } from "./createHolder.js";
@@ -30,22 +31,27 @@
     readonly backends: BackendClient;
     /** Retries that the budget allows. */
     readonly allowance?: number;
+    /** View of the registry, for a test that changes it. */
+    readonly servers?: TableView<RegisteredServer>;
+    /** Address of all servers; by default each has its own. */
+    readonly address?: string;
 };
 
 /** Creates a router in data centre `north` that knows three servers of the service `board`; server `a` holds all keys. */
 export function createRouter(
-    { allowance = DEFAULT_ALLOWANCE, backends, clock }: RouterParameters,
+    { address, allowance = DEFAULT_ALLOWANCE, backends, clock, servers = new TableView<RegisteredServer>() }:
+        RouterParameters,
 ): RequestRouter {
-    const servers = new TableView<RegisteredServer>();
     const maps = new TableView<KeyMap>();
     const directory = new ServerDirectory(servers, clock);
-    const keys = new KeyRouting(maps, directory, clock, () => 1_700);
+    const admission = new ServerAdmission(directory, () => 1_700);
+    const keys = new KeyRouting(maps, directory, clock, admission);
     const rows = SERVERS.map(id => ({
         key: id,
         version: 1,
         content: {
             kind: "value",
-            value: createRegisteredServer(id, { address: `10.0.0.1:${id.charCodeAt(0)}` }),
+            value: createRegisteredServer(id, { address: address ?? `10.0.0.1:${id.charCodeAt(0)}` }),
         } as const,
     }));
     servers.applySnapshot(rows, 1);
@@ -64,6 +70,7 @@
             random: new RandomSource(3),
             getHosts: () => 1,
         }),
+        admission,
         budget: new SharedRetryBudget(() => ({ share: 0, windowMs: 10_000, allowance }), () => 1),
         loads: new LoadReporter("h" as HostId, "h-1" as HostIncarnation),
     });
