A host calls a store whose reads are behind its history at a limited rate

Since hosts read the store themselves when their coordinator's reads are old, all of them would do so at the same time.

--- a/packages/gateway/src/store/tableFollower.ts
+++ b/packages/gateway/src/store/tableFollower.ts
@@ -53,6 +53,8 @@
 
     private async run(signal: AbortSignal): Promise<void> {
         let needsSnapshot = this.parts.view.asOf < 0;
+        /** Watch calls in a row for which the history was lost. */
+        let losses = 0;
         while (!signal.aborted) {
             const { asOf } = this.parts.view;
             const read = needsSnapshot
@@ -61,10 +63,21 @@
             if (signal.aborted) {
                 return;
             }
-            needsSnapshot = !this.handleRead(read, needsSnapshot, asOf);
+            const isSnapshot = needsSnapshot;
+            needsSnapshot = !this.handleRead(read, isSnapshot, asOf);
             if (read.kind === "unavailable") {
                 needsSnapshot = this.parts.view.asOf < 0;
-                await this.parts.clock.sleep(this.getDelay());
+                await this.parts.clock.sleep(getDelay(this.failures));
+            }
+            if (read.kind === "historyLost") {
+                losses++;
+                if (losses > 1) {
+                    // The snapshot between them was behind the history too, as the next one may be.
+                    await this.parts.clock.sleep(getDelay(losses));
+                }
+            }
+            else if (!isSnapshot) {
+                losses = 0;
             }
         }
     }
@@ -100,8 +113,8 @@
         }
         return view.applyChanges(after, read.rows, read.asOf, origin);
     }
+}
 
-    private getDelay(): Milliseconds {
-        return Math.min(MAX_DELAY_MS, MIN_DELAY_MS * 2 ** Math.min(this.failures, 10));
-    }
+function getDelay(failures: number): Milliseconds {
+    return Math.min(MAX_DELAY_MS, MIN_DELAY_MS * 2 ** Math.min(failures, 10));
 }
