Servers that say in their answers that they leave, or want no requests for a time, are obeyed

Server-Leaving: 1 on any answer of a server (an order's too) and Retry-After on its 503 are decoded once, in platform/, into a notice that comes with the outcome. Answers of other servers (421, another id, no signature) give none; malformed values are logged once a server. Callers do not get Server-Leaving.

Leaving: the directory keeps one departure for each incarnation, whether the registry, an answer or another host's report told of it, the earliest; a registry that still says ready does not end it, a newer incarnation does. Pooled requests go elsewhere at once, keyed ones until the limit, which is asked again when the request gets its connection. Reports to the coordinator name such servers, so that it moves keys before the store tells.

Quiet: a server that answers 503 with Retry-After gets no request from this host for that time, cut to 60 s; a second answer may lengthen it. Pools use others; a keyed request, or one for a pool in which all are quiet, is refused at once with a Retry-After of when there is room plus up to 300 ms, so that requests do not return at the same moment. Key orders still go: they bear no request id and servers would lose their keys.

--- a/packages/common/src/logging/logEvent.ts
+++ b/packages/common/src/logging/logEvent.ts
@@ -114,6 +114,22 @@
         level: "info",
         text: "a backend server is leaving or its registry entry is gone",
     },
+    serverQuiet: {
+        number: 409,
+        level: "info",
+        text: "a backend server wants no requests from this host for a time",
+    },
+    serverQuietEnded: {
+        number: 410,
+        level: "info",
+        text: "the time for which a backend server wanted no requests has ended",
+    },
+    serverHeaderIgnored: {
+        number: 411,
+        level: "warn",
+        text:
+            "a backend server sent a header field about itself with a malformed value; logged once a server",
+    },
     entryUnreadable: { number: 408, level: "warn", text: "a registry entry cannot be read" },
     answerOrphaned: { number: 500, level: "warn", text: "dropped an answer for which no request waits" },
     requestRefused: { number: 501, level: "warn", text: "a request was refused and did not run" },
--- a/packages/gateway/src/backends/backendOutcome.ts
+++ b/packages/gateway/src/backends/backendOutcome.ts
@@ -1,5 +1,6 @@
 import type { HeaderFields } from "@arbutusdoor/common";
 import type { Readable } from "node:stream";
+import type { ServerNotice } from "./serverNotice.js";
 
 /** Why a server did not run a request. */
 type NotRunCause =
@@ -24,7 +25,13 @@
         readonly body: Readable;
         /** Whether the answer proves that it is the server's own. */
         readonly isSigned: boolean;
+        readonly notice?: ServerNotice;
+    }
+    | {
+        readonly kind: "notRun";
+        readonly cause: NotRunCause;
+        readonly detail: string;
+        readonly notice?: ServerNotice;
     }
-    | { readonly kind: "notRun"; readonly cause: NotRunCause; readonly detail: string; }
     | { readonly kind: "unknown"; readonly detail: string; }
     | { readonly kind: "cancelled"; readonly isSent: boolean; };
--- a/packages/gateway/src/discovery/serverDirectory.ts
+++ b/packages/gateway/src/discovery/serverDirectory.ts
@@ -12,10 +12,18 @@
     readonly server: RegisteredServer;
     /** When this host learned of it. */
     readonly knownSince: Milliseconds;
-    /** Earliest time at which it can have been committed to the registry. */
+    /** Earliest time at which it can have been committed to the registry, or was said by the server itself. */
     readonly since: Milliseconds;
+    /** Whether the server said so itself; the registry may learn of it later. */
+    readonly isAnnounced: boolean;
 };
 
+/** By what a host learned that a server itself said that it is leaving: its own answers, or another host's report. */
+type AnnouncementSource = "answer" | "report";
+
+/** Handles the first announcement of a server that was not known to leave. */
+type AnnouncementListener = (server: RegisteredServer, source: AnnouncementSource) => void;
+
 /** The backend servers in the platform's registry, and those that left recently. */
 export class ServerDirectory {
     private readonly clock: Clock;
@@ -23,6 +31,7 @@
     private readonly departures = new Map<ServerId, Departure>();
     private readonly seen = new Map<ServerId, RegisteredServer>();
     private readonly coldUntil = new Map<ServerId, Milliseconds>();
+    private readonly announcementListeners = new Set<AnnouncementListener>();
     private services = new Map<ServiceId, RegisteredServer[]>();
 
     constructor(view: TableView<RegisteredServer>, clock: Clock) {
@@ -66,7 +75,7 @@
     }
 
     /**
-     * Returns the longest time since it was committed to the registry that the server is leaving or gone; `undefined` while it is neither. An
+     * Returns the longest time since the server said or the registry recorded that it is leaving or gone; `undefined` while it is neither. An
      * entry that was found missing after an outage of the store may only have expired: its time is counted from the read.
      */
     getMaxLeavingTime(id: ServerId): Milliseconds | undefined {
@@ -74,6 +83,35 @@
         return departure && this.clock.now() - departure.since;
     }
 
+    /**
+     * Records that an incarnation of a server has said itself that it is leaving. This holds until a newer incarnation registers, whatever the
+     * registry says of this one.
+     */
+    recordAnnouncement(holder: KeyHolder, source: AnnouncementSource): void {
+        const server = this.find(holder);
+        const known = this.departures.get(holder.id);
+        if (!server || known?.isAnnounced) {
+            return;
+        }
+        const now = this.clock.now();
+        this.departures.set(server.id, {
+            server,
+            knownSince: known?.knownSince ?? now,
+            since: known?.since ?? now,
+            isAnnounced: true,
+        });
+        forgetOldest(this.departures, () => true);
+        this.rebuild();
+        if (!known) {
+            this.announcementListeners.forEach(listener => listener(server, source));
+        }
+    }
+
+    /** Calls the listener with each server that was first known to leave by its own word. */
+    onAnnouncement(listener: AnnouncementListener): void {
+        this.announcementListeners.add(listener);
+    }
+
     /** Whether the server is still slow after a recent start. */
     isCold(id: ServerId): boolean {
         return this.clock.now() < (this.coldUntil.get(id) ?? -Infinity);
@@ -96,13 +134,19 @@
                 const isExpired = !server && origin.isAfterOutage;
                 this.recordDeparture(id, server ?? this.seen.get(id), isExpired ? 0 : age);
             }
-            else {
+            else if (!this.departures.get(id)?.isAnnounced) {
                 this.departures.delete(id);
             }
         }
         this.rebuild();
     }
 
+    /** Whether this incarnation of a server, or a newer one, has said that it is leaving. */
+    private hasAnnounced({ id, startedAt }: RegisteredServer): boolean {
+        const departure = this.departures.get(id);
+        return departure !== undefined && departure.isAnnounced && departure.server.startedAt >= startedAt;
+    }
+
     private recordServer(server: RegisteredServer): void {
         const known = this.seen.get(server.id);
         if (!known || server.startedAt >= known.startedAt) {
@@ -120,7 +164,7 @@
     private recordDeparture(id: ServerId, server: RegisteredServer | undefined, age: Milliseconds): void {
         if (server && !this.departures.has(id)) {
             const now = this.clock.now();
-            this.departures.set(id, { server, knownSince: now, since: now - age });
+            this.departures.set(id, { server, knownSince: now, since: now - age, isAnnounced: false });
             forgetOldest(this.departures, () => true);
         }
     }
@@ -128,7 +172,7 @@
     private rebuild(): void {
         this.services = new Map();
         for (const { content } of this.view.present.values()) {
-            if (content.kind === "value" && !content.value.isDraining) {
+            if (content.kind === "value" && !content.value.isDraining && !this.hasAnnounced(content.value)) {
                 const { service } = content.value;
                 const servers = this.services.get(service) ?? [];
                 servers.push(content.value);
--- a/packages/gateway/src/host/clusterState.ts
+++ b/packages/gateway/src/host/clusterState.ts
@@ -45,6 +45,10 @@
             changed.forEach(row => this.handleConfiguration(row, origin))
         );
         this.servers.onChange((changed, origin) => changed.forEach(row => this.logServer(row, origin)));
+        this.directory.onAnnouncement(({ id }, source) => {
+            metrics.count("arbutusdoor_server_announcements_total", { source });
+            logger.log("serverLeaving", { server: id, state: "said so itself", source, maxAgeMs: 0 });
+        });
         for (const table of TABLES) {
             metrics.gauge(`arbutusdoor_${table}_age_ms`, () => Math.round(this.getTableAge(table)));
         }
--- a/packages/gateway/src/host/createCallerPort.ts
+++ b/packages/gateway/src/host/createCallerPort.ts
@@ -44,6 +44,7 @@
     const { directory } = state;
     const pools = new PoolRouting({
         directory,
+        admission,
         dataCentre: getSettings().dataCentre,
         clock,
         random,
--- a/packages/gateway/src/host/gatewayHost.ts
+++ b/packages/gateway/src/host/gatewayHost.ts
@@ -22,6 +22,7 @@
 import type { CallerPort } from "../requests/callerPort.js";
 import { KeyRouting } from "../routing/keyRouting.js";
 import { LoadReporter } from "../routing/loadReporter.js";
+import { QuietServers } from "../routing/quietServers.js";
 import { ServerAdmission } from "../routing/serverAdmission.js";
 import type { HostSettings } from "../settings/hostSettings.js";
 import { ClusterState } from "./clusterState.js";
@@ -117,7 +118,9 @@
         this.loads = new LoadReporter(settings.host, incarnation);
         const admission = new ServerAdmission(
             directory,
+            new QuietServers(clock, random, logger, metrics),
             () => this.settings.bounds.drainMs - DRAIN_MARGIN_MS,
+            logger,
         );
         this.keys = new KeyRouting(this.state.keys, directory, clock, admission);
         this.coordinator = new KeyCoordinator({
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,7 @@
 export * from "./backends/backendAttempt.js";
 export * from "./backends/backendClient.js";
 export * from "./backends/backendOutcome.js";
+export * from "./backends/serverNotice.js";
 export * from "./configuration/callerLimits.js";
 export * from "./configuration/route.js";
 export * from "./configuration/routedConfiguration.js";
--- a/packages/gateway/src/links/hostReport.ts
+++ b/packages/gateway/src/links/hostReport.ts
@@ -14,6 +14,8 @@
     servers: z.array(z.tuple([z.string(), z.int(), z.number()])).max(MAX_ENTRIES),
     /** Keys for which their owner refused a request because it does not hold them: service, key. */
     misdirected: z.array(z.tuple([z.string(), z.int()])).max(MAX_ENTRIES),
+    /** Servers that said in their answers that they are leaving: id, time of their start. Absent in reports of earlier versions. */
+    leaving: z.array(z.tuple([z.string(), z.number()])).max(MAX_ENTRIES).optional(),
 });
 
 type HostReport = z.infer<typeof HostReport>;
--- a/packages/gateway/src/ownership/keyCoordinator.ts
+++ b/packages/gateway/src/ownership/keyCoordinator.ts
@@ -84,7 +84,7 @@
     }
 
     /** Handles a host's report. */
-    handleReport({ host, incarnation, keys, misdirected, servers }: HostReport): void {
+    handleReport({ host, incarnation, keys, leaving = [], misdirected, servers }: HostReport): void {
         const now = this.parts.clock.now();
         // The host has a new incarnation, so the one that coordinated has ended.
         const left = this.predecessors.filter(before =>
@@ -101,6 +101,9 @@
             this.speeds.add(server as ServerId, answers, totalMs);
             this.liveness.recordAnswer(server as ServerId, now);
         }
+        for (const [id, startedAt] of leaving) {
+            this.parts.directory.recordAnnouncement({ id: id as ServerId, startedAt }, "report");
+        }
         for (const [service, key] of misdirected) {
             this.services.get(service as ServiceId)?.renewSoon(key);
         }
--- a/packages/gateway/src/ownership/orderDispatch.ts
+++ b/packages/gateway/src/ownership/orderDispatch.ts
@@ -55,6 +55,9 @@
         }
         metrics.count("arbutusdoor_key_orders_total", { service, order: order.kind, outcome: outcome.kind });
         liveness.recordOutcome(order.holder, outcome, now);
+        if (server && (outcome.kind === "done" || outcome.kind === "fenced") && outcome.notice?.isLeaving) {
+            directory.recordAnnouncement(server, "answer");
+        }
         if (outcome.kind === "fenced" || outcome.kind === "invalid") {
             this.log.recordRefusal(order, outcome.kind);
         }
--- a/packages/gateway/src/requests/requestRouter.ts
+++ b/packages/gateway/src/requests/requestRouter.ts
@@ -14,16 +14,13 @@
 import { getSentBody } from "./getSentBody.js";
 import { readAnswer } from "./readAnswer.js";
 import type { RequestState } from "./requestState.js";
+import { ServerSelector } from "./serverSelector.js";
 import type { UnusableAnswer } from "./unusableAnswer.js";
 
 /** A request with less time left is not sent. */
 const MIN_TIME_LEFT_MS = 5;
-/** Longest wait for the next owner of a key; a move takes as long as the work that is running on the key. */
-const OWNER_WAIT_MS = 700;
 /** Maximum number of times that one request is sent, including refused ones. */
 const MAX_SENDS = 4;
-/** Delay before a retry at the owner of a key that was out of capacity or did not hold the key yet. */
-const OWNER_RETRY_MS = 60;
 const RETRY_AFTER_MS = 300;
 const FIRST_FAILURE_STATUS = 500;
 const SERVICE_UNAVAILABLE = 503;
@@ -47,9 +44,11 @@
 /** Routes requests to backend servers: selects a server, sends the request, and retries where that is safe and within the budget. */
 export class RequestRouter {
     private readonly parts: RouterParts;
+    private readonly selector: ServerSelector;
 
     constructor(parts: RouterParts) {
         this.parts = parts;
+        this.selector = new ServerSelector(parts);
     }
 
     /** Routes a request and returns the reply to its caller. Never rejects. */
@@ -61,6 +60,7 @@
             sends: 0,
             runs: 0,
             lastFailure: undefined,
+            quietTime: undefined,
             selectionFields: {},
             errorAnswer: undefined,
         };
@@ -82,7 +82,7 @@
         if (state.sends > 0 && !this.mayRetry(state)) {
             return this.giveUp(state);
         }
-        const server = await this.selectServer(state);
+        const server = await this.selector.select(state);
         if (request.callerGone.aborted) {
             return { kind: "gone" };
         }
@@ -125,6 +125,12 @@
             signal,
             maySend: () => admission.mayReceive(server),
         });
+        if ((outcome.kind === "answered" || outcome.kind === "notRun") && outcome.notice) {
+            admission.recordNotice(server, outcome.notice);
+            if (outcome.notice.isLeaving) {
+                loads.recordLeaving(server);
+            }
+        }
         const answer = outcome.kind === "answered"
             ? await readAnswer(outcome, request.method)
             : undefined;
@@ -207,32 +213,6 @@
             && this.getTimeLeft(request) > MIN_TIME_LEFT_MS;
     }
 
-    /** Selects the server of the next attempt; waits a limited time for the new owner of a key that is moving. */
-    private async selectServer(state: RequestState): Promise<RegisteredServer | undefined> {
-        const { keys, pools } = this.parts;
-        const { request } = state;
-        if (!request.service.isKeyed || request.key === undefined) {
-            return pools.choose(request.service, state.excludedServers, request.route.isIdempotent);
-        }
-        if (state.sends > 0) {
-            await keys.waitForChange(Math.min(OWNER_RETRY_MS, this.getTimeLeft(request)));
-        }
-        const waitUntil = this.parts.clock.now() + Math.min(OWNER_WAIT_MS, this.getTimeLeft(request) / 2);
-        for (;;) {
-            const lookup = keys.find(request.service.id, request.key);
-            if (lookup.kind === "owner") {
-                state.selectionFields = { fence: lookup.fence, ownerKnownMs: Math.round(lookup.knownMs) };
-                return lookup.server;
-            }
-            const wait = waitUntil - this.parts.clock.now();
-            if (lookup.kind === "none" || wait <= 0 || request.callerGone.aborted) {
-                this.saveLookupFailure(state, lookup.kind);
-                return undefined;
-            }
-            await keys.waitForChange(wait);
-        }
-    }
-
     /** Returns the final reply to a request without a successful attempt. */
     private giveUp(state: RequestState): GatewayReply {
         const { request, runs } = state;
@@ -251,7 +231,10 @@
     private refuse(state: RequestState, reason: string): GatewayReply {
         const status = SERVICE_UNAVAILABLE;
         this.log("requestRefused", state, { status, reason });
-        return { kind: "refusal", status, reason, retryAfterMs: RETRY_AFTER_MS };
+        const retryAfterMs = state.quietTime === undefined
+            ? RETRY_AFTER_MS
+            : this.parts.admission.getReturnDelay(state.quietTime);
+        return { kind: "refusal", status, reason, retryAfterMs };
     }
 
     private getAttemptLimit(request: GatewayRequest, timeLeft: Milliseconds): Milliseconds {
@@ -298,10 +281,6 @@
         this.log("attemptFailed", state, { server: server.id, reason, detail });
     }
 
-    private saveLookupFailure(state: RequestState, kind: "moving" | "none"): void {
-        state.lastFailure ??= { reason: kind === "moving" ? "keyMoving" : "keyUnowned", detail: "" };
-    }
-
     private log(
         event: "attemptFailed" | "requestRefused" | "requestFailed" | "requestAnswered",
         state: RequestState,
--- a/packages/gateway/src/requests/requestState.ts
+++ b/packages/gateway/src/requests/requestState.ts
@@ -1,4 +1,4 @@
-import type { ServerId } from "@arbutusdoor/common";
+import type { Milliseconds, ServerId } from "@arbutusdoor/common";
 import type { ForwardableAnswer } from "./forwardableAnswer.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
 
@@ -13,6 +13,8 @@
     /** Attempts in which it may have run. */
     runs: number;
     lastFailure: Failure | undefined;
+    /** How long the server of the request, or all servers of its service, want no requests; `undefined` unless that is why it is refused. */
+    quietTime: Milliseconds | undefined;
     /** Log fields: what the last selection of a server was based on. */
     selectionFields: Record<string, string | number>;
     /** A server's error answer, which is returned unless another attempt succeeds. */
--- a/packages/gateway/src/routing/keyRouting.ts
+++ b/packages/gateway/src/routing/keyRouting.ts
@@ -12,8 +12,8 @@
 const MAX_SERVICES = 256;
 
 /**
- * Where a keyed request can go: `owner`; `moving` (the owner does not hold the key yet, is leaving or is not registered); `none` (no
- * key map of the service is known).
+ * Where a keyed request can go: `owner`; `moving` (the owner does not hold the key yet, is leaving or is not registered); `quiet` (the
+ * owner wants no requests for a time); `none` (no key map of the service is known).
  */
 type KeyLookup =
     | {
@@ -25,6 +25,7 @@
         readonly knownMs: Milliseconds;
     }
     | { readonly kind: "moving"; }
+    | { readonly kind: "quiet"; readonly timeLeft: Milliseconds; }
     | { readonly kind: "none"; };
 
 /** The map of one service, indexed by key. */
@@ -84,9 +85,13 @@
             return { kind: "moving" };
         }
         const server = this.directory.find(range.owner);
-        if (!server || !this.admission.mayReceive(server)) {
+        if (!server || this.admission.isDeparted(server)) {
             return { kind: "moving" };
         }
+        const timeLeft = this.admission.getQuietTime(server);
+        if (timeLeft > 0) {
+            return { kind: "quiet", timeLeft };
+        }
         return {
             kind: "owner",
             server,
--- a/packages/gateway/src/routing/loadReporter.ts
+++ b/packages/gateway/src/routing/loadReporter.ts
@@ -1,5 +1,6 @@
 import type { HostId, HostIncarnation, ServerId, ServiceId } from "@arbutusdoor/common";
 import type { HostReport } from "../links/hostReport.js";
+import type { KeyHolder } from "../ownership/keyHolder.js";
 
 const MAX_ENTRIES = 2_048;
 
@@ -10,6 +11,7 @@
     private keys = new Map<string, [string, number, number]>();
     private servers = new Map<ServerId, [string, number, number]>();
     private misdirected = new Map<string, [string, number]>();
+    private leaving = new Map<ServerId, [string, number]>();
 
     constructor(host: HostId, incarnation: HostIncarnation) {
         this.host = host;
@@ -47,6 +49,13 @@
         }
     }
 
+    /** Records that an incarnation of a server has said that it is leaving. */
+    recordLeaving({ id, startedAt }: KeyHolder): void {
+        if (this.leaving.size < MAX_ENTRIES) {
+            this.leaving.set(id, [id, startedAt]);
+        }
+    }
+
     /** Returns what was collected since the last call. */
     flush(): HostReport {
         const report: HostReport = {
@@ -56,10 +65,12 @@
             keys: [...this.keys.values()],
             servers: [...this.servers.values()],
             misdirected: [...this.misdirected.values()],
+            leaving: [...this.leaving.values()],
         };
         this.keys = new Map();
         this.servers = new Map();
         this.misdirected = new Map();
+        this.leaving = new Map();
         return report;
     }
 }
--- a/packages/gateway/src/routing/poolRouting.ts
+++ b/packages/gateway/src/routing/poolRouting.ts
@@ -15,6 +15,7 @@
 import type { RoutedService } from "../configuration/routedService.js";
 import type { RegisteredServer } from "../discovery/registeredServer.js";
 import type { ServerDirectory } from "../discovery/serverDirectory.js";
+import type { ServerAdmission } from "./serverAdmission.js";
 
 /** Traffic between data centres is expensive: a server in another one is chosen only if it is clearly less busy. */
 const REMOTE_COST_FACTOR = 1.3;
@@ -27,6 +28,7 @@
 /** Dependencies of pool routing. */
 type PoolRoutingParts = {
     readonly directory: ServerDirectory;
+    readonly admission: ServerAdmission;
     readonly dataCentre: DataCentreId;
     readonly clock: Clock;
     readonly random: RandomSource;
@@ -49,8 +51,8 @@
         exclude: ReadonlySet<ServerId>,
         isIdempotent: boolean,
     ): RegisteredServer | undefined {
-        const { clock, dataCentre, directory } = this.parts;
-        const servers = directory.listReady(service.id);
+        const { admission, clock, dataCentre, directory } = this.parts;
+        const servers = directory.listReady(service.id).filter(server => admission.mayReceive(server));
         const limit = this.getConnectionLimit(service);
         const candidates = servers.map(server => ({
             server: server.id,
@@ -67,6 +69,13 @@
         return server;
     }
 
+    /** Returns the time until a server of the service takes requests again; 0 unless all servers want none for a time. */
+    getQuietTime(service: ServiceId): Milliseconds {
+        const { admission, directory } = this.parts;
+        const times = directory.listReady(service).map(server => admission.getQuietTime(server));
+        return times.length === 0 ? 0 : Math.min(...times);
+    }
+
     /** Records how a request to a chosen server ended. */
     recordResult(service: ServiceId, server: ServerId, result: AttemptResult): void {
         this.getPicker(service).recordResult(server, result, this.parts.clock.now());
--- a/packages/gateway/tests/clusterState.test.ts
+++ b/packages/gateway/tests/clusterState.test.ts
@@ -4,7 +4,7 @@
 import type { CoordinatorMessage } from "../src/links/coordinatorMessage.js";
 import { assignInitialKeys } from "../src/ownership/assignInitialKeys.js";
 import { KeyRouting } from "../src/routing/keyRouting.js";
-import { ServerAdmission } from "../src/routing/serverAdmission.js";
+import { createAdmission } from "./support/createAdmission.js";
 import { createHolder } from "./support/createHolder.js";
 import { createRegisteredServer } from "./support/createRegisteredServer.js";
 
@@ -26,7 +26,7 @@
         { key: "a", version: 1, content: { kind: "value", value: createRegisteredServer("a") } },
     ], 1);
     const host = createClusterState();
-    const admission = new ServerAdmission(host.directory, () => 1_700);
+    const admission = createAdmission(host.directory, new ManualClock(), 1_700);
     const keys = new KeyRouting(host.keys, host.directory, new ManualClock(10_000), admission);
     for (const message of coordinator.createSnapshots()) {
         handle(host, message);
--- a/packages/gateway/tests/lateNews.test.ts
+++ b/packages/gateway/tests/lateNews.test.ts
@@ -5,8 +5,8 @@
 import type { CoordinatorMessage } from "../src/links/coordinatorMessage.js";
 import { assignInitialKeys } from "../src/ownership/assignInitialKeys.js";
 import { KeyRouting } from "../src/routing/keyRouting.js";
-import { ServerAdmission } from "../src/routing/serverAdmission.js";
 import { TableFollower } from "../src/store/tableFollower.js";
+import { createAdmission } from "./support/createAdmission.js";
 import { createHolder } from "./support/createHolder.js";
 import { createRegisteredServer } from "./support/createRegisteredServer.js";
 import { ScriptedRows } from "./support/scriptedRows.js";
@@ -23,7 +23,7 @@
 /** The state of a host, with the routing of keys that server `a` owns. */
 function createHost(clock: ManualClock): { readonly state: ClusterState; readonly keys: KeyRouting; } {
     const state = new ClusterState(clock, new Logger(clock, "host", "silent"), new Metrics());
-    const admission = new ServerAdmission(state.directory, () => LIMIT_MS);
+    const admission = createAdmission(state.directory, clock, LIMIT_MS);
     const keys = new KeyRouting(state.keys, state.directory, clock, admission);
     const map = assignInitialKeys([createHolder("a")], 65_536, 1, 1);
     state.recordKeyMap({ key: SERVICE, version: 1, content: { kind: "value", value: map } });
--- a/packages/gateway/tests/support/createRouter.ts
+++ b/packages/gateway/tests/support/createRouter.ts
@@ -16,9 +16,9 @@
 import { KeyRouting } from "../../src/routing/keyRouting.js";
 import { LoadReporter } from "../../src/routing/loadReporter.js";
 import { PoolRouting } from "../../src/routing/poolRouting.js";
-import { ServerAdmission } from "../../src/routing/serverAdmission.js";
 import { SharedRetryBudget } from "../../src/routing/sharedRetryBudget.js";
 import { TableView } from "../../src/store/tableView.js";
+import { createAdmission } from "./createAdmission.js";
 import { createHolder } from "./createHolder.js";
 import { createRegisteredServer } from "./createRegisteredServer.js";
 
@@ -44,7 +44,8 @@
 ): RequestRouter {
     const maps = new TableView<KeyMap>();
     const directory = new ServerDirectory(servers, clock);
-    const admission = new ServerAdmission(directory, () => 1_700);
+    const logger = new Logger(clock, "test", "silent");
+    const admission = createAdmission(directory, clock, 1_700, logger);
     const keys = new KeyRouting(maps, directory, clock, admission);
     const rows = SERVERS.map(id => ({
         key: id,
@@ -59,12 +60,13 @@
     maps.applySnapshot([{ key: "board", version: 1, content: { kind: "value", value: map } }], 1);
     return new RequestRouter({
         clock,
-        logger: new Logger(clock, "test", "silent"),
+        logger,
         metrics: new Metrics(),
         backends,
         keys,
         pools: new PoolRouting({
             directory,
+            admission,
             dataCentre: "north" as DataCentreId,
             clock,
             random: new RandomSource(3),
--- a/packages/gateway/tests/support/scriptedBackends.ts
+++ b/packages/gateway/tests/support/scriptedBackends.ts
@@ -34,6 +34,18 @@
     switch (step) {
         case "ok":
             return createAnswer(200, Readable.from([Buffer.from("whole")]), true);
+        case "leaving":
+            return {
+                ...createAnswer(200, Readable.from([Buffer.from("whole")]), true),
+                notice: { isLeaving: true, quietMs: undefined, ignored: [] },
+            };
+        case "quiet":
+            return {
+                kind: "notRun",
+                cause: "shed",
+                detail: "said so",
+                notice: { isLeaving: false, quietMs: 1_000, ignored: [] },
+            };
         case "error":
             return createAnswer(500, Readable.from([Buffer.from("failed")]), true);
         case "unsigned":
@@ -47,7 +59,11 @@
     }
 }
 
-function createAnswer(status: number, body: Readable, isSigned: boolean): BackendOutcome {
+function createAnswer(
+    status: number,
+    body: Readable,
+    isSigned: boolean,
+): Extract<BackendOutcome, { kind: "answered"; }> {
     return { kind: "answered", status, headers: HEADERS, body, isSigned };
 }
 
--- a/packages/gateway/tests/support/scriptedBehaviour.ts
+++ b/packages/gateway/tests/support/scriptedBehaviour.ts
@@ -3,6 +3,10 @@
     | "ok"
     | "error"
     | "shed"
+    /** Refuses and wants no requests for a second. */
+    | "quiet"
+    /** Answers and says that it is leaving. */
+    | "leaving"
     | "misdirected"
     | "unreachable"
     | "lost"
