The soak checks that hosts obey servers that leave or want no requests

The stand-in server sends Server-Leaving in all its answers while it leaves, and refuses with 503 and Retry-After while it is told to pause. It records requests that arrive meanwhile; the observer joins them with the callers' logs by host: a request that a caller sent later than drain after word of the leaving was passed on by the same host, or more than two requests from half a second after a refusal to the end of the pause. Faults of the host or the server excuse what they touch.

--- a/packages/standins/src/backendServer/serverEntry.ts
+++ b/packages/standins/src/backendServer/serverEntry.ts
@@ -28,6 +28,20 @@
         readonly requestId: string;
         readonly reason: "shed" | "stale" | "leaving" | "abandoned";
     }
+    | {
+        /** A request arrived while the server was leaving or wanted none. */
+        readonly kind: "arrived";
+        readonly time: number;
+        readonly requestId: string;
+    }
+    | {
+        /** The answer to a request said that the server leaves, or wants no requests for `pauseMs`. */
+        readonly kind: "notice";
+        readonly time: number;
+        readonly requestId: string;
+        readonly isLeaving: boolean;
+        readonly pauseMs: number;
+    }
     | {
         readonly kind: "orderRefused";
         readonly time: number;
--- a/packages/standins/src/common/faults.ts
+++ b/packages/standins/src/common/faults.ts
@@ -13,9 +13,12 @@
     lateMs: z.int().min(0).max(60_000).default(2_000),
     /**
      * A promise that the server breaks on purpose, to show that the observer notices: it runs each request twice, says of one that ran that
-     * it did not, answers with another request's answer, or goes on holding keys that it has released.
+     * it did not, answers with another request's answer, goes on holding keys that it has released, or records that it has said that it
+     * leaves or wants no requests when it has not.
      */
-    lie: z.enum(["no", "runsTwice", "hidesRuns", "swapsAnswers", "ignoresReleases"]).default("no"),
+    lie: z.enum(["no", "runsTwice", "hidesRuns", "swapsAnswers", "ignoresReleases", "hidesNotices"]).default(
+        "no",
+    ),
     /** Accepts connections and answers nothing; on waking it takes up what was buffered. */
     isFrozen: z.boolean().default(false),
     /** Whether the server's own clock stands still while it is frozen. */
@@ -30,6 +33,8 @@
     sheddingRate: z.number().min(0).max(1).default(0),
     /** Whether the server says that it is leaving. */
     isLeaving: z.boolean().default(false),
+    /** Time in ms from now during which the server refuses requests and says when it wants them again. */
+    pauseMs: z.int().min(0).max(600_000).default(0),
 });
 
 type Faults = z.infer<typeof Faults>;
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -15,6 +15,7 @@
 export * from "./common/standIn.js";
 export * from "./hostList/hostListStandIn.js";
 export * from "./objectStore/objectStandIn.js";
+export * from "./observer/disruption.js";
 export * from "./observer/finding.js";
 export * from "./observer/observe.js";
 export * from "./observer/serverJournal.js";
--- a/packages/standins/src/observer/finding.ts
+++ b/packages/standins/src/observer/finding.ts
@@ -8,8 +8,10 @@
         | "ranTwice"
         | "refusedButRan"
         | "answeredButNotRun"
-        | "wrongAnswer";
-    /** What it is about: a slice or a request. */
+        | "wrongAnswer"
+        | "sentAfterLeaving"
+        | "sentWhilePaused";
+    /** What it is about: a slice, a request or a server. */
     readonly subject: string;
     readonly detail: string;
 };
--- a/packages/standins/src/observer/observe.ts
+++ b/packages/standins/src/observer/observe.ts
@@ -1,9 +1,11 @@
 import type { CallerEntry } from "../caller/callerEntry.js";
 import { findCallFaults } from "./findCallFaults.js";
 import type { Finding } from "./finding.js";
+import { findNoticeFaults } from "./findNoticeFaults.js";
 import { findOwnershipFaults } from "./findOwnershipFaults.js";
 import { findRunFaults } from "./findRunFaults.js";
 import { newEvidence } from "./newEvidence.js";
+import type { NoticeJudgement } from "./noticeJudgement.js";
 import type { ServerJournal } from "./serverJournal.js";
 import type { Verdict } from "./verdict.js";
 
@@ -13,6 +15,8 @@
     readonly toleranceMs: number;
     /** Names of servers whose journals were lost with them; what can't be judged without these is left out. */
     readonly lostServers: readonly string[];
+    /** How hosts' obedience to what servers say of themselves is judged; not judged when left out. */
+    readonly notices?: NoticeJudgement;
 };
 
 /**
@@ -25,13 +29,14 @@
     calls: readonly CallerEntry[],
     judgement: Judgement,
 ): Verdict {
-    const { toleranceMs, lostServers } = judgement;
+    const { toleranceMs, lostServers, notices } = judgement;
     const evidence = newEvidence(journals, calls);
     const isComplete = lostServers.length + evidence.truncated.length === 0;
     const findings = [
         ...findOwnershipFaults(evidence, toleranceMs),
         ...findRunFaults(evidence, toleranceMs),
         ...findCallFaults(evidence),
+        ...notices ? findNoticeFaults(journals, calls, notices) : [],
     ].filter(finding => isComplete || !needsAllJournals(finding));
     const gaps = getGaps(evidence.truncated, lostServers);
     const counts = {
--- a/packages/standins/src/observer/serverJournal.ts
+++ b/packages/standins/src/observer/serverJournal.ts
@@ -21,6 +21,16 @@
     result: z.enum(["running", "completed", "cancelled"]),
 });
 
+const arrivedSchema = z.object({ kind: z.literal("arrived"), time: z.number(), requestId: z.string() });
+
+const noticeSchema = z.object({
+    kind: z.literal("notice"),
+    time: z.number(),
+    requestId: z.string(),
+    isLeaving: z.boolean(),
+    pauseMs: z.number(),
+});
+
 const otherSchema = z.object({ kind: z.enum(["refused", "orderRefused"]) });
 
 /** What the observer reads of a backend server's journal. */
@@ -30,7 +40,9 @@
     incarnation: z.string(),
     /** Entries that were lost because the journal is bounded. */
     dropped: z.int(),
-    entries: z.array(z.discriminatedUnion("kind", [ownedSchema, runSchema, otherSchema])),
+    entries: z.array(
+        z.discriminatedUnion("kind", [ownedSchema, runSchema, arrivedSchema, noticeSchema, otherSchema]),
+    ),
 });
 
 type ServerJournal = z.infer<typeof ServerJournal>;
--- a/packages/standins/src/rangeServer/rangeServerStandIn.ts
+++ b/packages/standins/src/rangeServer/rangeServerStandIn.ts
@@ -22,6 +22,7 @@
 
 const RELEASE_POLL_MS = 5;
 const LEAVE_POLL_MS = 20;
+const MS_PER_S = 1_000;
 const LAST_KEY = 65_535;
 const MAX_ANSWER_BYTES = 1_048_576;
 const NOT_RUN = { "x-not-executed": "1" };
@@ -45,6 +46,7 @@
     private readonly work: WorkList;
     private readonly keys: KeyRanges;
     private readonly entry: RegisteredEntry;
+    private pausedUntil = -Infinity;
 
     constructor(clock: Clock, settings: RangeServerSettings, place: Place) {
         super(clock, place);
@@ -72,6 +74,11 @@
         await this.entry.begin();
     }
 
+    override async setFaults(faults: Parameters<StandIn["setFaults"]>[0]): Promise<void> {
+        await super.setFaults(faults);
+        this.pausedUntil = this.clock.now() + this.faults.pauseMs;
+    }
+
     override readJournal(): unknown {
         const { entries, dropped } = this.journal.read();
         const held = this.keys.list().map(({ key, fence, from, until }) => ({
@@ -107,6 +114,7 @@
     }
 
     private async takeOrder(path: string, request: StandInRequest, response: ServerResponse): Promise<void> {
+        this.announceLeaving(response);
         const order = await readJson(request, Order);
         if (request.headers["x-target-instance"] !== this.id) {
             sendJson(response, 421, {}, { "x-instance-id": this.id });
@@ -170,6 +178,22 @@
             requestId: String(headers["x-request-id"] ?? ""),
             deadline: Number(headers["x-deadline-ms"] ?? Number.NaN),
         };
+        const { requestId } = service;
+        const pauseMs = Math.max(0, this.pausedUntil - this.clock.now());
+        if (this.isLeaving || pauseMs > 0) {
+            const time = this.clock.wallTime();
+            this.journal.add({ kind: "arrived", time, requestId });
+            // Recorded now, although the answer comes later: only what comes after it is judged.
+            this.journal.add({ kind: "notice", time, requestId, isLeaving: this.isLeaving, pauseMs });
+        }
+        this.announceLeaving(response);
+        if (pauseMs > 0) {
+            if (this.faults.lie !== "hidesNotices") {
+                response.setHeader("retry-after", (pauseMs / MS_PER_S).toFixed(3));
+            }
+            this.refuse(service, request, response, 503);
+            return;
+        }
         const gone = new AbortController();
         response.once("close", () => gone.abort());
         const outcome = await this.slots.take(gone.signal);
@@ -188,6 +212,16 @@
         }
     }
 
+    private get isLeaving(): boolean {
+        return this.entry.isAnnounced || this.faults.isLeaving;
+    }
+
+    private announceLeaving(response: ServerResponse): void {
+        if (this.isLeaving && this.faults.lie !== "hidesNotices") {
+            response.setHeader("server-leaving", "1");
+        }
+    }
+
     /** Status of a refusal, or `undefined` when the request may run here. */
     private getRefusal({ headers }: StandInRequest): 421 | undefined {
         const target = headers["x-target-instance"];
--- a/packages/standins/src/rangeServer/registeredEntry.ts
+++ b/packages/standins/src/rangeServer/registeredEntry.ts
@@ -32,6 +32,11 @@
         this.getAddress = getAddress;
     }
 
+    /** Whether the entry says that the server is leaving. */
+    get isAnnounced(): boolean {
+        return this.isLeaving;
+    }
+
     /** Writes the entry, and again at each heartbeat until the server leaves. */
     async begin(): Promise<void> {
         await this.write();
--- a/scripts/platformFaults.ts
+++ b/scripts/platformFaults.ts
@@ -56,6 +56,22 @@
     ],
 };
 
+/** Servers that say in their answers that they leave, or want no requests for a time. */
+const NOTICE_FAULTS: Readonly<Record<string, readonly [longestMs: number, fault: Fault]>> = {
+    serverPauses: [OUTAGE_MS, async (run, name, lengthMs) => {
+        await run.system.setServerFaults(name, { pauseMs: lengthMs });
+        await run.clock.sleep(lengthMs);
+        await run.system.setServerFaults(name, {});
+    }],
+    serverAnnounced: [SHORT_MS, async (run, name, lengthMs) => {
+        await run.system.setServerFaults(name, { isLeaving: true });
+        // Long enough that requests beyond the drain time would be seen.
+        await run.clock.sleep(run.system.drainMs + lengthMs);
+        await run.records.stop(name, run.system.servers.get(name)!);
+        await run.system.restartServer(name);
+    }],
+};
+
 const HOST_FAULTS: Readonly<Record<string, readonly [longestMs: number, fault: Fault]>> = {
     hostKilled: [SHORT_MS, async (run, name, lengthMs) => {
         await run.system.hosts.get(name)!.program.kill();
@@ -115,13 +131,20 @@
     }],
 };
 
-const ALL = { ...SERVER_FAULTS, ...HOST_FAULTS, ...STORE_FAULTS };
+const ALL = { ...SERVER_FAULTS, ...NOTICE_FAULTS, ...HOST_FAULTS, ...STORE_FAULTS };
+/** Faults that do not hold up what passes between the hosts and a server. */
+const CALM = new Set(["hostReloaded", ...Object.keys(NOTICE_FAULTS), ...Object.keys(STORE_FAULTS)]);
 const STORE = "store";
 
 /** Faults of the network, processes, clocks and storage that a soak of the platform's program brings about, by target. */
 export const platformFaults = {
-    /** Faults that may come to each target, with the longest time of each in ms. */
-    list(run: PlatformRun): Readonly<Record<string, Readonly<Record<string, number>>>> {
+    /**
+     * Faults that may come to each target, with the longest time of each in ms.
+     *
+     * @param hasNotices whether servers also say in their answers that they leave or want no requests; it changes the plan of every seed
+     */
+    list(run: PlatformRun, hasNotices: boolean): Readonly<Record<string, Readonly<Record<string, number>>>> {
+        const serverFaults = hasNotices ? { ...SERVER_FAULTS, ...NOTICE_FAULTS } : SERVER_FAULTS;
         const each = (names: Iterable<string>, faults: typeof ALL | typeof SERVER_FAULTS) =>
             [...names].map(
                 name => [
@@ -130,7 +153,7 @@
                 ],
             );
         return Object.fromEntries([
-            ...each(run.system.servers.keys(), SERVER_FAULTS),
+            ...each(run.system.servers.keys(), serverFaults),
             ...each(run.system.hosts.keys(), HOST_FAULTS),
             ...each([STORE], STORE_FAULTS),
         ]) as Record<string, Record<string, number>>;
@@ -138,7 +161,9 @@
 
     /** Brings a fault about; resolves once it is over. Rejects when the target does not come back, or stops badly. */
     async play(run: PlatformRun, fault: string, target: string, lengthMs: number): Promise<void> {
-        await (ALL as Record<string, readonly [number, Fault]>)[fault]![1](run, target, lengthMs);
+        const play = () =>
+            (ALL as Record<string, readonly [number, Fault]>)[fault]![1](run, target, lengthMs);
+        await (CALM.has(fault) ? play() : run.recordDisruption(target, play));
     },
 };
 
--- a/scripts/platformRun.ts
+++ b/scripts/platformRun.ts
@@ -2,6 +2,7 @@
 import {
     type CallerEntry,
     CallerSettings,
+    type Disruption,
     PlatformProtocol,
     runCallers,
     sendCall,
@@ -32,6 +33,8 @@
 const LOAD_SECONDS = 3_600;
 const IN_FLIGHT = 300;
 const UPLOAD_BYTES = 100_000;
+/** After the end of a fault, what it held up arrives within a request's time. */
+const SETTLE_MS = CALL_TIMEOUT_MS;
 
 /** Hosts on the platform under load, whose servers and callers are judged by the observer at the end. */
 export class PlatformRun {
@@ -41,6 +44,7 @@
     private readonly calls: CallerEntry[] = [];
     private readonly protocol = new PlatformProtocol(this.system.authority);
     private readonly agent = new Agent({ connections: IN_FLIGHT });
+    private readonly disruptions: Disruption[] = [];
     private probes = 0;
 
     /** Starts everything, and resolves once every service is served through every host. */
@@ -106,7 +110,20 @@
 
     /** The observer's verdict. The load must have been stopped. */
     judge(): Promise<Verdict> {
-        return this.records.judge(this.system.servers.values(), this.calls);
+        const notices = { drainMs: this.system.drainMs, disruptions: this.disruptions };
+        return this.records.judge(this.system.servers.values(), this.calls, notices);
+    }
+
+    /** Records a fault of a host or a server from its beginning to some time after its end, when what it held up has arrived. */
+    async recordDisruption(target: string, fault: () => Promise<void>): Promise<void> {
+        const name = this.system.hosts.get(target)?.callers ?? target;
+        const from = this.clock.wallTime();
+        try {
+            await fault();
+        }
+        finally {
+            this.disruptions.push({ name, from, until: this.clock.wallTime() + SETTLE_MS });
+        }
     }
 
     /** Ends every process at once. */
--- a/scripts/platformSystem.ts
+++ b/scripts/platformSystem.ts
@@ -9,8 +9,9 @@
 const ROOT = new URL("../", import.meta.url).pathname;
 const LOOPBACK = "127.0.0.1";
 const PORTS_PER_HOST = 4;
+const DRAIN_MS = 2_500;
 const BOUNDS = {
-    "drain": "2500ms",
+    "drain": `${DRAIN_MS}ms`,
     "grace": "6s",
     "hold-max": "10000ms",
     "retry-budget-ratio": 0.2,
@@ -46,6 +47,8 @@
 export class PlatformSystem {
     /** Host name of all routes. */
     readonly authority = "soak.example";
+    /** Time in ms within which hosts have to stop using a leaving server. */
+    readonly drainMs = DRAIN_MS;
     readonly hosts = new Map<string, PlatformHost>();
     readonly servers = new Map<string, PlatformProgram>();
     private readonly services: readonly PlatformService[];
--- a/scripts/serverRecords.ts
+++ b/scripts/serverRecords.ts
@@ -1,5 +1,11 @@
 import type { Clock } from "@arbutusdoor/common";
-import { type CallerEntry, observe, ServerJournal, type Verdict } from "@arbutusdoor/standins";
+import {
+    type CallerEntry,
+    type Disruption,
+    observe,
+    ServerJournal,
+    type Verdict,
+} from "@arbutusdoor/standins";
 import type { ChildProgram } from "./childProgram.js";
 import { endJournalAt } from "./endJournalAt.js";
 
@@ -49,12 +55,17 @@
     }
 
     /** The observer's verdict over everything up to now. */
-    async judge(servers: Iterable<RecordedServer>, calls: readonly CallerEntry[]): Promise<Verdict> {
+    async judge(
+        servers: Iterable<RecordedServer>,
+        calls: readonly CallerEntry[],
+        notices?: { readonly drainMs: number; readonly disruptions: readonly Disruption[]; },
+    ): Promise<Verdict> {
         const live = [...servers].filter(({ program }) => !program.hasEnded);
         const journals = await Promise.all(live.map(server => this.read(server)));
         return observe([...this.journals, ...journals], calls, {
             toleranceMs: TOLERANCE_MS,
             lostServers: this.lost,
+            notices,
         });
     }
 }
--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -7,12 +7,17 @@
 cli.option("--seeds <number>", "runs, each with its own seed", { default: 1 });
 cli.option("--first-seed <number>", "seed of the first run", { default: 1 });
 cli.option("--seconds <number>", "time of failures in each run", { default: 30 });
+cli.option("--notices", "servers also say in their answers that they leave or want no requests for a time");
 cli.help();
 const { options } = cli.parse();
 if (!options.help) {
     const first = Number(options.firstSeed);
     for (let seed = first; seed < first + Number(options.seeds); seed++) {
-        const result = await soakPlatform(seed, Number(options.seconds) * MS_PER_SECOND);
+        const result = await soakPlatform(
+            seed,
+            Number(options.seconds) * MS_PER_SECOND,
+            Boolean(options.notices),
+        );
         process.stdout.write(`${JSON.stringify(result)}\n`);
         process.exitCode = result.isClean ? process.exitCode : 1;
     }
--- a/scripts/soakPlatform.ts
+++ b/scripts/soakPlatform.ts
@@ -15,13 +15,17 @@
 };
 
 /** Plays the faults of a seed against the platform's program under load, and judges the whole. */
-export async function soakPlatform(seed: number, durationMs: number): Promise<SoakResult> {
+export async function soakPlatform(
+    seed: number,
+    durationMs: number,
+    hasNotices = false,
+): Promise<SoakResult> {
     const run = new PlatformRun();
     const errors: string[] = [];
     let steps = 0;
     try {
         await run.start();
-        const plan = planSoak(seed, durationMs, platformFaults.list(run));
+        const plan = planSoak(seed, durationMs, platformFaults.list(run, hasNotices));
         steps = plan.length;
         const stopLoad = run.startLoad({ seed });
         const outcomes = await Promise.allSettled(plan.map(async ({ at, fault, lengthMs, target }) => {
