--- a/scripts/platformFaults.ts
+++ b/scripts/platformFaults.ts
@@ -9,6 +9,8 @@
 const OUTAGE_MS = 5_000;
 const SLOW_MS = 300;
 const LATE_MS = 3_000;
+/** Mostly longer than the drain time, so that requests beyond it would be seen. */
+const ANNOUNCED_MS = 8_000;
 const LOST_ANSWERS = 10;
 const LATE_WRITES = 3;
 const GRACE_LIMIT_MS = 7_500;
@@ -63,11 +65,10 @@
         await run.clock.sleep(lengthMs);
         await run.system.setServerFaults(name, {});
     }],
-    serverAnnounced: [SHORT_MS, async (run, name, lengthMs) => {
+    serverAnnounced: [ANNOUNCED_MS, async (run, name, lengthMs) => {
         await run.system.setServerFaults(name, { isLeaving: true });
-        // Long enough that requests beyond the drain time would be seen.
-        await run.clock.sleep(run.system.drainMs + lengthMs);
-        await run.records.stop(name, run.system.servers.get(name)!);
+        await run.clock.sleep(lengthMs);
+        await run.records.kill(name, run.system.servers.get(name)!);
         await run.system.restartServer(name);
     }],
 };
