--- a/scripts/soakPlatform.ts
+++ b/scripts/soakPlatform.ts
@@ -28,9 +28,17 @@
         const plan = planSoak(seed, durationMs, platformFaults.list(run, hasNotices));
         steps = plan.length;
         const stopLoad = run.startLoad({ seed });
-        const outcomes = await Promise.allSettled(plan.map(async ({ at, fault, lengthMs, target }) => {
-            await run.clock.sleep(at);
-            await platformFaults.play(run, fault, target, lengthMs);
+        /** The last fault of each target: one may take longer than planned, for example until a server has drained. */
+        const last = new Map<string, Promise<void>>();
+        const outcomes = await Promise.allSettled(plan.map(({ at, fault, lengthMs, target }) => {
+            const before = last.get(target) ?? Promise.resolve();
+            const played = (async () => {
+                await run.clock.sleep(at);
+                await before.catch(() => undefined);
+                await platformFaults.play(run, fault, target, lengthMs);
+            })();
+            last.set(target, played);
+            return played;
         }));
         errors.push(
             ...outcomes.flatMap(outcome => outcome.status === "rejected" ? [String(outcome.reason)] : []),
