--- a/packages/gateway/tests/requestRouter.test.ts
+++ b/packages/gateway/tests/requestRouter.test.ts
@@ -122,6 +122,12 @@
         3,
     ],
     ["without budget nothing is retried", { steps: ["shed"], allowance: 0 }, "503 shed, retry later", 1],
+    [
+        "a request that was withheld when it got its connection is sent without budget",
+        { steps: ["withheld", "ok"], allowance: 0 },
+        "200 whole",
+        2,
+    ],
     [
         "a request whose body was not buffered is not retried",
         {
--- a/packages/gateway/tests/serverNotices.test.ts
+++ b/packages/gateway/tests/serverNotices.test.ts
@@ -14,6 +14,11 @@
 import type { RegisteredServer } from "../src/discovery/registeredServer.js";
 import { ServerDirectory } from "../src/discovery/serverDirectory.js";
 import { HostReport } from "../src/links/hostReport.js";
+import type { KeyOrders } from "../src/orders/keyOrders.js";
+import { KeyCoordinator } from "../src/ownership/keyCoordinator.js";
+import type { KeyOrder } from "../src/ownership/keyOrder.js";
+import { OrderDispatch } from "../src/ownership/orderDispatch.js";
+import { ServerLiveness } from "../src/ownership/serverLiveness.js";
 import type { GatewayReply } from "../src/requests/gatewayReply.js";
 import type { RequestRouter } from "../src/requests/requestRouter.js";
 import { LoadReporter } from "../src/routing/loadReporter.js";
@@ -29,6 +34,8 @@
 const KEY = 7;
 const LIMIT_MS = 1_700;
 const QUIET_MS = 1_000;
+type CoordinatorParts = ConstructorParameters<typeof KeyCoordinator>[0];
+
 const LEAVING = { isLeaving: true, quietMs: undefined, ignored: [] };
 
 /** A router for servers `a`, `b` and `c`, of which `a` owns all keys, with backends that follow a script. */
@@ -36,8 +43,9 @@
     const clock = new ManualClock();
     const backends = new ScriptedBackends(steps);
     const servers = new TableView<RegisteredServer>();
-    const router = createRouter({ clock, backends, servers });
-    return { clock, backends, servers, router };
+    const loads = new LoadReporter("h" as HostId, "h-1" as HostIncarnation);
+    const router = createRouter({ clock, backends, servers, loads });
+    return { clock, backends, servers, router, loads };
 }
 
 /** Routes a request, for a key or for any server, and advances the clock until it has its reply. */
@@ -79,8 +87,9 @@
 
 // Guards against requests to a server that said in an answer that it leaves, while the registry does not tell so.
 test("an owner that says that it leaves gets requests until the limit, without word of the store", async () => {
-    const { backends, clock, router } = start(["leaving"]);
+    const { backends, clock, loads, router } = start(["leaving"]);
     await route(router, clock, KEY);
+    expect(loads.flush().leaving).toEqual([["a", 1]]);
     clock.advance(LIMIT_MS - 100);
     expect((await route(router, clock, KEY)).reply).toMatchObject({ kind: "answer" });
     clock.advance(100);
@@ -140,6 +149,45 @@
     expect(HostReport.parse({ ...report, leaving: undefined }).leaving).toBeUndefined();
 });
 
+/** What a coordinator needs of the other parts; those that are not listed are not used. */
+function createCoordinatorParts() {
+    const clock = new ManualClock();
+    const view = new TableView<RegisteredServer>();
+    const directory = new ServerDirectory(view, clock);
+    const server = createRegisteredServer("a", { startedAt: 5 });
+    view.applySnapshot([{ key: "a", version: 1, content: { kind: "value", value: server } }], 1);
+    const logger = new Logger(clock, "host", "silent");
+    return { clock, directory, server, logger, metrics: new Metrics() };
+}
+
+test("a coordinator takes a server for leaving when a host reports that it said so", () => {
+    const { directory, server, ...parts } = createCoordinatorParts();
+    const orders = { restrictConnecting: () => undefined } as unknown as KeyOrders;
+    const coordinator = new KeyCoordinator({ ...parts, directory, orders } as unknown as CoordinatorParts);
+    const reporter = new LoadReporter("h" as HostId, "h-1" as HostIncarnation);
+    reporter.recordLeaving(server);
+    coordinator.handleReport(reporter.flush());
+    expect(directory.getMaxLeavingTime(server.id)).toBe(0);
+});
+
+test.each(["done", "fenced"] as const)(
+    "a coordinator takes a server for leaving when its answer to an order says so: %s",
+    async kind => {
+        const { directory, server, ...parts } = createCoordinatorParts();
+        const dispatch = new OrderDispatch({
+            ...parts,
+            service: server.service,
+            directory,
+            orders: { grant: () => Promise.resolve({ kind, notice: LEAVING }) } as unknown as KeyOrders,
+            liveness: new ServerLiveness(directory, parts.logger),
+            settings: { holdMs: 9_000, orderTimeoutMs: 800 },
+        });
+        const order = { kind: "grant", holder: server, first: 0, last: 7, fence: 1 } as unknown as KeyOrder;
+        await dispatch.send(order, () => true);
+        expect(directory.getMaxLeavingTime(server.id)).toBe(0);
+    },
+);
+
 test("a pooled server that wants no requests gets none until its time has passed, and others get them", async () => {
     const { backends, clock, router, servers } = start(["quiet"]);
     await route(router, clock, undefined);
--- a/packages/gateway/tests/support/createRouter.ts
+++ b/packages/gateway/tests/support/createRouter.ts
@@ -35,12 +35,19 @@
     readonly servers?: TableView<RegisteredServer>;
     /** Address of all servers; by default each has its own. */
     readonly address?: string;
+    readonly loads?: LoadReporter;
 };
 
 /** Creates a router in data centre `north` that knows three servers of the service `board`; server `a` holds all keys. */
 export function createRouter(
-    { address, allowance = DEFAULT_ALLOWANCE, backends, clock, servers = new TableView<RegisteredServer>() }:
-        RouterParameters,
+    {
+        address,
+        allowance = DEFAULT_ALLOWANCE,
+        backends,
+        clock,
+        loads = new LoadReporter("h" as HostId, "h-1" as HostIncarnation),
+        servers = new TableView<RegisteredServer>(),
+    }: RouterParameters,
 ): RequestRouter {
     const maps = new TableView<KeyMap>();
     const directory = new ServerDirectory(servers, clock);
@@ -74,6 +81,6 @@
         }),
         admission,
         budget: new SharedRetryBudget(() => ({ share: 0, windowMs: 10_000, allowance }), () => 1),
-        loads: new LoadReporter("h" as HostId, "h-1" as HostIncarnation),
+        loads,
     });
 }
--- a/packages/gateway/tests/support/scriptedBehaviour.ts
+++ b/packages/gateway/tests/support/scriptedBehaviour.ts
@@ -8,6 +8,8 @@
     /** Answers and says that it is leaving. */
     | "leaving"
     | "misdirected"
+    /** Is not sent when it gets its connection. */
+    | "withheld"
     | "unreachable"
     | "lost"
     | "broken"
