Of a server's own word and the registry's, the earlier one counts

Cause: once a server had said in an answer that it leaves, the registry's news of the same leave was ignored, also when it had been committed before. A host that learned of the registry's leave a second late used the server beyond the limit (DRAIN, by the store's acknowledgement).

Change: a departure keeps the earliest time of all that told of it.

--- a/packages/gateway/src/discovery/serverDirectory.ts
+++ b/packages/gateway/src/discovery/serverDirectory.ts
@@ -162,9 +162,12 @@
     }
 
     private recordDeparture(id: ServerId, server: RegisteredServer | undefined, age: Milliseconds): void {
-        if (server && !this.departures.has(id)) {
-            const now = this.clock.now();
-            this.departures.set(id, { server, knownSince: now, since: now - age, isAnnounced: false });
+        const now = this.clock.now();
+        const known = this.departures.get(id);
+        const since = now - age;
+        if (server && since < (known?.since ?? Infinity)) {
+            const { isAnnounced = false, knownSince = now } = known ?? {};
+            this.departures.set(id, { server, knownSince, since, isAnnounced });
             forgetOldest(this.departures, () => true);
         }
     }
--- a/packages/gateway/tests/serverNotices.test.ts
+++ b/packages/gateway/tests/serverNotices.test.ts
@@ -23,6 +23,7 @@
 import type { RequestRouter } from "../src/requests/requestRouter.js";
 import { LoadReporter } from "../src/routing/loadReporter.js";
 import { QuietServers } from "../src/routing/quietServers.js";
+import { StoreClock } from "../src/store/storeClock.js";
 import { TableView } from "../src/store/tableView.js";
 import { createAdmission } from "./support/createAdmission.js";
 import { createRegisteredServer } from "./support/createRegisteredServer.js";
@@ -131,6 +132,38 @@
     },
 );
 
+// Guards against a limit that counts from a server's own word although the registry had told of its leave before, which is learned late.
+test("of a server's own word and the registry's, the earlier one counts", () => {
+    const clock = new ManualClock(10_000);
+    const view = new TableView<RegisteredServer>(new StoreClock(clock));
+    const directory = new ServerDirectory(view, clock);
+    const server = createRegisteredServer("a");
+    const read = (version: number, value: RegisteredServer, completeAt: Milliseconds) => {
+        const origin = {
+            source: "store",
+            changedAfter: undefined,
+            completeAt,
+            isAfterOutage: false,
+        } as const;
+        view.applyChanges(
+            version - 1,
+            [{ key: "a", version, content: { kind: "value", value } }],
+            version,
+            origin,
+        );
+    };
+    view.applySnapshot([], 1);
+    read(2, server, 10_000);
+    clock.advance(900);
+    directory.recordAnnouncement(server, "answer");
+    clock.advance(300);
+    read(3, { ...server, isDraining: true }, 10_100);
+    expect(directory.getMaxLeavingTime(server.id)).toBe(1_200);
+    expect(directory.getLeavingTime(server.id)).toBe(300);
+    read(4, { ...server, isDraining: true, warmupLeftMs: 1 }, 11_200);
+    expect(directory.getMaxLeavingTime(server.id)).toBe(1_200);
+});
+
 test("an announcement of an incarnation that has been replaced is ignored", () => {
     const view = new TableView<RegisteredServer>();
     const directory = new ServerDirectory(view, new ManualClock());
