--- a/scripts/getFreePorts.ts
+++ b/scripts/getFreePorts.ts
@@ -1,32 +1,15 @@
-import { createServer } from "node:net";
+import { createServer, type Server } from "node:net";
+import type { AddressInfo } from "node:net";
 
-/** Below the range from which the system draws the ports of outgoing connections, which could take one while its program is down. */
-const FIRST_PORT = 15_000;
-const PORT_COUNT = 15_000;
-const PORTS_PER_PROCESS = 97;
-
-let next = process.pid * PORTS_PER_PROCESS % PORT_COUNT;
-
-/** Ports of the loopback address that were free a moment ago, each returned once. */
+/** Ports of the loopback address that were free a moment ago. */
 export async function getFreePorts(count: number): Promise<number[]> {
-    const ports: number[] = [];
-    for (let tries = 0; ports.length < count; tries++) {
-        if (tries > PORT_COUNT) {
-            throw new Error("no port of the loopback address is free");
-        }
-        const port = FIRST_PORT + next;
-        next = (next + 1) % PORT_COUNT;
-        if (await isFree(port)) {
-            ports.push(port);
-        }
+    const servers: Server[] = [];
+    for (let index = 0; index < count; index++) {
+        const server = createServer();
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        servers.push(server);
     }
+    const ports = servers.map(server => (server.address() as AddressInfo).port);
+    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
     return ports;
 }
-
-function isFree(port: number): Promise<boolean> {
-    const server = createServer();
-    return new Promise(resolve => {
-        server.once("error", () => resolve(false));
-        server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
-    });
-}
