--- a/packages/gateway/tests/lateNews.test.ts
+++ b/packages/gateway/tests/lateNews.test.ts
@@ -30,6 +30,16 @@
     return { state, keys };
 }
 
+function startFollower(
+    clock: ManualClock,
+    source: ScriptedRows<RegisteredServer>,
+    state: ClusterState,
+): void {
+    const logger = new Logger(clock, "host", "silent");
+    const view = state.servers;
+    new TableFollower({ table: "servers", source, view, clock, logger, getWait: () => WAIT_MS }).start();
+}
+
 /** Follows the table of servers; `a` leaves at 2 s, and other rows change before. Each answer is read late by what `getDelay` returns. */
 function follow(
     clock: ManualClock,
@@ -42,15 +52,7 @@
         clock.schedule(at, () => source.put("b", createRegisteredServer("b", { warmupLeftMs: 5_000 - at })));
     }
     clock.schedule(LEAVES_AT_MS, () => source.put("a", LEAVING));
-    const logger = new Logger(clock, "host", "silent");
-    new TableFollower({
-        table: "servers",
-        source,
-        view: state.servers,
-        clock,
-        logger,
-        getWait: () => WAIT_MS,
-    }).start();
+    startFollower(clock, source, state);
 }
 
 /** Advances the clock step by step and returns the last time at which a request for a key went to server `a`. */
@@ -106,15 +108,7 @@
     const { keys, state } = createHost(clock);
     const source = new ScriptedRows<RegisteredServer>(clock);
     source.put("a", READY);
-    const logger = new Logger(clock, "host", "silent");
-    new TableFollower({
-        table: "servers",
-        source,
-        view: state.servers,
-        clock,
-        logger,
-        getWait: () => WAIT_MS,
-    }).start();
+    startFollower(clock, source, state);
     await advance(clock, 1_000);
     source.isDown = true;
     await advance(clock, 6_000);
