--- a/packages/gateway/tests/support/simulatedCluster.ts
+++ b/packages/gateway/tests/support/simulatedCluster.ts
@@ -45,6 +45,8 @@
     readonly orders: SimulatedOrders;
     readonly lease: LeaseManager;
     readonly coordinator: KeyCoordinator;
+    /** Term of the coordinator that the host follows; `undefined` while it follows none. */
+    followedTerm: number | undefined;
 };
 
 /** Simulates hosts with real lease managers and coordinators, over a store, a registry and servers in memory, on a manual clock. */
@@ -102,7 +104,10 @@
                 this.terms.push(`${name} ${term}`);
                 coordinator.start(term, predecessors);
             },
-            onOtherCoordinator: () => coordinator.stop(),
+            onOtherCoordinator: ({ term }) => {
+                coordinator.stop();
+                host.followedTerm = term;
+            },
         });
         const coordinator = new KeyCoordinator({
             clock,
@@ -119,7 +124,17 @@
             stripeKeys: 1,
             onHeld: () => undefined,
         });
-        this.hosts.set(name, { incarnationNumber, leases, maps, servers, orders, lease, coordinator });
+        const host: RunningHost = {
+            incarnationNumber,
+            leases,
+            maps,
+            servers,
+            orders,
+            lease,
+            coordinator,
+            followedTerm: undefined,
+        };
+        this.hosts.set(name, host);
         void lease.run();
     }
 
@@ -157,11 +172,12 @@
 
     /** Sends a report from one host to another. */
     report(from: string, to: string): void {
-        const incarnation = `${from}-${this.find(from).incarnationNumber}`;
+        const { followedTerm, incarnationNumber } = this.find(from);
         const report = {
             kind: "report",
             host: from,
-            incarnation,
+            incarnation: `${from}-${incarnationNumber}`,
+            followedTerm,
             keys: [],
             servers: [],
             misdirected: [],
@@ -201,6 +217,13 @@
         }
     }
 
+    /** Advances time. Returns whether each key has a holder all the while. */
+    async isServedFor(duration: Milliseconds): Promise<boolean> {
+        const before = this.served;
+        await this.run(duration);
+        return this.served - before === this.keys * duration;
+    }
+
     /** Advances time; checks the holders of all keys in each step. */
     async run(duration: Milliseconds): Promise<void> {
         for (const end = this.clock.now() + duration; this.clock.now() < end;) {
