A predecessor that follows the new coordinator counts as stopped

What callers saw: after a partition or an outage of the store, requests for the keys of servers that had left meanwhile were refused for 22 s. Cause: a new coordinator waits until a predecessor's time for renewals is over (12 s) before it starts to wait for grants to lapse (10.3 s), even when the predecessor has read the new lease, has stopped and is linked to its successor. Change: hosts report the term that they follow; a predecessor of the same incarnation that follows this term or a later one has stopped. Grants that it sent before are covered by the order's timeout, which the time to lapse includes.

--- a/packages/gateway/src/host/gatewayHost.ts
+++ b/packages/gateway/src/host/gatewayHost.ts
@@ -79,6 +79,8 @@
     private readonly startedAt: Milliseconds;
     private readonly hosts: HostCount;
     private readonly currency: CoordinatorCurrency;
+    /** Term of the coordinator that this host follows; `undefined` while it follows none. */
+    private followedTerm: number | undefined;
     private isStopping = false;
 
     constructor(parts: GatewayParts) {
@@ -239,6 +241,7 @@
 
     private becomeCoordinator(term: number, predecessors: readonly Predecessor[]): void {
         this.link.disconnect();
+        this.followedTerm = undefined;
         this.coordinator.start(term, predecessors);
     }
 
@@ -247,6 +250,7 @@
             this.coordinator.stop();
             this.hub.closeLinks();
         }
+        this.followedTerm = lease.term;
         this.link.connect(lease.address);
     }
 
@@ -263,7 +267,7 @@
     }
 
     private sendReport(): void {
-        const report = this.loads.flush();
+        const report = this.loads.flush(this.followedTerm);
         if (this.coordinator.isActive) {
             this.coordinator.handleReport(report);
         }
--- a/packages/gateway/src/links/hostReport.ts
+++ b/packages/gateway/src/links/hostReport.ts
@@ -8,6 +8,8 @@
     host: z.string(),
     /** Incarnation of the host. */
     incarnation: z.string(),
+    /** Term of the coordinator that the host follows; it sends no order of an earlier term any more. Absent in reports of earlier versions. */
+    followedTerm: z.int().optional(),
     /** Requests for each key since the last report: service, key, number of requests. */
     keys: z.array(z.tuple([z.string(), z.int(), z.int()])).max(MAX_ENTRIES),
     /** Answers of each server since the last report: id, number of answers, sum of their durations in ms. */
--- a/packages/gateway/src/ownership/keyCoordinator.ts
+++ b/packages/gateway/src/ownership/keyCoordinator.ts
@@ -89,12 +89,10 @@
     }
 
     /** Handles a host's report. */
-    handleReport({ host, incarnation, keys, leaving = [], misdirected, servers }: HostReport): void {
+    handleReport(report: HostReport): void {
+        const { keys, leaving = [], misdirected, servers } = report;
         const now = this.parts.clock.now();
-        // The host has a new incarnation, so the one that coordinated has ended.
-        const left = this.predecessors.filter(before =>
-            before.host !== host || before.incarnation === incarnation
-        );
+        const left = this.predecessors.filter(before => !this.hasStopped(before, report));
         if (left.length < this.predecessors.length) {
             this.predecessors = left;
             this.services.forEach(service => service.updatePredecessorTime());
@@ -114,6 +112,13 @@
         }
     }
 
+    /** Whether a host's report proves that a predecessor sends no more orders: it has ended, or follows this coordinator. */
+    private hasStopped(predecessor: Predecessor, { followedTerm, host, incarnation }: HostReport): boolean {
+        const isFollowing = followedTerm !== undefined && this.term !== undefined
+            && followedTerm >= this.term;
+        return predecessor.host === host && (predecessor.incarnation !== incarnation || isFollowing);
+    }
+
     private schedule(): void {
         this.parts.clock.schedule(TICK_MS, () => {
             if (this.term !== undefined) {
--- a/packages/gateway/src/routing/loadReporter.ts
+++ b/packages/gateway/src/routing/loadReporter.ts
@@ -56,12 +56,17 @@
         }
     }
 
-    /** Returns what was collected since the last call. */
-    flush(): HostReport {
+    /**
+     * Returns what was collected since the last call.
+     *
+     * @param followedTerm term of the coordinator that this host follows, if any
+     */
+    flush(followedTerm?: number): HostReport {
         const report: HostReport = {
             kind: "report",
             host: this.host,
             incarnation: this.incarnation,
+            followedTerm,
             keys: [...this.keys.values()],
             servers: [...this.servers.values()],
             misdirected: [...this.misdirected.values()],
--- a/packages/gateway/tests/changingCoordinators.test.ts
+++ b/packages/gateway/tests/changingCoordinators.test.ts
@@ -33,6 +33,9 @@
     for (let step = 0; step < STEPS; step++) {
         await cluster.run(random.nextFraction() * LONGEST_STEP_MS);
         const coordinator = cluster.terms.at(-1)!.split(" ")[0]!;
+        ["a", ...OTHERS].filter(other => !stopped.has(other)).forEach(other =>
+            cluster.report(other, coordinator)
+        );
         const host = pick(2) === 0 && coordinator !== "a" ? coordinator : OTHERS[pick(OTHERS.length)]!;
         const action = pick(6);
         if (stopped.has(host)) {
--- a/packages/gateway/tests/lostCoordinators.test.ts
+++ b/packages/gateway/tests/lostCoordinators.test.ts
@@ -48,3 +48,25 @@
     expect(await cluster.isServedFor(CHECK_MS)).toBe(true);
     expect(cluster.checker.violations).toEqual([]);
 });
+
+// Guards against two owners of a key: what a host followed before it coordinated itself says nothing about its own grants.
+test("a report of a host that followed an earlier coordinator does not shorten the wait for its grants", async () => {
+    const cluster = new SimulatedCluster(OWNERS);
+    cluster.startHost("c");
+    await cluster.run(1_000);
+    cluster.startHost("a");
+    await cluster.run(1_000);
+    cluster.stopHost("c");
+    await cluster.run(1_000);
+    cluster.startHost("b");
+    cluster.setServersCut("b", ["s"], true);
+    await cluster.run(2_000);
+    cluster.setStoreCut("a", true);
+    cluster.register("s", undefined);
+    for (let second = 0; second < 30; second++) {
+        await cluster.run(1_000);
+        cluster.report("a", "b");
+    }
+    expect(cluster.terms).toEqual(["c 1", "a 2", "b 3"]);
+    expect(cluster.checker.violations).toEqual([]);
+});
