The map states until when earlier owners got grants, so that the wait for them does not start over

Cause: only the coordinator that took the keys away knew when the last grant to their owner had been sent. The class: what a process has proved is kept in its memory, and its successor starts from the worst case. Change: each range with earlier owners carries the store time after which no coordinator sends them grants. It is known when the owner is leaving or does not answer, since its ranges get no renewal from the proposal on, or at the next commit. Times are converted so that they are never too early. Earlier versions do not read the times, and their maps have none: then the wait is as before.

--- a/packages/gateway/src/coordination/leaseManager.ts
+++ b/packages/gateway/src/coordination/leaseManager.ts
@@ -54,7 +54,12 @@
     private readonly parts: LeaseManagerParts;
     private own: OwnLease | undefined;
     private reference:
-        | { readonly storeTime: Milliseconds; readonly mark: ReturnType<typeof suspendAwareTime.mark>; }
+        | {
+            readonly storeTime: Milliseconds;
+            /** When the call began whose answer stated the time, and when that answer was read. */
+            readonly mark: ReturnType<typeof suspendAwareTime.mark>;
+            readonly readAt: Milliseconds;
+        }
         | undefined;
     private lastContact: ReturnType<typeof suspendAwareTime.mark> | undefined;
     private announcedTerm: number | undefined;
@@ -88,6 +93,18 @@
         return this.lastContact ? suspendAwareTime.getElapsed(this.parts.clock, this.lastContact) : Infinity;
     }
 
+    /** Returns the latest time that the store's clock can show at a time of this host's clock; `undefined` before its first reading. */
+    readonly toStoreTime = (time: Milliseconds): Milliseconds | undefined => {
+        const { reference } = this;
+        return reference && this.getStoreTimeBound() + time - this.parts.clock.now();
+    };
+
+    /** Returns the latest time of this host's clock at which the store's clock can show a time; Infinity before its first reading. */
+    readonly toLocalTime = (storeTime: Milliseconds): Milliseconds => {
+        const { reference } = this;
+        return reference ? reference.readAt + storeTime - reference.storeTime : Infinity;
+    };
+
     /** Polls and renews the lease until it is resigned. */
     async run(): Promise<void> {
         const { clock, random } = this.parts;
@@ -144,7 +161,7 @@
             return RETRY_MS * 2;
         }
         this.recordAvailable();
-        this.reference = { storeTime: read.storeTime, mark };
+        this.reference = { storeTime: read.storeTime, mark, readAt: clock.now() };
         const lease = getLease(read.row);
         if (lease?.incarnation === incarnation && lease.expiresAt > 0) {
             this.own = { term: lease.term, version: read.row.version, expiresAt: lease.expiresAt };
@@ -229,7 +246,7 @@
             return false;
         }
         this.own = { term, version: outcome.version, expiresAt };
-        this.reference = { storeTime: outcome.storeTime, mark };
+        this.reference = { storeTime: outcome.storeTime, mark, readAt: this.parts.clock.now() };
         this.lastContact = mark;
         return true;
     }
--- a/packages/gateway/src/ownership/createRangeProgress.ts
+++ b/packages/gateway/src/ownership/createRangeProgress.ts
@@ -1,4 +1,4 @@
-import type { ServerId } from "@arbutusdoor/common";
+import type { Milliseconds, ServerId } from "@arbutusdoor/common";
 import { getHolderName } from "./getHolderName.js";
 import type { LastGrant } from "./lastGrant.js";
 import type { OwnedRange } from "./ownedRange.js";
@@ -10,16 +10,27 @@
 /**
  * Creates the progress of a range of a committed map. When a change made the range from a source range, the grants that holders may hold
  * are taken over from there. Without a source, a predecessor may have granted the range to any holder that it lists.
+ *
+ * @param previousUntil without a source: time by this host's clock after which the earlier owners got no grants, where that is known
  */
 export function createRangeProgress(
     range: OwnedRange,
     source?: OwnedRange,
     before?: RangeProgress,
+    previousUntil?: Milliseconds,
 ): RangeProgress {
     const names = [range.owner, ...range.previous].map(getHolderName);
     if (!source || !before) {
-        const grant: LastGrant = { at: -Infinity, isInherited: true };
-        return createProgress(new Map(names.map(name => [name, grant])));
+        const inherited: LastGrant = { at: -Infinity, isInherited: true };
+        const earlier: LastGrant = previousUntil === undefined
+            ? inherited
+            : { at: previousUntil, isInherited: false };
+        return createProgress(
+            new Map([
+                ...range.previous.map((holder): [string, LastGrant] => [getHolderName(holder), earlier]),
+                [getHolderName(range.owner), inherited],
+            ]),
+        );
     }
     const lastGrants = new Map([...before.lastGrants].filter(([name]) => names.includes(name)));
     const ownGrant = mergeGrants(
--- a/packages/gateway/src/ownership/decodeKeyMap.ts
+++ b/packages/gateway/src/ownership/decodeKeyMap.ts
@@ -27,14 +27,23 @@
         }
         return { id: holder[0] as KeyHolder["id"], startedAt: holder[1] };
     };
+    const namedHolders = 1
+        + Math.max(-1, ...entries.flatMap(([, owner = -1, , ...previous]) => [owner, ...previous]));
+    const times = new Map(
+        holders.slice(namedHolders).flatMap(([positions, time]) =>
+            positions.split(" ").map((position): [number, number] => [Number(position), time])
+        ),
+    );
     let first = 0;
-    const ranges = entries.map(([last = -1, owner, age = 0, ...previous]): OwnedRange => {
+    const ranges = entries.map(([last = -1, owner, age = 0, ...previous], position): OwnedRange => {
+        const previousUntil = times.get(position);
         const range = {
             first,
             last,
             owner: getHolder(owner),
             fence: fence - age,
             previous: previous.map(getHolder),
+            ...(previousUntil !== undefined && { previousUntil }),
         };
         first = last + 1;
         return range;
--- a/packages/gateway/src/ownership/encodeKeyMap.ts
+++ b/packages/gateway/src/ownership/encodeKeyMap.ts
@@ -3,7 +3,10 @@
 import type { KeyHolder } from "./keyHolder.js";
 import type { KeyMap } from "./keyMap.js";
 
-/** Encodes a map. Each holder is written only once, so that thousands of ranges fit into one row. */
+/**
+ * Encodes a map. Each holder is written only once, so that thousands of ranges fit into one row. Behind the holders that ranges name stand
+ * entries with a time after which earlier owners got no grants, and the positions of its ranges: earlier versions do not read them.
+ */
 export function encodeKeyMap(map: KeyMap): Uint8Array {
     const holders: KeyHolder[] = [];
     const indexes = new Map<string, number>();
@@ -22,5 +25,22 @@
         map.fence - fence,
         ...previous.map(getIndex),
     ]);
-    return pack([map.term, map.fence, holders.map(({ id, startedAt }) => [id, startedAt]), ranges]);
+    const entries = holders.map(({ id, startedAt }): [string, number] => [id, startedAt]);
+    return pack([map.term, map.fence, [...entries, ...listTimes(map)], ranges]);
+}
+
+function listTimes({ ranges }: KeyMap): readonly (readonly [positions: string, time: number])[] {
+    const positions = new Map<number, number[]>();
+    ranges.forEach(({ previousUntil }, position) => {
+        if (previousUntil !== undefined) {
+            const listed = positions.get(previousUntil);
+            if (listed) {
+                listed.push(position);
+            }
+            else {
+                positions.set(previousUntil, [position]);
+            }
+        }
+    });
+    return [...positions].map(([time, listed]) => [listed.join(" "), time]);
 }
--- a/packages/gateway/src/ownership/findStopProof.ts
+++ b/packages/gateway/src/ownership/findStopProof.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from "@arbutusdoor/common";
 import { getHolderName } from "./getHolderName.js";
+import { getLastGrantTime } from "./getLastGrantTime.js";
 import type { HolderState } from "./holderState.js";
 import type { KeyHolder } from "./keyHolder.js";
 import type { LastGrant } from "./lastGrant.js";
@@ -38,7 +39,7 @@
     if (!grant) {
         return { ...untimed, cause: isOwner ? "unsent" : "released" };
     }
-    const last = grant.isInherited ? Math.max(grant.at, inheritedUntil) : grant.at;
+    const last = getLastGrantTime(grant, inheritedUntil);
     if (now < getExpiry(last, settings)) {
         return undefined;
     }
--- a/packages/gateway/src/ownership/keyCoordinator.ts
+++ b/packages/gateway/src/ownership/keyCoordinator.ts
@@ -12,6 +12,7 @@
 import { ServerLiveness } from "./serverLiveness.js";
 import { ServerSpeeds } from "./serverSpeeds.js";
 import { ServiceCoordinator } from "./serviceCoordinator.js";
+import type { StoreTimeScale } from "./storeTimeScale.js";
 
 /** Interval at which due orders are sent and changes are planned. */
 const TICK_MS = 20;
@@ -28,7 +29,10 @@
     readonly directory: ServerDirectory;
     readonly getConfiguration: () => RoutedConfiguration | undefined;
     /** The coordinator lease: whether it is valid, and the time since the store last confirmed it. */
-    readonly lease: { readonly isValid: boolean; readonly storeContactAge: Milliseconds; };
+    readonly lease: StoreTimeScale & {
+        readonly isValid: boolean;
+        readonly storeContactAge: Milliseconds;
+    };
     readonly settings: OwnershipSettings;
     readonly rebalance: RebalanceSettings;
     readonly stripeKeys: number;
--- a/packages/gateway/src/ownership/listDifferences.ts
+++ b/packages/gateway/src/ownership/listDifferences.ts
@@ -7,6 +7,7 @@
     return after.ranges.filter(range => {
         const earlier = known.get(range.first);
         return !earlier || earlier.fence !== range.fence || earlier.last !== range.last
-            || earlier.previous.length !== range.previous.length;
+            || earlier.previous.length !== range.previous.length
+            || earlier.previousUntil !== range.previousUntil;
     });
 }
--- a/packages/gateway/src/ownership/orderScheduler.ts
+++ b/packages/gateway/src/ownership/orderScheduler.ts
@@ -5,6 +5,7 @@
 import { findRange } from "./findRange.js";
 import { findStopProof } from "./findStopProof.js";
 import { getHolderName } from "./getHolderName.js";
+import { getLastGrantTime } from "./getLastGrantTime.js";
 import { getRenewalFactor } from "./getRenewalFactor.js";
 import { GrantWindow } from "./grantWindow.js";
 import { HolderReachability } from "./holderReachability.js";
@@ -19,6 +20,8 @@
 import type { RangeChange } from "./rangeChange.js";
 import type { RangeProgress } from "./rangeProgress.js";
 import type { StopProof } from "./stopProof.js";
+import type { StoreTimeScale } from "./storeTimeScale.js";
+import { updateProgress } from "./updateProgress.js";
 import type { WaitingRange } from "./waitingRange.js";
 
 /** A range whose owner has confirmed its grant. */
@@ -34,11 +37,12 @@
 export class OrderScheduler {
     private readonly settings: OwnershipSettings;
     private readonly getState: (holder: KeyHolder) => HolderState;
+    private readonly scale: StoreTimeScale;
     private committed: KeyMap;
     private distinctOwners: readonly KeyHolder[];
     private progress = new Map<number, RangeProgress>();
-    /** Ranges that get no grant until a proposal has ended, by first key, with the stop proof of the owner that loses the range. */
-    private readonly frozen = new Map<number, StopProof>();
+    /** Ranges that get no grant until a proposal has ended, by first key, with the stop proof of the owner that loses the range, if any. */
+    private readonly frozen = new Map<number, StopProof | undefined>();
     private readonly refused = new Set<number>();
     /** First keys of ranges that callers ask for and whose owners do not hold them: these are granted first. */
     private readonly requested = new Set<number>();
@@ -50,6 +54,7 @@
     /**
      * @param isInherited whether a predecessor may have sent grants of this map
      * @param getState returns what is known about a holder now
+     * @param scale converts the times in the map
      */
     constructor(
         map: KeyMap,
@@ -57,13 +62,15 @@
         now: Milliseconds,
         settings: OwnershipSettings,
         getState: (holder: KeyHolder) => HolderState,
+        scale: StoreTimeScale,
     ) {
         this.settings = settings;
         this.getState = getState;
+        this.scale = scale;
         this.committed = map;
         this.distinctOwners = listOwners(map);
         this.inheritedUntil = isInherited ? now + settings.renewalAuthorityMs : -Infinity;
-        map.ranges.forEach(range => this.progress.set(range.first, createRangeProgress(range)));
+        map.ranges.forEach(range => this.progress.set(range.first, this.createInheritedProgress(range)));
         const inherited = isInherited
             ? map.ranges.flatMap(({ owner, previous }) => [owner, ...previous])
             : [];
@@ -106,23 +113,25 @@
     /**
      * Returns the map with changes, to be written; orders follow only once it is committed. A range whose owner the new map no longer lists
      * gets no grant until the proposal is committed, superseded by a later commit, or abandoned: the map would not account for a grant that
-     * is sent meanwhile.
+     * is sent meanwhile. The same holds for a range whose owner is leaving or does not answer, since the map states when its last grant was
+     * sent.
      */
     propose(term: number, changes: readonly RangeChange[], now: Milliseconds): KeyMap {
-        const map = applyChanges(
-            this.committed,
-            term,
-            changes,
-            (holder, range) => this.hasStopped(holder, range, now),
-        );
         for (const { first, owner } of changes) {
             const range = findRange(this.committed.ranges, first)!;
             const stopProof = this.findStopProof(range.owner, range, now);
-            if (!isSameHolder(owner, range.owner) && stopProof) {
+            const isUnfit = this.getState(range.owner) !== "live" || this.isUnresponsive(range.owner, now);
+            if (!isSameHolder(owner, range.owner) && (stopProof || isUnfit)) {
                 this.frozen.set(range.first, stopProof);
             }
         }
-        return map;
+        return applyChanges(
+            this.committed,
+            term,
+            changes,
+            (holder, range) => this.hasStopped(holder, range, now),
+            (holder, range) => this.getGrantLimit(holder, range),
+        );
     }
 
     /** Abandons the proposal, which is known not to have been written. */
@@ -132,27 +141,9 @@
 
     /** Adopts a committed map. */
     commit(map: KeyMap): void {
-        const before = this.committed.ranges;
-        const next = new Map<number, RangeProgress>();
-        let index = 0;
-        for (const range of map.ranges) {
-            while (before[index] && before[index]!.last < range.first) {
-                index++;
-            }
-            const source = before[index];
-            const known = source && this.progress.get(source.first);
-            const isSame = source?.fence === range.fence && source.first === range.first
-                && source.last === range.last;
-            const progress = known && isSame ? known : createRangeProgress(range, source, known);
-            const removedOwner = source && this.frozen.get(source.first);
-            if (removedOwner && source.fence !== range.fence) {
-                progress.removedOwners.push(removedOwner);
-            }
-            next.set(range.first, progress);
-        }
+        this.progress = updateProgress(this.committed, this.progress, map, this.frozen);
         this.committed = map;
         this.distinctOwners = listOwners(map);
-        this.progress = next;
         this.refused.clear();
         this.requested.clear();
         this.frozen.clear();
@@ -311,6 +302,21 @@
         return range.previous.filter(holder => !this.hasStopped(holder, range, now));
     }
 
+    /** Returns the store time after which a holder gets no grants of a range; `undefined` when it may get more. */
+    private getGrantLimit(holder: KeyHolder, range: OwnedRange): Milliseconds | undefined {
+        const grant = this.progress.get(range.first)?.lastGrants.get(getHolderName(holder));
+        const mayGetMore = isSameHolder(holder, range.owner) && !this.frozen.has(range.first);
+        return grant && !mayGetMore
+            ? this.scale.toStoreTime(getLastGrantTime(grant, this.inheritedUntil))
+            : undefined;
+    }
+
+    private createInheritedProgress(range: OwnedRange): RangeProgress {
+        const { previousUntil } = range;
+        const until = previousUntil === undefined ? undefined : this.scale.toLocalTime(previousUntil);
+        return createRangeProgress(range, undefined, undefined, until);
+    }
+
     /** Whether an owner or earlier owner of a range is proved to have stopped serving it. */
     private hasStopped(holder: KeyHolder, range: OwnedRange, now: Milliseconds): boolean {
         return this.findStopProof(holder, range, now) !== undefined;
--- a/packages/gateway/src/ownership/ownedRange.ts
+++ b/packages/gateway/src/ownership/ownedRange.ts
@@ -1,3 +1,4 @@
+import type { Milliseconds } from "@arbutusdoor/common";
 import type { KeyRange } from "../orders/keyRange.js";
 import type { KeyHolder } from "./keyHolder.js";
 
@@ -8,4 +9,9 @@
     readonly fence: number;
     /** Earlier owners that may still hold keys of the range; the owner gets its grant when none is left. */
     readonly previous: readonly KeyHolder[];
+    /**
+     * Store time after which no coordinator sends grants of the range to an earlier owner; `undefined` when one may, and in maps of earlier
+     * versions.
+     */
+    readonly previousUntil?: Milliseconds | undefined;
 };
--- a/packages/gateway/src/ownership/serviceCoordinator.ts
+++ b/packages/gateway/src/ownership/serviceCoordinator.ts
@@ -141,6 +141,7 @@
                 fence: map.fence,
                 ranges: map.ranges.length,
                 waiting: this.scheduler.listWaiting(takenAt).length,
+                dated: map.ranges.filter(({ previousUntil }) => previousUntil !== undefined).length,
                 predecessors: this.parts.getPredecessors().map(({ host }) => host).join(" ") || "none",
                 reckonedMs: Math.round(this.scheduler.getPredecessorTimeLeft(takenAt)),
             });
@@ -293,8 +294,15 @@
     }
 
     private createScheduler(map: KeyMap, isInherited: boolean, now: Milliseconds): OrderScheduler {
-        const { liveness, settings } = this.parts;
-        return new OrderScheduler(map, isInherited, now, settings, holder => liveness.getState(holder));
+        const { lease, liveness, settings } = this.parts;
+        return new OrderScheduler(
+            map,
+            isInherited,
+            now,
+            settings,
+            holder => liveness.getState(holder),
+            lease,
+        );
     }
 
     private listServers(): readonly ServerCapacity[] {
--- a/packages/gateway/src/ownership/serviceCoordinatorParts.ts
+++ b/packages/gateway/src/ownership/serviceCoordinatorParts.ts
@@ -9,6 +9,7 @@
 import type { RebalanceSettings } from "./rebalanceSettings.js";
 import type { ServerLiveness } from "./serverLiveness.js";
 import type { ServerSpeeds } from "./serverSpeeds.js";
+import type { StoreTimeScale } from "./storeTimeScale.js";
 
 /** Dependencies of the coordinator of one service. */
 export type ServiceCoordinatorParts = {
@@ -26,7 +27,7 @@
     readonly directory: ServerDirectory;
     readonly liveness: ServerLiveness;
     readonly speeds: ServerSpeeds;
-    readonly lease: { readonly storeContactAge: Milliseconds; };
+    readonly lease: StoreTimeScale & { readonly storeContactAge: Milliseconds; };
     readonly settings: OwnershipSettings;
     readonly rebalance: RebalanceSettings;
     readonly stripeKeys: number;
--- a/packages/gateway/tests/coordinatorLogs.test.ts
+++ b/packages/gateway/tests/coordinatorLogs.test.ts
@@ -25,6 +25,7 @@
 import { createHolder } from "./support/createHolder.js";
 import { createRegisteredServer } from "./support/createRegisteredServer.js";
 import { MemoryRowTable } from "./support/memoryRowTable.js";
+import { SAME_CLOCK } from "./support/sameClock.js";
 
 const SERVICE = "s" as ServiceId;
 const SETTINGS = createOwnershipSettings(2_000, 2_000);
@@ -101,7 +102,7 @@
         directory,
         liveness: new ServerLiveness(directory, logger),
         speeds: new ServerSpeeds(),
-        lease: { storeContactAge: 0 },
+        lease: { ...SAME_CLOCK, storeContactAge: 0 },
         settings: SETTINGS,
         rebalance: REBALANCE,
         stripeKeys: 10,
--- a/packages/gateway/tests/grantWindow.test.ts
+++ b/packages/gateway/tests/grantWindow.test.ts
@@ -5,6 +5,7 @@
 import { OrderScheduler } from "../src/ownership/orderScheduler.js";
 import { createHolder } from "./support/createHolder.js";
 import { createStripedMap } from "./support/createStripedMap.js";
+import { SAME_CLOCK } from "./support/sameClock.js";
 
 const SERVERS = 40;
 const RANGES = 880;
@@ -36,6 +37,7 @@
             0,
             this.settings,
             () => "live",
+            SAME_CLOCK,
         );
         this.scheduler.limitPredecessorTime(0);
     }
--- a/packages/gateway/tests/keyMap.test.ts
+++ b/packages/gateway/tests/keyMap.test.ts
@@ -21,16 +21,17 @@
         keys: fc.integer({ min: 1, max: 2_048 }),
         owner: fc.constantFrom(...HOLDERS),
         hasStopped: fc.boolean(),
+        limit: fc.option(fc.nat(), { nil: undefined }),
     }),
     { maxLength: 12 },
 ).map(steps => {
     const maps: KeyMap[] = [EMPTY, assignInitialKeys(HOLDERS, 2_048, 1, 1)];
-    for (const { at, from, hasStopped, keys, owner } of steps) {
+    for (const { at, from, hasStopped, keys, limit, owner } of steps) {
         const map = maps.at(-1)!;
         const range = map.ranges[at % map.ranges.length]!;
         const first = Math.min(range.last, range.first + from);
         const last = Math.min(range.last, first + keys - 1);
-        maps.push(applyChanges(map, 2, [{ first, last, owner }], () => hasStopped));
+        maps.push(applyChanges(map, 2, [{ first, last, owner }], () => hasStopped, () => limit));
     }
     return maps;
 });
--- a/packages/gateway/tests/leaseManager.test.ts
+++ b/packages/gateway/tests/leaseManager.test.ts
@@ -205,3 +205,35 @@
     expect(predecessors).toHaveLength(1);
     expect(coordinatorLeaseCodec.decode("coordinator", bytes)).toEqual({ ...earlier, predecessors: [] });
 });
+
+// Guards against grants that count as expired too early: times in the map are converted by hosts that read the store's clock late.
+test("times of the store's clock are never converted to earlier ones, and hardly to later ones", async () => {
+    const { clock, managers: [manager] } = createManagers(["a"]);
+    expect(manager!.toStoreTime(0)).toBeUndefined();
+    expect(manager!.toLocalTime(0)).toBe(Infinity);
+    const largestErrors = { toStore: 0, toLocal: 0 };
+    const check = () => {
+        const now = clock.now();
+        const errors = {
+            toStore: manager!.toStoreTime(now)! - now,
+            toLocal: manager!.toLocalTime(now) - now,
+        };
+        expect(errors.toStore).toBeGreaterThanOrEqual(0);
+        expect(errors.toLocal).toBeGreaterThanOrEqual(0);
+        largestErrors.toStore = Math.max(largestErrors.toStore, errors.toStore);
+        largestErrors.toLocal = Math.max(largestErrors.toLocal, errors.toLocal);
+    };
+    await run(clock, 500);
+    await run(clock, 5_000, check);
+    expect(largestErrors.toStore).toBeLessThanOrEqual(50);
+    expect(largestErrors.toLocal).toBeLessThanOrEqual(50);
+});
+
+test("a suspension of the machine makes the store's time later", async () => {
+    const { clock, managers: [manager] } = createManagers(["a"]);
+    await run(clock, 1_000);
+    const before = manager!.toStoreTime(clock.now())!;
+    clock.suspendedMs = 2_000;
+    expect(manager!.toStoreTime(clock.now())! - before).toBe(2_000);
+    expect(manager!.toLocalTime(before)).toBeGreaterThanOrEqual(before - 50);
+});
--- a/packages/gateway/tests/planning.test.ts
+++ b/packages/gateway/tests/planning.test.ts
@@ -38,7 +38,7 @@
     let next = map;
     for (let round = 0; round < rounds; round++) {
         const changes = planRebalance(next, SERVERS, range => loads.list(range), () => true, REBALANCE);
-        next = applyChanges(next, 1, changes, () => true);
+        next = applyChanges(next, 1, changes, () => true, () => undefined);
     }
     return next;
 }
@@ -72,7 +72,7 @@
     const changes = planJoins(INITIAL_MAP, [...SERVERS, joined]);
     expect(new Set(changes.map(({ owner }) => owner.id))).toEqual(new Set(["new"]));
     expect(changes.length).toBeGreaterThan(10);
-    const after = applyChanges(INITIAL_MAP, 1, changes, () => true);
+    const after = applyChanges(INITIAL_MAP, 1, changes, () => true, () => undefined);
     expect(planJoins(after, [...SERVERS, joined])).toEqual([]);
 });
 
--- a/packages/gateway/tests/refusedGrants.test.ts
+++ b/packages/gateway/tests/refusedGrants.test.ts
@@ -2,6 +2,7 @@
 import { createOwnershipSettings } from "../src/host/createOwnershipSettings.js";
 import { OrderScheduler } from "../src/ownership/orderScheduler.js";
 import { createHolder } from "./support/createHolder.js";
+import { SAME_CLOCK } from "./support/sameClock.js";
 
 const HOLD_MS = 9_000;
 
@@ -19,6 +20,7 @@
         0,
         createOwnershipSettings(HOLD_MS, HOLD_MS),
         () => "live",
+        SAME_CLOCK,
     );
     const [grant] = scheduler.takeDueOrders(0, true, 1);
     scheduler.complete(grant!, { kind: "fenced" }, 10);
--- a/packages/gateway/tests/stopProofs.test.ts
+++ b/packages/gateway/tests/stopProofs.test.ts
@@ -9,6 +9,7 @@
 import { OrderScheduler } from "../src/ownership/orderScheduler.js";
 import type { OwnedRange } from "../src/ownership/ownedRange.js";
 import { createHolder } from "./support/createHolder.js";
+import { SAME_CLOCK } from "./support/sameClock.js";
 
 const SERVICE = "s" as ServiceId;
 const SETTINGS = createOwnershipSettings(2_000, 2_000);
@@ -27,7 +28,14 @@
 
 /** Creates a scheduler; `answer` completes its due orders with an outcome and returns the stop proofs of first grants. */
 function createSession(map: KeyMap, isInherited: boolean, states: Record<string, HolderState> = {}) {
-    const scheduler = new OrderScheduler(map, isInherited, 0, SETTINGS, ({ id }) => states[id] ?? "live");
+    const scheduler = new OrderScheduler(
+        map,
+        isInherited,
+        0,
+        SETTINGS,
+        ({ id }) => states[id] ?? "live",
+        SAME_CLOCK,
+    );
     const answer = (now: number, outcome: OrderOutcome = { kind: "done" }) => {
         const orders = scheduler.takeDueOrders(now, true, 100);
         orders.forEach(order => scheduler.complete(order, outcome, now));
--- a/packages/gateway/tests/support/ownershipFuzzer.ts
+++ b/packages/gateway/tests/support/ownershipFuzzer.ts
@@ -14,6 +14,7 @@
 import type { InFlightOrder } from "./inFlightOrder.js";
 import type { MapWrite } from "./mapWrite.js";
 import { OwnershipChecker } from "./ownershipChecker.js";
+import { SAME_CLOCK } from "./sameClock.js";
 import { SimulatedServer } from "./simulatedServer.js";
 import { UnreliableMapRow } from "./unreliableMapRow.js";
 
@@ -296,6 +297,7 @@
             this.now,
             this.settings,
             holder => this.getState(holder, scheduler),
+            SAME_CLOCK,
         );
         return scheduler;
     }
--- a/packages/gateway/tests/support/ownershipSession.ts
+++ b/packages/gateway/tests/support/ownershipSession.ts
@@ -8,6 +8,7 @@
 import type { KeyOrder } from "../../src/ownership/keyOrder.js";
 import { OrderScheduler } from "../../src/ownership/orderScheduler.js";
 import { createHolder } from "./createHolder.js";
+import { SAME_CLOCK } from "./sameClock.js";
 import { SimulatedServer } from "./simulatedServer.js";
 
 const HOLD_MS = 2_000;
@@ -139,6 +140,7 @@
             this.now,
             this.settings,
             holder => this.getState(holder),
+            SAME_CLOCK,
         );
     }
 
--- a/packages/gateway/tests/support/schedulerHarness.ts
+++ b/packages/gateway/tests/support/schedulerHarness.ts
@@ -5,6 +5,7 @@
 import type { KeyOrder } from "../../src/ownership/keyOrder.js";
 import { OrderScheduler } from "../../src/ownership/orderScheduler.js";
 import { createHolder } from "./createHolder.js";
+import { SAME_CLOCK } from "./sameClock.js";
 
 const HOLD_MS = 9_000;
 const STEP_MS = 20;
@@ -23,7 +24,7 @@
     private now: Milliseconds = 0;
 
     constructor(map: KeyMap, isInherited: boolean) {
-        this.scheduler = new OrderScheduler(map, isInherited, 0, this.settings, () => "live");
+        this.scheduler = new OrderScheduler(map, isInherited, 0, this.settings, () => "live", SAME_CLOCK);
     }
 
     /** Longest time for which a server may hold keys after a grant was sent to it. */
--- a/packages/gateway/tests/support/serviceCoordinatorHarness.ts
+++ b/packages/gateway/tests/support/serviceCoordinatorHarness.ts
@@ -18,6 +18,7 @@
 import { TableView } from "../../src/store/tableView.js";
 import { createRegisteredServer } from "./createRegisteredServer.js";
 import { MemoryRowTable } from "./memoryRowTable.js";
+import { SAME_CLOCK } from "./sameClock.js";
 
 const SERVICE = "board" as ServiceId;
 const TICK_MS = 20;
@@ -89,7 +90,7 @@
             directory,
             liveness: new ServerLiveness(directory, logger),
             speeds: new ServerSpeeds(),
-            lease: { storeContactAge: 0 },
+            lease: { ...SAME_CLOCK, storeContactAge: 0 },
             settings: createOwnershipSettings(HOLD_MS, HOLD_MS),
             rebalance: REBALANCE,
             stripeKeys: STRIPE_KEYS,
