--- a/packages/common/src/logging/logEvent.ts
+++ b/packages/common/src/logging/logEvent.ts
@@ -156,6 +156,7 @@
         level: "info",
         text: "a request was answered; only some of these lines are written",
     },
+    callerPortFailed: { number: 506, level: "error", text: "the port for callers reported an error" },
     linesLeftOut: { number: 504, level: "warn", text: "log lines were dropped" },
     tableHistoryLost: {
         number: 605,
--- a/packages/gateway/src/requests/callerPort.ts
+++ b/packages/gateway/src/requests/callerPort.ts
@@ -53,6 +53,7 @@
     private readonly server: Server;
     private readonly connections = new WeakMap<Socket, CallerConnection>();
     private openRequests = 0;
+    private openConnections = 0;
     private isClosing = false;
     private notifyIdle: (() => void) | undefined;
 
@@ -63,7 +64,11 @@
             requestTimeout: 0,
             connectionsCheckingInterval: TIMEOUT_CHECK_MS,
         });
-        parts.metrics.gauge("arbutusdoor_requests_in_flight", () => this.openRequests);
+        const { logger, metrics } = parts;
+        metrics.gauge("arbutusdoor_requests_in_flight", () => this.openRequests);
+        metrics.gauge("arbutusdoor_caller_connections", () => this.openConnections);
+        this.server.on("connection", (socket: Socket) => this.countConnection(socket));
+        this.server.on("error", ({ message }) => logger.log("callerPortFailed", { reason: message }));
     }
 
     /** Starts to listen. Rejects when the address cannot be bound. */
@@ -155,6 +160,12 @@
         this.write(message, response, reply);
     }
 
+    private countConnection(socket: Socket): void {
+        this.parts.metrics.count("arbutusdoor_caller_connections_accepted_total");
+        this.openConnections++;
+        socket.once("close", () => this.openConnections--);
+    }
+
     private getConnection(socket: Socket): CallerConnection {
         let connection = this.connections.get(socket);
         if (!connection) {
