Hosts do not keep asking a busy coordinator for a link

What callers saw: after the hosts' return or a change of the coordinator, hosts without a link for seconds; a coordinator that took no connections. Cause: an attempt ended after half a second and was repeated within half a second more. A small host that has just taken over needs longer for a handshake, and the runtime accepts one connection a port in each turn of its loop: 72 hosts queued some 100 attempts a second, most of them given up before they were accepted. Change: an attempt has 2 s; after a failed one a host pauses for a random time of up to 200 ms, doubled up to 1.6 s. It turns to a new coordinator at once. Hosts without a link follow the store meanwhile, as before.

--- a/packages/gateway/src/host/gatewayHost.ts
+++ b/packages/gateway/src/host/gatewayHost.ts
@@ -43,7 +43,8 @@
 const HEARTBEAT_MS = 300;
 /** Part of the time in which changes have to take effect that is left to a host that has to read the store itself. */
 const FALLBACK_MS = 800;
-const LINK_TIMEOUT_MS = 500;
+/** A coordinator that has just taken over, on a small host, needs more than half a second for a handshake while all hosts link to it. */
+const LINK_TIMEOUT_MS = 2_000;
 /** The load balancer stops sending connections after two failed readiness checks, a second apart. */
 const LISTEN_AFTER_STOP_MS = 2_500;
 /** Part of the grace time that is reserved for closing down. */
@@ -161,6 +162,7 @@
         this.link = new CoordinatorLink({
             transport: transport(),
             clock,
+            random,
             logger,
             createFirstReport: () => this.createFirstReport(),
             onMessage: message => this.handleMessage(message),
@@ -232,9 +234,9 @@
 
     private isReady(): boolean {
         const { clock } = this.parts;
+        const { directory, routes } = this.state;
         const hasKeys = this.keys.isKnown || clock.now() - this.startedAt > READY_WITHOUT_KEYS_MS;
-        return !this.isStopping && this.state.routes !== undefined && this.state.directory.isKnown
-            && hasKeys;
+        return !this.isStopping && routes !== undefined && directory.isKnown && hasKeys;
     }
 
     /** Whether an up-to-date coordinator sends this host all changes. */
@@ -292,9 +294,8 @@
         }
     }
 
-    private createHeartbeat(): CoordinatorMessage {
-        return createHeartbeat(this.lease, this.hub.size + 1, this.state);
-    }
+    private createHeartbeat = (): CoordinatorMessage =>
+        createHeartbeat(this.lease, this.hub.size + 1, this.state);
 
     private handleMessage(message: CoordinatorMessage): void {
         if (message.kind === "rows") {
--- a/packages/gateway/src/links/coordinatorLink.ts
+++ b/packages/gateway/src/links/coordinatorLink.ts
@@ -1,4 +1,4 @@
-import type { Clock, Logger, Milliseconds } from "@arbutusdoor/common";
+import type { Clock, Logger, Milliseconds, RandomSource } from "@arbutusdoor/common";
 import type { Connection, Transport } from "@arbutusdoor/mesh";
 import { pack, unpack } from "msgpackr";
 import type { CoordinatorMessage } from "./coordinatorMessage.js";
@@ -7,11 +7,15 @@
 const FRAME_LIMIT_BYTES = 8_388_608;
 /** Heartbeats arrive every 300 ms; nothing else detects an unresponsive peer. */
 const CONTACT_TIMEOUT_MS = 1_000;
+/** Pause after a failed attempt, drawn anew each time up to this; doubles with each further one up to the longest. */
+const MIN_PAUSE_MS = 200;
+const MAX_PAUSE_MS = 1_600;
 
 /** Dependencies of a link. */
 type LinkParts = {
     readonly transport: Transport;
     readonly clock: Clock;
+    readonly random: RandomSource;
     readonly logger: Logger;
     /** Returns the first report on a link, which says what this host knows. */
     readonly createFirstReport: () => HostReport;
@@ -24,9 +28,12 @@
     private address: string | undefined;
     private connection: Connection | undefined;
     private lastContactAt: Milliseconds = -Infinity;
-    private isDialling = false;
-    /** Failed attempts since the last link. */
+    /** Number of the attempt in progress; `undefined` while there is none. */
+    private attempt: number | undefined;
+    private attempts = 0;
+    /** Failed attempts at the address since the last link. */
     private failures = 0;
+    private nextAttemptAt: Milliseconds = -Infinity;
 
     constructor(parts: LinkParts) {
         this.parts = parts;
@@ -38,19 +45,28 @@
             && this.parts.clock.now() - this.lastContactAt < CONTACT_TIMEOUT_MS;
     }
 
-    /** Connects to the coordinator at an address; closes a link to another one. */
+    /**
+     * Connects to the coordinator at an address, unless an attempt is in progress or failed just before; closes a link to another one. All
+     * hosts look for a new coordinator at the same time: one that they kept asking would have no processor time left to answer.
+     */
     connect(address: string): void {
-        if (this.address === address && (this.connection || this.isDialling)) {
-            return;
+        if (this.address !== address) {
+            this.disconnect();
+            this.address = address;
+            this.failures = 0;
+            this.nextAttemptAt = -Infinity;
+        }
+        const isIdle = !this.connection && this.attempt === undefined;
+        if (isIdle && this.parts.clock.now() >= this.nextAttemptAt) {
+            this.attempt = ++this.attempts;
+            void this.dial(address, this.attempt);
         }
-        this.disconnect();
-        this.address = address;
-        void this.dial(address);
     }
 
     /** Closes the link. */
     disconnect(): void {
         this.address = undefined;
+        this.attempt = undefined;
         this.connection?.terminate();
         this.connection = undefined;
     }
@@ -68,24 +84,17 @@
         this.connection?.send(pack(message));
     }
 
-    private async dial(address: string): Promise<void> {
-        this.isDialling = true;
+    private async dial(address: string, attempt: number): Promise<void> {
         const startedAt = this.parts.clock.now();
         const connection = await this.parts.transport.dial(address, FRAME_LIMIT_BYTES);
-        this.isDialling = false;
         const ageMs = Math.round(this.parts.clock.now() - startedAt);
-        if (!connection || this.address !== address) {
+        const isSuperseded = this.attempt !== attempt;
+        if (!connection || isSuperseded) {
             connection?.terminate();
-            this.failures++;
-            const cause = connection ? "superseded" : "notConnected";
-            this.parts.logger.log("coordinatorLinkFailed", {
-                address,
-                cause,
-                ageMs,
-                failures: this.failures,
-            });
+            this.handleFailure(address, isSuperseded, ageMs);
             return;
         }
+        this.attempt = undefined;
         this.connection = connection;
         this.lastContactAt = this.parts.clock.now();
         this.parts.logger.log("coordinatorLinked", { address, ageMs, failures: this.failures });
@@ -98,6 +107,17 @@
         this.send(this.parts.createFirstReport());
     }
 
+    private handleFailure(address: string, isSuperseded: boolean, ageMs: Milliseconds): void {
+        const cause = isSuperseded ? "superseded" : "notConnected";
+        if (!isSuperseded) {
+            this.attempt = undefined;
+            const limit = Math.min(MAX_PAUSE_MS, MIN_PAUSE_MS * 2 ** this.failures);
+            this.nextAttemptAt = this.parts.clock.now() + limit * this.parts.random.nextFraction();
+            this.failures++;
+        }
+        this.parts.logger.log("coordinatorLinkFailed", { address, cause, ageMs, failures: this.failures });
+    }
+
     private handleFrame(connection: Connection, bytes: Uint8Array): void {
         this.lastContactAt = this.parts.clock.now();
         try {
