A coordinator sends few orders in one turn of its loop

Cause, as far as it is shown: after a takeover up to 96 grants were sent in one turn. With 0.27 of a core that turn takes 0.3 s and more, and the runtime accepts one connection a port in a turn. Change: at most 10 first grants and 10 releases a tick; the ranges that have been due longest are released first, so that servers without an answer do not hold up others.

--- a/packages/gateway/src/ownership/orderScheduler.ts
+++ b/packages/gateway/src/ownership/orderScheduler.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from "@arbutusdoor/common";
 import type { OrderOutcome } from "../orders/orderOutcome.js";
 import { applyChanges } from "./applyChanges.js";
-import { createRangeProgress } from "./createRangeProgress.js";
+import { createInheritedProgress } from "./createInheritedProgress.js";
 import { findRange } from "./findRange.js";
 import { findStopProof } from "./findStopProof.js";
 import { getHolderName } from "./getHolderName.js";
@@ -15,8 +15,10 @@
 import type { KeyMap } from "./keyMap.js";
 import type { KeyOrder } from "./keyOrder.js";
 import { listOwners } from "./listOwners.js";
+import { OrderQuota } from "./orderQuota.js";
 import type { OwnedRange } from "./ownedRange.js";
 import type { OwnershipSettings } from "./ownershipSettings.js";
+import { pickLongestWaiting } from "./pickLongestWaiting.js";
 import type { RangeChange } from "./rangeChange.js";
 import type { RangeProgress } from "./rangeProgress.js";
 import type { StopProof } from "./stopProof.js";
@@ -70,7 +72,7 @@
         this.committed = map;
         this.distinctOwners = listOwners(map);
         this.inheritedUntil = isInherited ? now + settings.renewalAuthorityMs : -Infinity;
-        map.ranges.forEach(range => this.progress.set(range.first, this.createInheritedProgress(range)));
+        map.ranges.forEach(range => this.progress.set(range.first, createInheritedProgress(range, scale)));
         const inherited = isInherited
             ? map.ranges.flatMap(({ owner, previous }) => [owner, ...previous])
             : [];
@@ -155,31 +157,38 @@
      *
      * @param mayMove whether keys may move to new owners; otherwise only renewals are due
      * @param renewalLimit maximum number of renewals, so that many that are due together do not block the loop
+     * @param moveLimit the same for other grants, and for releases
      */
-    takeDueOrders(now: Milliseconds, mayMove: boolean, renewalLimit: number): readonly KeyOrder[] {
+    takeDueOrders(
+        now: Milliseconds,
+        mayMove: boolean,
+        renewalLimit: number,
+        moveLimit = Infinity,
+    ): readonly KeyOrder[] {
         const orders: KeyOrder[] = [];
-        let renewals = 0;
+        const waiting: WaitingRange[] = [];
+        const quota = new OrderQuota(renewalLimit, moveLimit);
         for (const range of this.listByUrgency()) {
             const progress = this.progress.get(range.first)!;
-            if (
-                progress.pendingOrders > 0 || now < progress.dueAt
-                || (progress.isHeld && renewals >= renewalLimit)
-            ) {
+            const { dueAt, isHeld, pendingOrders } = progress;
+            if (pendingOrders > 0 || now < dueAt || (isHeld && !quota.hasGrant(true))) {
                 continue;
             }
             const possibleHolders = this.listPossibleHolders(range, now);
             if (possibleHolders.length > 0) {
-                if (mayMove) {
-                    orders.push(
-                        ...possibleHolders.map(holder => this.createRelease(range, holder, progress, now)),
-                    );
-                }
+                waiting.push({ range, holders: possibleHolders });
             }
-            else if (!this.frozen.has(range.first) && this.mayGrant(range, mayMove, progress)) {
-                renewals += progress.isHeld ? 1 : 0;
+            else if (quota.hasGrant(isHeld) && this.mayGrant(range, mayMove, progress)) {
+                quota.takeGrant(isHeld);
                 orders.push(this.createGrant(range, progress, now));
             }
         }
+        if (mayMove) {
+            const getDueAt = ({ first }: OwnedRange) => this.progress.get(first)!.dueAt;
+            for (const { holders, range } of pickLongestWaiting(waiting, getDueAt, moveLimit)) {
+                orders.push(...holders.map(holder => this.createRelease(range, holder, now)));
+            }
+        }
         return orders;
     }
 
@@ -311,12 +320,6 @@
             : undefined;
     }
 
-    private createInheritedProgress(range: OwnedRange): RangeProgress {
-        const { previousUntil } = range;
-        const until = previousUntil === undefined ? undefined : this.scale.toLocalTime(previousUntil);
-        return createRangeProgress(range, undefined, undefined, until);
-    }
-
     /** Whether an owner or earlier owner of a range is proved to have stopped serving it. */
     private hasStopped(holder: KeyHolder, range: OwnedRange, now: Milliseconds): boolean {
         return this.findStopProof(holder, range, now) !== undefined;
@@ -335,7 +338,8 @@
      */
     private mayGrant(range: OwnedRange, mayMove: boolean, progress: RangeProgress): boolean {
         const state = this.getState(range.owner);
-        if (state === "dead" || state === "replaced" || (!mayMove && !progress.isHeld)) {
+        const isEnded = state === "dead" || state === "replaced";
+        if (this.frozen.has(range.first) || isEnded || (!mayMove && !progress.isHeld)) {
             return false;
         }
         return this.reachability.isFailing(range.owner)
@@ -378,12 +382,8 @@
         return [...removedOwners, ...listed].filter(({ holder }) => !isSameHolder(holder, range.owner));
     }
 
-    private createRelease(
-        range: OwnedRange,
-        holder: KeyHolder,
-        progress: RangeProgress,
-        now: Milliseconds,
-    ): KeyOrder {
+    private createRelease(range: OwnedRange, holder: KeyHolder, now: Milliseconds): KeyOrder {
+        const progress = this.progress.get(range.first)!;
         progress.pendingOrders++;
         progress.dueAt = now + this.settings.retryMs;
         const { first, fence, last } = range;
--- a/packages/gateway/src/ownership/serviceCoordinator.ts
+++ b/packages/gateway/src/ownership/serviceCoordinator.ts
@@ -20,6 +20,11 @@
 
 /** Maximum number of renewals sent in one tick; more would block the loop for tens of milliseconds. */
 const RENEWALS_PER_TICK = 24;
+/**
+ * Maximum number of first grants, and of releases, sent in one tick. The runtime accepts one connection a port in each turn of its loop, so
+ * long turns keep callers and other hosts waiting; an order takes a cold coordinator up to 1 ms of processor time.
+ */
+const MOVES_PER_TICK = 10;
 /**
  * The initial assignment waits until the number of servers has been stable for this long: when all start, they register within some 3 s.
  */
@@ -90,7 +95,7 @@
         }
         const { scheduler } = this;
         if (scheduler) {
-            const due = scheduler.takeDueOrders(now, mayMove, RENEWALS_PER_TICK);
+            const due = scheduler.takeDueOrders(now, mayMove, RENEWALS_PER_TICK, MOVES_PER_TICK);
             due.forEach(order => void this.send(scheduler, order));
             this.firstGrants.add(due, now);
             this.waiting.review(time => scheduler.listWaiting(time), now);
--- a/packages/gateway/tests/grantWindow.test.ts
+++ b/packages/gateway/tests/grantWindow.test.ts
@@ -12,6 +12,7 @@
 const STEP_MS = 20;
 const HOLD_MS = 9_000;
 const RENEWAL_LIMIT = 24;
+const MOVE_LIMIT = 10;
 /** Orders for which a host of half a core has processor time in one step, just after its start. */
 const ORDERS_PER_STEP = 10;
 const NO_ANSWER: OrderOutcome = { kind: "unknown", reason: "no answer" };
@@ -44,7 +45,7 @@
 
     run(duration: number): void {
         for (const end = this.now + duration; this.now < end; this.now += STEP_MS) {
-            const due = this.scheduler.takeDueOrders(this.now, true, RENEWAL_LIMIT);
+            const due = this.scheduler.takeDueOrders(this.now, true, RENEWAL_LIMIT, MOVE_LIMIT);
             this.waiting.push(...due.map(order => ({ order, sentAt: this.now })));
             this.mostInFlight = Math.max(this.mostInFlight, this.waiting.length);
             const overdue = this.waiting.filter(({ sentAt }) =>
@@ -96,3 +97,33 @@
     // Its first three grants, and one at a time afterwards.
     expect(coordinator.unanswered).toBeLessThanOrEqual(3 + 3);
 });
+
+// Guards against a coordinator that takes no new connections for seconds after it has taken over: it sent 96 grants in one turn of its loop.
+test("a coordinator that takes over sends few grants and releases at a time, and all of them within two seconds", () => {
+    const owners = Array.from({ length: RANGES }, (_, key) => createHolder(`s${key % SERVERS}`));
+    const { ranges, ...map } = createStripedMap(owners, 2);
+    const moving = ranges.map((range, index) =>
+        index % 4 === 0 ? { ...range, previous: [createHolder("before")] } : range
+    );
+    const settings = createOwnershipSettings(HOLD_MS, HOLD_MS);
+    const scheduler = new OrderScheduler(
+        { ...map, ranges: moving },
+        true,
+        0,
+        settings,
+        () => "live",
+        SAME_CLOCK,
+    );
+    const sent = new Set<string>();
+    for (let now = 0; now < 2_000; now += STEP_MS) {
+        const orders = scheduler.takeDueOrders(now, true, RENEWAL_LIMIT, MOVE_LIMIT);
+        for (const kind of ["grant", "release"]) {
+            expect(orders.filter(order => order.kind === kind).length).toBeLessThanOrEqual(MOVE_LIMIT);
+        }
+        orders.forEach(order => {
+            sent.add(`${order.kind} ${order.first}`);
+            scheduler.complete(order, order.kind === "grant" ? { kind: "done" } : NO_ANSWER, now);
+        });
+    }
+    expect(sent.size).toBe(RANGES);
+});
