--- a/packages/gateway/src/ownership/orderScheduler.ts
+++ b/packages/gateway/src/ownership/orderScheduler.ts
@@ -183,13 +183,12 @@
                 orders.push(this.createGrant(range, progress, now));
             }
         }
-        if (mayMove) {
-            const getDueAt = ({ first }: OwnedRange) => this.progress.get(first)!.dueAt;
-            for (const { holders, range } of pickLongestWaiting(waiting, getDueAt, moveLimit)) {
-                orders.push(...holders.map(holder => this.createRelease(range, holder, now)));
-            }
-        }
-        return orders;
+        const getDueAt = ({ first }: OwnedRange) => this.progress.get(first)!.dueAt;
+        const released = mayMove ? pickLongestWaiting(waiting, getDueAt, moveLimit) : [];
+        const releases = released.flatMap(({ holders, range }) =>
+            holders.map(holder => this.createRelease(range, holder, now))
+        );
+        return [...releases, ...orders];
     }
 
     /** Records the outcome of an order. Returns the range when its owner has now confirmed its first grant. */
