--- a/packages/gateway/src/ownership/orderScheduler.ts
+++ b/packages/gateway/src/ownership/orderScheduler.ts
@@ -166,7 +166,7 @@
         moveLimit = Infinity,
     ): readonly KeyOrder[] {
         const orders: KeyOrder[] = [];
-        const waiting: WaitingRange[] = [];
+        const waiting = new Map<number, WaitingRange>();
         const quota = new OrderQuota(renewalLimit, moveLimit);
         for (const range of this.listByUrgency()) {
             const progress = this.progress.get(range.first)!;
@@ -176,7 +176,7 @@
             }
             const possibleHolders = this.listPossibleHolders(range, now);
             if (possibleHolders.length > 0) {
-                waiting.push({ range, holders: possibleHolders });
+                waiting.set(range.first, { range, holders: possibleHolders });
             }
             else if (quota.hasGrant(isHeld) && this.mayGrant(range, mayMove, progress)) {
                 quota.takeGrant(isHeld);
@@ -184,7 +184,7 @@
             }
         }
         const getDueAt = ({ first }: OwnedRange) => this.progress.get(first)!.dueAt;
-        const released = mayMove ? pickLongestWaiting(waiting, getDueAt, moveLimit) : [];
+        const released = mayMove ? pickLongestWaiting([...waiting.values()], getDueAt, moveLimit) : [];
         const releases = released.flatMap(({ holders, range }) =>
             holders.map(holder => this.createRelease(range, holder, now))
         );
--- a/packages/gateway/tests/grantWindow.test.ts
+++ b/packages/gateway/tests/grantWindow.test.ts
@@ -127,3 +127,14 @@
     }
     expect(sent.size).toBe(RANGES);
 });
+
+// Guards against releases that are sent twice: a range that callers ask for in vain is listed among the urgent ones and among all.
+test("a range that waits for an earlier owner and is asked for gets one release at a time", () => {
+    const map = createStripedMap([createHolder("p"), createHolder("q")], 2);
+    const ranges = map.ranges.map(range => ({ ...range, previous: [createHolder("before")] }));
+    const settings = createOwnershipSettings(HOLD_MS, HOLD_MS);
+    const scheduler = new OrderScheduler({ ...map, ranges }, true, 0, settings, () => "live", SAME_CLOCK);
+    scheduler.renewSoon(1, 0);
+    const orders = scheduler.takeDueOrders(0, true, RENEWAL_LIMIT, MOVE_LIMIT);
+    expect(orders.map(({ first, kind }) => `${kind} ${first}`)).toEqual(["release 1", "release 0"]);
+});
