Small hosts leave a free coordinator lease to larger ones for 600 ms

Cause: a host of 0.27 of a core coordinated. The limits of orders a turn are not enough: it cannot coordinate beside its callers. Change: the settings' processor share is decoded; a host with less than half a core claims the lease only after it has been free for 600 ms, longer than the time between two reads by the others. Where all hosts are small, a takeover takes that much longer. Evidence: leaseManager.test.ts, last but one test (a small host takes the lease at once without the change).

--- a/packages/gateway/src/coordination/leaseManager.ts
+++ b/packages/gateway/src/coordination/leaseManager.ts
@@ -29,6 +29,8 @@
     readonly needsCoordinator: () => boolean;
     /** Whether this host may take the lease. */
     readonly isEligible: () => boolean;
+    /** How long this host leaves a free lease to others; 0 for a host that has the processor time to coordinate. */
+    readonly claimDelayMs: Milliseconds;
     /** How long a coordinator that cannot reach the store goes on renewing grants. */
     readonly renewalAuthorityMs: Milliseconds;
     /**
@@ -69,6 +71,8 @@
     /** The poll or renewal in progress, or the last one. */
     private step: Promise<Milliseconds> | undefined;
     private isStopped = false;
+    /** When the lease was first found free; `undefined` while it is held. */
+    private freeSince: Milliseconds | undefined;
     /** Reads in a row that got no answer. */
     private failures = 0;
 
@@ -140,6 +144,7 @@
     /** Reads the lease, and takes it when it is free. Returns the delay until the next poll or renewal. */
     private async poll(): Promise<Milliseconds> {
         const {
+            claimDelayMs,
             clock,
             host,
             incarnation,
@@ -176,10 +181,13 @@
         const left = lease ? lease.expiresAt + TAKEOVER_MARGIN_MS - read.storeTime : 0;
         // A restarted host takes over from its own earlier incarnation at once, since that one has ended.
         if (lease && left > 0 && lease.host !== host) {
+            this.freeSince = undefined;
             onOtherCoordinator(lease);
             return Math.min(left, RETRY_MS * 3);
         }
-        if (!isEligible()) {
+        this.freeSince ??= clock.now();
+        const isLeftToOthers = lease?.host !== host && clock.now() - this.freeSince < claimDelayMs;
+        if (!isEligible() || isLeftToOthers) {
             return RETRY_MS;
         }
         const term = (lease?.term ?? 0) + 1;
--- a/packages/gateway/src/host/gatewayHost.ts
+++ b/packages/gateway/src/host/gatewayHost.ts
@@ -33,6 +33,7 @@
 import { createOwnershipSettings } from "./createOwnershipSettings.js";
 import type { GatewayAdapters } from "./gatewayAdapters.js";
 import type { GatewayOptions } from "./gatewayOptions.js";
+import { getClaimDelay } from "./getClaimDelay.js";
 import { REBALANCE } from "./rebalance.js";
 import { repeatTask } from "./repeatTask.js";
 import { setRunning } from "./setRunning.js";
@@ -118,6 +119,7 @@
             logger,
             needsCoordinator: () => !this.isLinked(),
             isEligible: () => !this.isStopping && this.state.routes !== undefined,
+            claimDelayMs: getClaimDelay(settings.processorCores),
             renewalAuthorityMs: ownership.renewalAuthorityMs,
             onAcquired: (term, predecessors) => this.becomeCoordinator(term, predecessors),
             onOtherCoordinator: lease => this.followCoordinator(lease),
@@ -233,9 +235,8 @@
     }
 
     private isReady(): boolean {
-        const { clock } = this.parts;
         const { directory, routes } = this.state;
-        const hasKeys = this.keys.isKnown || clock.now() - this.startedAt > READY_WITHOUT_KEYS_MS;
+        const hasKeys = this.keys.isKnown || this.parts.clock.now() - this.startedAt > READY_WITHOUT_KEYS_MS;
         return !this.isStopping && routes !== undefined && directory.isKnown && hasKeys;
     }
 
@@ -331,7 +332,6 @@
     }
 
     private repeat(period: Milliseconds, action: () => void): void {
-        const { clock, logger, metrics } = this.parts;
-        repeatTask(period, action, clock, logger, metrics);
+        repeatTask(period, action, this.parts);
     }
 }
--- a/packages/gateway/src/host/repeatTask.ts
+++ b/packages/gateway/src/host/repeatTask.ts
@@ -8,10 +8,9 @@
 export function repeatTask(
     period: Milliseconds,
     action: () => void,
-    clock: Clock,
-    logger: Logger,
-    metrics: Metrics,
+    parts: { readonly clock: Clock; readonly logger: Logger; readonly metrics: Metrics; },
 ): void {
+    const { clock, logger, metrics } = parts;
     const due = clock.now() + period;
     clock.schedule(period, () => {
         const lag = clock.now() - due;
@@ -20,6 +19,6 @@
             logger.log("loopLagged", { lagMs: Math.round(lag) });
         }
         action();
-        repeatTask(period, action, clock, logger, metrics);
+        repeatTask(period, action, parts);
     });
 }
--- a/packages/gateway/src/settings/hostSettings.ts
+++ b/packages/gateway/src/settings/hostSettings.ts
@@ -15,6 +15,8 @@
     /** Maximum number of file descriptors. */
     readonly descriptorLimit: number;
     readonly memoryBytes: number;
+    /** Processor time that this host has, in cores. */
+    readonly processorCores: number;
     readonly bounds: {
         /** Time after the store's acknowledgement by which a leaving server must get no more requests. */
         readonly drainMs: Milliseconds;
--- a/packages/gateway/tests/coordinatorLogs.test.ts
+++ b/packages/gateway/tests/coordinatorLogs.test.ts
@@ -149,6 +149,7 @@
             logger,
             needsCoordinator: () => true,
             isEligible: () => true,
+            claimDelayMs: 0,
             renewalAuthorityMs: SETTINGS.renewalAuthorityMs,
             onAcquired: () => undefined,
             onOtherCoordinator: () => undefined,
--- a/packages/gateway/tests/lateAnswers.test.ts
+++ b/packages/gateway/tests/lateAnswers.test.ts
@@ -46,6 +46,7 @@
             logger: new Logger(clock, name, "silent"),
             needsCoordinator: () => true,
             isEligible: () => true,
+            claimDelayMs: 0,
             renewalAuthorityMs: RENEWAL_AUTHORITY_MS,
             onAcquired: (term, predecessors) =>
                 events.push(
--- a/packages/gateway/tests/leaseManager.test.ts
+++ b/packages/gateway/tests/leaseManager.test.ts
@@ -8,6 +8,7 @@
 import { MemoryRowTable } from "./support/memoryRowTable.js";
 
 const RENEWAL_AUTHORITY_MS = 12_000;
+const CLAIM_DELAY_MS = 600;
 
 /** A clock whose wall time can run ahead, as after a suspension of the machine. */
 class SuspendableClock extends ManualClock {
@@ -38,6 +39,7 @@
             logger: new Logger(clock, name, "silent"),
             needsCoordinator: () => true,
             isEligible: () => true,
+            claimDelayMs: name.startsWith("small") ? CLAIM_DELAY_MS : 0,
             renewalAuthorityMs: RENEWAL_AUTHORITY_MS,
             onAcquired: (term, predecessors) => {
                 const hosts = predecessors.map(({ host }) => host).join(" and ") || "none";
@@ -237,3 +239,21 @@
     expect(manager!.toStoreTime(clock.now())! - before).toBe(2_000);
     expect(manager!.toLocalTime(before)).toBeGreaterThanOrEqual(before - 50);
 });
+
+// Guards against a ready host that takes no new connections: one of a quarter of a core became the coordinator, and its loop was late with
+// everything for as long as keys moved.
+test("small hosts leave the lease to a larger one, also after its coordinator has ended", async () => {
+    const { clock, events, links, start } = createManagers(["small-1", "small-2", "small-3", "large-1"]);
+    await run(clock, 2_000);
+    expect(events.find(event => event.includes("takes"))).toBe("large-1 takes term 1 after none");
+    links.get("large-1")!.isCutOff = true;
+    start("large-2");
+    await run(clock, 4_000);
+    expect(events.findLast(event => event.includes("takes"))).toBe("large-2 takes term 2 after large-1");
+});
+
+test("a small host takes the lease within a second where there is no larger one", async () => {
+    const { clock, events } = createManagers(["small-1", "small-2"]);
+    await run(clock, 1_000);
+    expect(events.filter(event => event.includes("takes"))).toHaveLength(1);
+});
--- a/packages/gateway/tests/resignation.test.ts
+++ b/packages/gateway/tests/resignation.test.ts
@@ -31,6 +31,7 @@
             logger: new Logger(clock, name, "silent"),
             needsCoordinator: () => true,
             isEligible: () => true,
+            claimDelayMs: 0,
             renewalAuthorityMs: 12_000,
             onAcquired: (term, predecessors) =>
                 events.push(
--- a/packages/gateway/tests/support/hostPair.ts
+++ b/packages/gateway/tests/support/hostPair.ts
@@ -120,6 +120,7 @@
                 storeAddress: "unused",
                 descriptorLimit: 1_000,
                 memoryBytes: 1e9,
+                processorCores: 1,
                 bounds: {
                     drainMs: 2_000,
                     applyMs: 2_000,
--- a/packages/gateway/tests/support/simulatedCluster.ts
+++ b/packages/gateway/tests/support/simulatedCluster.ts
@@ -99,6 +99,7 @@
             logger,
             needsCoordinator: () => true,
             isEligible: () => true,
+            claimDelayMs: 0,
             renewalAuthorityMs: settings.renewalAuthorityMs,
             onAcquired: (term, predecessors) => {
                 this.terms.push(`${name} ${term}`);
