--- a/packages/gateway/tests/leaseManager.test.ts
+++ b/packages/gateway/tests/leaseManager.test.ts
@@ -242,15 +242,22 @@
 
 // Guards against a ready host that takes no new connections: one of a quarter of a core became the coordinator, and its loop was late with
 // everything for as long as keys moved.
-test("small hosts leave the lease to a larger one, also after its coordinator has ended", async () => {
-    const { clock, events, links, start } = createManagers(["small-1", "small-2", "small-3", "large-1"]);
-    await run(clock, 2_000);
-    expect(events.find(event => event.includes("takes"))).toBe("large-1 takes term 1 after none");
-    links.get("large-1")!.isCutOff = true;
-    start("large-2");
-    await run(clock, 4_000);
-    expect(events.findLast(event => event.includes("takes"))).toBe("large-2 takes term 2 after large-1");
-});
+test.each([0, 1, 2, 3, 4, 5])(
+    "small hosts leave the lease to a larger one, which is number %i, also after its coordinator has ended",
+    async position => {
+        const names = Array.from(
+            { length: 6 },
+            (_, index) => index === position ? "large" : `small-${index}`,
+        );
+        const { clock, events, links, start } = createManagers(names);
+        await run(clock, 2_000);
+        expect(events.find(event => event.includes("takes"))).toBe("large takes term 1 after none");
+        links.get("large")!.isCutOff = true;
+        start("second");
+        await run(clock, 4_000);
+        expect(events.findLast(event => event.includes("takes"))).toBe("second takes term 2 after large");
+    },
+);
 
 test("a small host takes the lease within a second where there is no larger one", async () => {
     const { clock, events } = createManagers(["small-1", "small-2"]);
