--- /dev/null
+++ b/review/twice/case.mjs
@@ -0,0 +1,74 @@
+// A full server refuses requests that may run once at most, and sends a second copy of some refusals late, at the point where the next
+// answer on the connection is expected. The host repeats a refused request under the same id, often on the same connection.
+import { encodeAnswer, RangeServer } from "../lib/rangeServer.mjs";
+import { newAgent, newLoopbackIp, runCase, sendRequest, sleep } from "../lib/system.mjs";
+
+const AUTHORITY = "uploads.example";
+/** `garble` with `extra late` as the site files have it: 3 of 100 answers. */
+const EXTRA_SHARE = 0.03;
+const HOSTS = 3;
+const BURSTS = 60;
+const BURST_REQUESTS = 12;
+
+await runCase(new URL(".", import.meta.url).pathname, async (system, recorder, hasTrouble) => {
+    system.configure(
+        [{
+            "name": "uploads", "hostname": AUTHORITY, "prefix": "/media/", "service": "agenda", "route-type": "upload",
+            "timeout": "5000ms", "target-latency": "500ms", "max-attempts": 2, "priority": 1,
+        }],
+        [{ "name": "agenda", "health-path": "/health", "max-conns": 49, "sharded": true, "warm": "3s" }],
+    );
+    const server = new RangeServer({ id: "i-agenda-1", service: "agenda", queue: 4, recorder, store: system.store });
+    let answers = 0;
+    let extras = 0;
+    const lastRefusals = new WeakMap();
+    server.afterAnswer = (socket, request, answer) => {
+        if (request.url.startsWith("/media/")) {
+            answers++;
+            lastRefusals.set(socket, answer.status === 503 ? answer : undefined);
+        }
+    };
+    server.beforeAnswer = (socket, request) => {
+        const refusal = lastRefusals.get(socket);
+        lastRefusals.delete(socket);
+        if (hasTrouble && refusal && extras + 1 <= EXTRA_SHARE * answers) {
+            extras++;
+            socket.write(encodeAnswer(refusal));
+            recorder.add(
+                `server ${server.id}: sends the refusal of ${refusal.headers["X-Request-Id"]} a second time, while `
+                    + `${request.headers["x-request-id"]} is due (extra ${extras} of ${answers} answers)`,
+            );
+        }
+    };
+    await server.listen(newLoopbackIp());
+    server.register();
+    const hosts = await Promise.all(Array.from({ length: HOSTS }, (_, index) => system.addHost(`edge-${index + 1}`)));
+    // The first window of the retry budget holds no allowance, and the keys have to be granted.
+    await sleep(11_000);
+    const agent = newAgent();
+    let sent = 0;
+    const answered = new Map();
+    const send = async index => {
+        const id = `r${String(index).padStart(5, "0")}`;
+        const reply = await sendRequest(hosts[index % HOSTS], {
+            method: "POST", path: `/media/${id}`, authority: AUTHORITY, id, deadlineMs: 3_000, key: index * 7 % 65_536,
+            body: Buffer.from(`photo ${id}`), agent,
+        });
+        answered.set(id, reply.status);
+        recorder.add(`client: ${id} ends with ${reply.status ?? reply.error}`);
+    };
+    for (let burst = 0; burst < BURSTS; burst++) {
+        await Promise.all(Array.from({ length: BURST_REQUESTS }, () => send(sent++)));
+        await sleep(100);
+    }
+    await sleep(1_000);
+    server.close();
+    const counts = new Map();
+    server.runs.forEach(({ id }) => counts.set(id, (counts.get(id) ?? 0) + 1));
+    const twice = [...counts].filter(([, runs]) => runs > 1);
+    const falselyRefused = [...counts.keys()].filter(id => [429, 503, 408, 421].includes(answered.get(id)));
+    recorder.add(`${sent} requests, ${answers} answers, ${extras} of them sent a second time`);
+    recorder.add(`TWICE: ${twice.length} requests ran more than once: ${twice.map(([id, runs]) => `${id} (${runs} runs)`).join(", ")}`);
+    recorder.add(`REFUSED: ${falselyRefused.length} requests ran and were answered as not run: ${falselyRefused.join(", ")}`);
+    return twice.length > 0;
+});
