--- a/review/lib/rangeServer.mjs
+++ b/review/lib/rangeServer.mjs
@@ -1,7 +1,7 @@
 // Stand-in of a backend server that holds keys (PROTOCOL.md, "Servers" and "Keys that servers hold"). It registers itself in the store.
 import { createServer } from "node:http";
 
-const HEARTBEAT_MS = 1_500;
+const HEARTBEAT_MS = 870;
 const KEYS = 65_536;
 
 export class RangeServer {
--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -102,7 +102,7 @@
             "data-dir": null,
             "discovery": "platform",
             "entry-mode": "vip",
-            "heartbeat": "1500ms",
+            "heartbeat": "870ms",
             "contracts": ["base", "drain", "config", "cost", "retry", "recover", "own", "platform"],
             "fault-tolerance": { machines: 1, zones: 1, regions: 0 },
             "bounds": {
