--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -139,6 +139,10 @@
         host.process.on("exit", (code, signal) => {
             host.exit = { code, signal };
             this.recorder.add(`host ${host.name}: process ended (code ${code}, signal ${signal})`);
+            if (host.restartDelayMs !== undefined && !this.isStopping) {
+                host.ends = (host.ends ?? 0) + 1;
+                setTimeout(() => this.isStopping || this.launch(host), host.restartDelayMs);
+            }
         });
         this.recorder.add(`host ${host.name}: process ${host.process.pid} started at ${host.address}`);
     }
@@ -167,6 +171,7 @@
     }
 
     async stop() {
+        this.isStopping = true;
         for (const host of this.hosts) {
             if (!host.exit) {
                 host.process.kill("SIGCONT");
