--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -255,11 +255,17 @@
     recorder.add(`the disruption is ${hasTrouble ? "on" : "off (TROUBLE=0)"}`);
     const system = new System(recorder);
     let code = 2;
-    const limit = setTimeout(() => {
-        recorder.add("the case took too long");
+    const giveUp = reason => {
+        recorder.add(`the case could not run: ${reason}`);
         recorder.save();
+        console.log(recorder.lines.at(-1).trim());
         system.stop().finally(() => process.exit(2));
-    }, 110_000);
+    };
+    const limit = setTimeout(() => giveUp("it took too long"), 110_000);
+    process.on("uncaughtException", error => giveUp(error.stack));
+    for (const signal of ["SIGINT", "SIGTERM"]) {
+        process.on(signal, () => giveUp(signal));
+    }
     try {
         await system.start();
         code = await steps(system, recorder, hasTrouble) ? 1 : 0;
@@ -270,7 +276,7 @@
     }
     recorder.save();
     clearTimeout(limit);
+    console.log(recorder.lines.findLast(line => /verdict|could not run/.test(line)).trim());
     await system.stop();
-    console.log(recorder.lines.at(-1).trim());
     process.exit(code);
 }
--- a/review/twice/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/usr/bin/env bash
-cd "$(dirname "$0")" && exec node case.mjs
