--- a/packages/common/src/logging/logEvent.ts
+++ b/packages/common/src/logging/logEvent.ts
@@ -156,6 +156,11 @@
         level: "info",
         text: "a request was answered; only some of these lines are written",
     },
+    requestErrored: {
+        number: 507,
+        level: "warn",
+        text: "an internal error ended a request; other requests go on",
+    },
     callerPortFailed: { number: 506, level: "error", text: "the port for callers reported an error" },
     linesLeftOut: { number: 504, level: "warn", text: "log lines were dropped" },
     tableHistoryLost: {
--- a/packages/gateway/src/requests/callerPort.ts
+++ b/packages/gateway/src/requests/callerPort.ts
@@ -29,6 +29,7 @@
 const DEFAULT_TIMEOUT_MS = 30_000;
 const MICROSECONDS_PER_MS = 1_000;
 const RETRY_AFTER_MS = 300;
+const BAD_GATEWAY = 502;
 const HEADER_SEPARATOR_BYTES = 4;
 
 /** Dependencies of the port. */
@@ -75,7 +76,10 @@
     listen(host: string, port: number): Promise<void> {
         const app = polka({
             server: this.server,
-            onNoMatch: (message, response) => void this.handle(message, response),
+            onNoMatch: (message, response) =>
+                void this.handle(message, response).catch((error: Error) =>
+                    this.fail(message, response, error)
+                ),
         });
         return new Promise((resolve, reject) => {
             this.server.once("error", reject);
@@ -160,6 +164,19 @@
         this.write(message, response, reply);
     }
 
+    /** Ends a request after an internal error. It may have run, so that its caller is told nothing else. */
+    private fail(message: IncomingMessage, response: ServerResponse, { message: error, stack }: Error): void {
+        const { dialect, logger } = this.parts;
+        const { id } = dialect.readRequestHeaders(message.headers as HeaderFields);
+        logger.log("requestErrored", { request: id, error, stack });
+        if (response.headersSent || response.destroyed) {
+            response.destroy();
+            return;
+        }
+        response.getHeaderNames().forEach(name => response.removeHeader(name));
+        this.write(message, response, { kind: "refusal", status: BAD_GATEWAY, reason: "internalError" });
+    }
+
     private countConnection(socket: Socket): void {
         this.parts.metrics.count("arbutusdoor_caller_connections_accepted_total");
         this.openConnections++;
--- a/packages/gateway/src/requests/requestRouter.ts
+++ b/packages/gateway/src/requests/requestRouter.ts
@@ -1,4 +1,5 @@
 import type { Clock, Logger, Metrics, Milliseconds } from "@arbutusdoor/common";
+import type { BackendAttempt } from "../backends/backendAttempt.js";
 import type { BackendClient } from "../backends/backendClient.js";
 import type { BackendOutcome } from "../backends/backendOutcome.js";
 import type { RegisteredServer } from "../discovery/registeredServer.js";
@@ -104,7 +105,7 @@
         server: RegisteredServer,
         timeLeft: Milliseconds,
     ): Promise<GatewayReply | undefined> {
-        const { admission, backends, clock, loads, metrics } = this.parts;
+        const { admission, clock, loads, metrics } = this.parts;
         const { request } = state;
         const sentAt = clock.now();
         const limit = this.getAttemptLimit(request, timeLeft);
@@ -114,7 +115,7 @@
             () => overdue.abort(new Error("the attempt timed out")),
         );
         const signal = AbortSignal.any([request.callerGone, overdue.signal]);
-        const outcome = await backends.send({
+        const outcome = await this.sendToServer({
             id: request.id,
             server,
             method: request.method,
@@ -154,6 +155,23 @@
         return this.handleFailure(state, server, outcome, answer, isOverdue);
     }
 
+    /** Sends an attempt. After an internal error it is not known whether it was sent; the error must not end other requests. */
+    private async sendToServer(attempt: BackendAttempt): Promise<BackendOutcome> {
+        try {
+            return await this.parts.backends.send(attempt);
+        }
+        catch (error) {
+            const { message, stack } = error as Error;
+            this.parts.logger.log("requestErrored", {
+                request: attempt.id,
+                server: attempt.server.id,
+                error: message,
+                stack,
+            });
+            return { kind: "unknown", detail: message };
+        }
+    }
+
     private handleAnswer(
         state: RequestState,
         server: RegisteredServer,
--- a/packages/gateway/tests/callerPort.test.ts
+++ b/packages/gateway/tests/callerPort.test.ts
@@ -77,3 +77,24 @@
     caller.destroy();
     await closed;
 });
+
+// Guards against an error in one request that ended the process and cut all other requests off.
+test("a reply that cannot be written ends its own request alone", async () => {
+    backends = new ScriptedBackends(["unwritable", "ok"]);
+    await callerPort.close();
+    const started = await startCallerPort({
+        clock,
+        backends,
+        dialect: new FixedHeaderCodec(),
+        timeoutMs: 1_000,
+    });
+    callerPort = started.callerPort;
+    caller = connect(started.port, LOOPBACK);
+    const statuses: string[] = [];
+    for (let sent = 0; sent < 2; sent++) {
+        caller.write(GET);
+        const [answer] = await once(caller, "data") as [Buffer];
+        statuses.push(answer.toString().split("\r\n")[0]!);
+    }
+    expect(statuses).toEqual(["HTTP/1.1 502 Bad Gateway", "HTTP/1.1 200 OK"]);
+});
--- a/packages/gateway/tests/requestRouter.test.ts
+++ b/packages/gateway/tests/requestRouter.test.ts
@@ -143,6 +143,18 @@
         "504 overdue",
         1,
     ],
+    [
+        "an internal error in an attempt leaves its outcome unknown: a safe request is retried",
+        { steps: ["throws", "ok"] },
+        "200 whole",
+        2,
+    ],
+    [
+        "an internal error in an attempt leaves its outcome unknown: no refusal claims not-run",
+        { steps: ["throws"], isIdempotent: false },
+        "502 connectionLost",
+        1,
+    ],
     [
         "a request is retried at the owner of its key when it did not hold the key yet",
         { steps: ["misdirected", "ok"], isKeyed: true },
--- a/packages/gateway/tests/support/scriptedBackends.ts
+++ b/packages/gateway/tests/support/scriptedBackends.ts
@@ -20,7 +20,9 @@
     override send(request: BackendAttempt): Promise<BackendOutcome> {
         const step = this.steps.shift() ?? "ok";
         this.sent.push(`${request.server.id} ${step} within ${Math.round(request.timeLeft)}`);
-        return step === "silent" ? waitForAbort(request.signal) : Promise.resolve(createOutcome(step));
+        return step === "silent"
+            ? waitForAbort(request.signal)
+            : new Promise(resolve => resolve(createOutcome(step)));
     }
 
     override limitConnections(): void {}
@@ -52,6 +54,13 @@
             return createAnswer(200, Readable.from([Buffer.from("forged")]), false);
         case "broken":
             return createAnswer(200, createBrokenBody(), true);
+        case "throws":
+            throw new TypeError("Invalid URL");
+        case "unwritable":
+            return {
+                ...createAnswer(200, Readable.from([Buffer.from("whole")]), true),
+                headers: { "x-field": "a\nb" },
+            };
         case "lost":
             return { kind: "unknown", detail: "reset" };
         default:
--- a/packages/gateway/tests/support/scriptedBehaviour.ts
+++ b/packages/gateway/tests/support/scriptedBehaviour.ts
@@ -14,4 +14,8 @@
     | "lost"
     | "broken"
     | "unsigned"
-    | "silent";
+    | "silent"
+    /** Cannot be asked because of an internal error. */
+    | "throws"
+    /** Answers with a header field that no reply can have. */
+    | "unwritable";
