Refused connections and a missing entry are no proof that a server has ended

Cause: ServerLiveness took connections refused over 1.2 s, a missing entry and an answer of another server of the data centre for the end of the process. A partition of single servers gives all three signs. findStopProof then waited for no expiry.

Change: only an answer of another server at the address proves an end; without one a range waits until the last grant that may have reached the holder has expired. To not wait longer than that, a grant for which no connection opened (outcome unsent, which replaces notListening and unknown for it) no longer counts as sent.

--- a/packages/gateway/src/ownership/createRangeProgress.ts
+++ b/packages/gateway/src/ownership/createRangeProgress.ts
@@ -73,6 +73,7 @@
         pendingOrders: 0,
         handover: undefined,
         lastGrants,
+        lastOrder: undefined,
         removedOwners: [],
     };
 }
--- a/packages/gateway/src/ownership/keyCoordinator.ts
+++ b/packages/gateway/src/ownership/keyCoordinator.ts
@@ -95,7 +95,6 @@
     /** Handles a host's report. */
     handleReport(report: HostReport): void {
         const { keys, leaving = [], misdirected, servers } = report;
-        const now = this.parts.clock.now();
         const left = this.predecessors.filter(before => !this.hasStopped(before, report));
         if (left.length < this.predecessors.length) {
             this.predecessors = left;
@@ -106,7 +105,6 @@
         }
         for (const [server, answers, totalMs] of servers) {
             this.speeds.add(server as ServerId, answers, totalMs);
-            this.liveness.recordAnswer(server as ServerId, now);
         }
         for (const [id, startedAt] of leaving) {
             this.parts.directory.recordAnnouncement({ id: id as ServerId, startedAt }, "report");
--- a/packages/gateway/src/ownership/orderDispatch.ts
+++ b/packages/gateway/src/ownership/orderDispatch.ts
@@ -54,7 +54,7 @@
             return undefined;
         }
         metrics.count("arbutusdoor_key_orders_total", { service, order: order.kind, outcome: outcome.kind });
-        liveness.recordOutcome(order.holder, outcome, now);
+        liveness.recordOutcome(order.holder, outcome);
         if (server && (outcome.kind === "done" || outcome.kind === "fenced") && outcome.notice?.isLeaving) {
             directory.recordAnnouncement(server, "answer");
         }
--- a/packages/gateway/src/ownership/orderLog.ts
+++ b/packages/gateway/src/ownership/orderLog.ts
@@ -27,15 +27,15 @@
     recordOutcome(order: KeyOrder, outcome: OrderOutcome, sentAt: Milliseconds, now: Milliseconds): void {
         const name = getHolderName(order.holder);
         const outage = this.outages.get(name);
-        if (outcome.kind === "unknown") {
-            if (outage) {
-                outage.orders++;
-            }
-            else {
+        if (outcome.kind === "unknown" || outcome.kind === "unsent") {
+            if (!outage) {
                 this.begin(name, order, outcome.reason, sentAt, now);
             }
+            else if (outcome.kind === "unknown") {
+                outage.orders++;
+            }
         }
-        else if (outage && outcome.kind !== "notListening" && outcome.kind !== "notConnected") {
+        else if (outage && outcome.kind !== "notConnected") {
             this.outages.delete(name);
             this.logger.log("keyOrdersEnded", {
                 service: this.service,
--- a/packages/gateway/src/ownership/orderScheduler.ts
+++ b/packages/gateway/src/ownership/orderScheduler.ts
@@ -209,6 +209,9 @@
             progress.dueAt = Infinity;
             return undefined;
         }
+        if (outcome.kind === "unsent" || outcome.kind === "notConnected") {
+            restoreLastGrant(progress, order);
+        }
         if (outcome.kind !== "done") {
             progress.dueAt = now + this.settings.retryMs;
             return undefined;
@@ -355,12 +358,12 @@
         this.window.add(range.owner);
         this.requested.delete(range.first);
         const name = getHolderName(range.owner);
-        const isInherited = progress.lastGrants.get(name)?.isInherited === true;
-        progress.lastGrants.set(name, { at: now, isInherited });
+        const grantBefore = progress.lastGrants.get(name);
+        progress.lastGrants.set(name, { at: now, isInherited: grantBefore?.isInherited === true });
         progress.dueAt = now + this.settings.renewMs * getRenewalFactor(range.first);
         const { first, fence, last, owner } = range;
         const { handover } = progress;
-        return {
+        const order: KeyOrder = {
             kind: "grant",
             first,
             last,
@@ -369,6 +372,8 @@
             handover,
             ...(stopProofs && { stopProofs }),
         };
+        progress.lastOrder = { order, grantBefore };
+        return order;
     }
 
     /** Returns the stop proofs of the earlier owners: those that the map lists, and those removed from it since the last grant. */
@@ -389,3 +394,17 @@
         return { kind: "release", first, last, fence, holder, handover: undefined };
     }
 }
+
+/** Restores what the owner may hold after an order that was not sent, unless another grant followed it. */
+function restoreLastGrant({ lastGrants, lastOrder }: RangeProgress, order: KeyOrder): void {
+    if (lastOrder?.order !== order) {
+        return;
+    }
+    const name = getHolderName(order.holder);
+    if (lastOrder.grantBefore) {
+        lastGrants.set(name, lastOrder.grantBefore);
+    }
+    else {
+        lastGrants.delete(name);
+    }
+}
--- a/packages/gateway/src/ownership/rangeProgress.ts
+++ b/packages/gateway/src/ownership/rangeProgress.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "@arbutusdoor/common";
+import type { KeyOrder } from "./keyOrder.js";
 import type { LastGrant } from "./lastGrant.js";
 import type { StopProof } from "./stopProof.js";
 
@@ -21,6 +22,8 @@
      * a later fencing token, after which it also refuses late grants.
      */
     readonly lastGrants: Map<string, LastGrant>;
+    /** The last order with a grant, and the owner's grant before it, which stands again if the order was not sent. */
+    lastOrder: { readonly order: KeyOrder; readonly grantBefore: LastGrant | undefined; } | undefined;
     /** Stop proofs of owners since the last grant that the map no longer lists: they had stopped when the range was taken from them. */
     readonly removedOwners: StopProof[];
 };
--- a/packages/gateway/tests/coordinationFuzzer.test.ts
+++ b/packages/gateway/tests/coordinationFuzzer.test.ts
@@ -13,6 +13,8 @@
     missing: 0.008,
     lostAnswer: 0.02,
 };
+const ISOLATIONS = { ...ALL_FAULTS, isolation: 0.012 };
+const ISOLATION_SEEDS = Array.from({ length: 24 }, (_, index) => 9_100 + index);
 const SEEDS = Array.from({ length: 24 }, (_, index) => 9_000 + index);
 
 test("without faults every key is served all the time after the first grants", async () => {
@@ -36,3 +38,14 @@
         expect(fuzzer.cluster.served).toBeGreaterThan(KEYS * RUN_MS / 3);
     },
 );
+
+// Guards against two owners of a key: a server that is cut off alone, with connections to it refused and its entry gone, was taken for ended.
+test.each(ISOLATION_SEEDS)(
+    "seed %i: no key has two holders while servers that run are cut off and their entries lapse",
+    async seed => {
+        const fuzzer = new CoordinationFuzzer(seed, ISOLATIONS);
+        await fuzzer.simulate(RUN_MS);
+        expect(fuzzer.cluster.checker.violations).toEqual([]);
+        expect(fuzzer.cluster.served).toBeGreaterThan(KEYS * RUN_MS / 3);
+    },
+);
--- a/packages/gateway/tests/restartAfterProvenDeath.test.ts
+++ b/packages/gateway/tests/restartAfterProvenDeath.test.ts
@@ -13,6 +13,7 @@
     await cluster.run(3_000);
     expect(cluster.terms).toEqual(["a 1", "b 2"]);
     cluster.endServer("s");
+    cluster.reuseAddress("s");
     cluster.register("s", undefined);
     await cluster.run(3_500);
     cluster.startServer("s");
--- a/packages/gateway/tests/support/simulatedOrders.ts
+++ b/packages/gateway/tests/support/simulatedOrders.ts
@@ -18,6 +18,7 @@
     private readonly clock: Clock;
     private readonly apply: (order: KeyOrder, holdMs: Milliseconds) => OrderOutcome;
     private readonly getListening: (id: string) => string | undefined;
+    private readonly refusing: ReadonlySet<string>;
     /** Name of the incarnation that accepted the open connection to each server. */
     private readonly connections = new Map<string, string>();
     private mayConnect = () => true;
@@ -25,16 +26,19 @@
     /**
      * @param apply carries out an order at the address of the server that it names
      * @param getListening returns the name of the incarnation that listens at a server's address
+     * @param refusing ids of the servers to which connections are refused although they run
      */
     constructor(
         clock: Clock,
         apply: (order: KeyOrder, holdMs: Milliseconds) => OrderOutcome,
         getListening: (id: string) => string | undefined,
+        refusing: ReadonlySet<string>,
     ) {
         super();
         this.clock = clock;
         this.apply = apply;
         this.getListening = getListening;
+        this.refusing = refusing;
     }
 
     override restrictConnecting(mayConnect: () => boolean): void {
@@ -67,6 +71,10 @@
             await this.clock.sleep(timeoutMs - TRAVEL_MS);
             return { kind: "unknown", reason: "no answer" };
         }
+        if (this.refusing.has(order.holder.id)) {
+            this.connections.delete(order.holder.id);
+            return { kind: "unsent", reason: "refused" };
+        }
         const outcome = this.connect(order.holder.id) ? this.apply(order, holdMs) : NOT_CONNECTED;
         await this.clock.sleep(TRAVEL_MS);
         return outcome;
