--- a/packages/gateway/src/ownership/orderScheduler.ts
+++ b/packages/gateway/src/ownership/orderScheduler.ts
@@ -21,6 +21,7 @@
 import { pickLongestWaiting } from "./pickLongestWaiting.js";
 import type { RangeChange } from "./rangeChange.js";
 import type { RangeProgress } from "./rangeProgress.js";
+import { restoreLastGrant } from "./restoreLastGrant.js";
 import type { StopProof } from "./stopProof.js";
 import type { StoreTimeScale } from "./storeTimeScale.js";
 import { updateProgress } from "./updateProgress.js";
@@ -363,15 +364,8 @@
         progress.dueAt = now + this.settings.renewMs * getRenewalFactor(range.first);
         const { first, fence, last, owner } = range;
         const { handover } = progress;
-        const order: KeyOrder = {
-            kind: "grant",
-            first,
-            last,
-            fence,
-            holder: owner,
-            handover,
-            ...(stopProofs && { stopProofs }),
-        };
+        const fields = { first, last, fence, holder: owner, handover };
+        const order: KeyOrder = { kind: "grant", ...fields, ...(stopProofs && { stopProofs }) };
         progress.lastOrder = { order, grantBefore };
         return order;
     }
@@ -394,17 +388,3 @@
         return { kind: "release", first, last, fence, holder, handover: undefined };
     }
 }
-
-/** Restores what the owner may hold after an order that was not sent, unless another grant followed it. */
-function restoreLastGrant({ lastGrants, lastOrder }: RangeProgress, order: KeyOrder): void {
-    if (lastOrder?.order !== order) {
-        return;
-    }
-    const name = getHolderName(order.holder);
-    if (lastOrder.grantBefore) {
-        lastGrants.set(name, lastOrder.grantBefore);
-    }
-    else {
-        lastGrants.delete(name);
-    }
-}
