A slow server's request is not broken off: another attempt is made beside it

A pool of one server with longer work was never served.

Cause: the limit of an attempt, which lets a request leave a stalled server, ended the attempt instead of its being the only one. A server's silence is no reason to end an answer.

Change: after the limit another attempt is made beside the first, as far as max-attempts, the retry budget and free servers allow. The first answer ends the others; the request fails only when all attempts have ended, or at its deadline. Attempts at owners of keys and those that may run only once are as before: limited by the deadline alone. A slow server that loses still counts as slow with its picker. This sends no more requests than before.

--- /dev/null
+++ b/packages/gateway/src/requests/createRequestState.ts
@@ -0,0 +1,19 @@
+import type { Clock } from "@arbutusdoor/common";
+import type { GatewayRequest } from "./gatewayRequest.js";
+import type { RequestState } from "./requestState.js";
+import { RunningAttempts } from "./runningAttempts.js";
+
+/** Creates the state of a request before its first attempt. */
+export function createRequestState(request: GatewayRequest, clock: Clock): RequestState {
+    return {
+        request,
+        excludedServers: new Set(),
+        running: new RunningAttempts(clock),
+        sends: 0,
+        runs: 0,
+        lastFailure: undefined,
+        quietTime: undefined,
+        selectionFields: {},
+        errorAnswer: undefined,
+    };
+}
--- a/packages/gateway/src/requests/requestRouter.ts
+++ b/packages/gateway/src/requests/requestRouter.ts
@@ -1,5 +1,4 @@
 import type { Clock, Logger, Metrics, Milliseconds } from "@arbutusdoor/common";
-import type { BackendAttempt } from "../backends/backendAttempt.js";
 import type { BackendClient } from "../backends/backendClient.js";
 import type { BackendOutcome } from "../backends/backendOutcome.js";
 import type { RegisteredServer } from "../discovery/registeredServer.js";
@@ -8,6 +7,8 @@
 import type { PoolRouting } from "../routing/poolRouting.js";
 import type { ServerAdmission } from "../routing/serverAdmission.js";
 import type { SharedRetryBudget } from "../routing/sharedRetryBudget.js";
+import { AttemptRecorder } from "./attemptRecorder.js";
+import { createRequestState } from "./createRequestState.js";
 import { destroyOverdueBody } from "./destroyOverdueBody.js";
 import type { ForwardableAnswer } from "./forwardableAnswer.js";
 import type { GatewayReply } from "./gatewayReply.js";
@@ -46,25 +47,18 @@
 export class RequestRouter {
     private readonly parts: RouterParts;
     private readonly selector: ServerSelector;
+    private readonly recorder: AttemptRecorder;
 
     constructor(parts: RouterParts) {
         this.parts = parts;
         this.selector = new ServerSelector(parts);
+        this.recorder = new AttemptRecorder(parts.pools);
     }
 
     /** Routes a request and returns the reply to its caller. Never rejects. */
     async route(request: GatewayRequest): Promise<GatewayReply> {
         const { budget, clock, loads } = this.parts;
-        const state: RequestState = {
-            request,
-            excludedServers: new Set(),
-            sends: 0,
-            runs: 0,
-            lastFailure: undefined,
-            quietTime: undefined,
-            selectionFields: {},
-            errorAnswer: undefined,
-        };
+        const state = createRequestState(request, clock);
         budget.recordRequest(request.service.id, clock.now());
         if (request.service.isKeyed && request.key !== undefined) {
             loads.recordRequest(request.service.id, request.key);
@@ -72,16 +66,20 @@
         for (;;) {
             const reply = await this.attempt(state);
             if (reply) {
+                state.running.cancel();
                 return reply;
             }
         }
     }
 
-    /** Makes one attempt. Returns `undefined` when another one is to follow. */
+    /**
+     * Makes one attempt, and waits for its end as long as its limit allows. Returns `undefined` when another one is to follow, beside it if it
+     * has not ended.
+     */
     private async attempt(state: RequestState): Promise<GatewayReply | undefined> {
-        const { request } = state;
-        if (state.sends > 0 && !this.mayRetry(state)) {
-            return this.giveUp(state);
+        const { request, running } = state;
+        if (running.reply || (state.sends > 0 && !this.mayRetry(state))) {
+            return await this.finish(state);
         }
         const server = await this.selector.select(state);
         if (request.callerGone.aborted) {
@@ -89,33 +87,77 @@
         }
         const timeLeft = this.getTimeLeft(request);
         if (!server || timeLeft < MIN_TIME_LEFT_MS) {
-            return this.giveUp(state);
+            return await this.finish(state);
         }
         if (state.sends > 0 && !this.parts.budget.spend(request.service.id, this.parts.clock.now())) {
-            this.recordUnused(state, server);
+            this.recorder.recordUnused(state.request, server);
             state.selectionFields = { ...state.selectionFields, budget: "spent" };
-            return this.giveUp(state);
+            return await this.finish(state);
         }
         state.sends++;
-        return await this.send(state, server, timeLeft);
+        const limit = this.getAttemptLimit(request, timeLeft);
+        running.start(controller => this.runAttempt(state, server, timeLeft, controller));
+        const end = await running.wait(limit < timeLeft ? limit : undefined);
+        if (end !== "overdue") {
+            return end;
+        }
+        state.excludedServers.add(server.id);
+        this.saveFailure(state, server, "overdue", "another server is asked beside it");
+        return undefined;
+    }
+
+    /** Waits for the attempts that have not ended. Returns the first reply, or that to a request without one. */
+    private async finish(state: RequestState): Promise<GatewayReply> {
+        const { running } = state;
+        while (running.size > 0 && !running.reply) {
+            await running.wait();
+        }
+        return running.reply ?? this.giveUp(state);
+    }
+
+    /** Makes an attempt. After an internal error it is not known whether it was sent; the error must not end other requests. */
+    private async runAttempt(
+        state: RequestState,
+        server: RegisteredServer,
+        timeLeft: Milliseconds,
+        controller: AbortController,
+    ): Promise<GatewayReply | undefined> {
+        try {
+            return await this.send(state, server, timeLeft, controller);
+        }
+        catch (error) {
+            const { message, stack } = error as Error;
+            this.parts.logger.log("requestErrored", {
+                request: state.request.id,
+                server: server.id,
+                error: message,
+                stack,
+            });
+            this.recorder.recordUnused(state.request, server);
+            state.excludedServers.add(server.id);
+            state.runs++;
+            this.saveFailure(state, server, "internalError", message);
+            return undefined;
+        }
     }
 
     private async send(
         state: RequestState,
         server: RegisteredServer,
         timeLeft: Milliseconds,
+        controller: AbortController,
     ): Promise<GatewayReply | undefined> {
-        const { admission, clock, loads, metrics } = this.parts;
+        const { admission, backends, clock, loads, metrics } = this.parts;
         const { request } = state;
         const sentAt = clock.now();
         const limit = this.getAttemptLimit(request, timeLeft);
-        const overdue = new AbortController();
-        const timer = clock.schedule(
-            limit,
-            () => overdue.abort(new Error("the attempt timed out")),
-        );
-        const signal = AbortSignal.any([request.callerGone, overdue.signal]);
-        const outcome = await this.sendToServer({
+        let isExpired = false;
+        const timer = clock.schedule(timeLeft, () => {
+            isExpired = true;
+            controller.abort(new Error("the request's deadline passed"));
+        });
+        const signal = AbortSignal.any([request.callerGone, controller.signal]);
+        const outcome = await backends.send({
             id: request.id,
             server,
             method: request.method,
@@ -143,8 +185,10 @@
             { service: request.service.id, result },
             duration * MICROSECONDS_PER_MS,
         );
-        const isOverdue = overdue.signal.aborted;
-        this.recordAttempt(request, server, outcome, answer, duration, isOverdue);
+        this.recorder.recordEnd(request, server, outcome, answer, duration, isExpired || duration >= limit);
+        if (controller.signal.aborted && !isExpired) {
+            return undefined;
+        }
         if (answer?.kind === "whole" || answer?.kind === "stream") {
             loads.recordAnswer(server.id, duration);
             return this.handleAnswer(state, server, answer);
@@ -152,24 +196,7 @@
         if (request.callerGone.aborted) {
             return { kind: "gone" };
         }
-        return this.handleFailure(state, server, outcome, answer, isOverdue);
-    }
-
-    /** Sends an attempt. After an internal error it is not known whether it was sent; the error must not end other requests. */
-    private async sendToServer(attempt: BackendAttempt): Promise<BackendOutcome> {
-        try {
-            return await this.parts.backends.send(attempt);
-        }
-        catch (error) {
-            const { message, stack } = error as Error;
-            this.parts.logger.log("requestErrored", {
-                request: attempt.id,
-                server: attempt.server.id,
-                error: message,
-                stack,
-            });
-            return { kind: "unknown", detail: message };
-        }
+        return this.handleFailure(state, server, outcome, answer, isExpired);
     }
 
     private handleAnswer(
@@ -200,7 +227,7 @@
         server: RegisteredServer,
         outcome: BackendOutcome,
         answer: UnusableAnswer | undefined,
-        isOverdue: boolean,
+        isExpired: boolean,
     ): GatewayReply | undefined {
         const { loads } = this.parts;
         const { request } = state;
@@ -219,15 +246,16 @@
         const isUnsent = outcome.kind === "cancelled" && !outcome.isSent;
         state.runs += isUnsent ? 0 : 1;
         const detail = answer?.reason ?? (outcome.kind === "unknown" ? outcome.detail : "given up");
-        this.saveFailure(state, server, isOverdue ? "overdue" : "connectionLost", detail);
+        this.saveFailure(state, server, isExpired ? "overdue" : "connectionLost", detail);
         return undefined;
     }
 
     private mayRetry(state: RequestState): boolean {
-        const { request, runs, sends } = state;
+        const { request, running, runs, sends } = state;
         const canSendBody = request.body.kind !== "arriving" || !request.body.stream.readableDidRead;
-        const isSafe = runs === 0 || request.route.isIdempotent;
-        return canSendBody && isSafe && sends < MAX_SENDS && runs < request.route.maxAttempts
+        const mayHaveRun = runs + running.size;
+        const isSafe = mayHaveRun === 0 || request.route.isIdempotent;
+        return canSendBody && isSafe && sends < MAX_SENDS && mayHaveRun < request.route.maxAttempts
             && this.getTimeLeft(request) > MIN_TIME_LEFT_MS;
     }
 
@@ -255,6 +283,7 @@
         return { kind: "refusal", status, reason, retryAfterMs };
     }
 
+    /** Returns how long an attempt stays the only one; that of a request that can be sent only once is not limited. */
     private getAttemptLimit(request: GatewayRequest, timeLeft: Milliseconds): Milliseconds {
         return request.service.isKeyed
             ? timeLeft
@@ -265,35 +294,6 @@
         return request.deadlineAt - this.parts.clock.now();
     }
 
-    private recordAttempt(
-        request: GatewayRequest,
-        server: RegisteredServer,
-        outcome: BackendOutcome,
-        answer: ForwardableAnswer | UnusableAnswer | undefined,
-        durationMs: Milliseconds,
-        isOverdue: boolean,
-    ): void {
-        if (request.service.isKeyed && request.key !== undefined) {
-            return;
-        }
-        const isAnswered = answer !== undefined && answer.kind !== "broken";
-        const kind = isAnswered ? "answered" : outcome.kind === "notRun" ? "notRun" : "unknown";
-        const isWithdrawn = outcome.kind === "cancelled" && !isOverdue;
-        this.parts.pools.recordResult(request.service.id, server.id, { kind, durationMs, isWithdrawn });
-    }
-
-    /** Records that a server was selected but got no request. */
-    private recordUnused(state: RequestState, server: RegisteredServer): void {
-        const { service, key } = state.request;
-        if (!service.isKeyed || key === undefined) {
-            this.parts.pools.recordResult(service.id, server.id, {
-                kind: "unknown",
-                durationMs: 0,
-                isWithdrawn: true,
-            });
-        }
-    }
-
     private saveFailure(state: RequestState, server: RegisteredServer, reason: string, detail: string): void {
         state.lastFailure = { reason, detail };
         this.log("attemptFailed", state, { server: server.id, reason, detail });
--- a/packages/gateway/src/requests/requestState.ts
+++ b/packages/gateway/src/requests/requestState.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds, ServerId } from "@arbutusdoor/common";
 import type { ForwardableAnswer } from "./forwardableAnswer.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
+import type { RunningAttempts } from "./runningAttempts.js";
 
 /** Why an attempt did not end the request. */
 type Failure = { readonly reason: string; readonly detail: string; };
@@ -9,8 +10,10 @@
 export type RequestState = {
     readonly request: GatewayRequest;
     readonly excludedServers: Set<ServerId>;
+    /** Attempts that have not ended. */
+    readonly running: RunningAttempts;
     sends: number;
-    /** Attempts in which it may have run. */
+    /** Attempts that have ended and in which it may have run. */
     runs: number;
     lastFailure: Failure | undefined;
     /** How long the server of the request, or all servers of its service, want no requests; `undefined` unless that is why it is refused. */
--- a/packages/gateway/tests/requestRouter.test.ts
+++ b/packages/gateway/tests/requestRouter.test.ts
@@ -152,7 +152,7 @@
     [
         "an internal error in an attempt leaves its outcome unknown: no refusal claims not-run",
         { steps: ["throws"], isIdempotent: false },
-        "502 connectionLost",
+        "502 internalError",
         1,
     ],
     [
