--- a/packages/gateway/src/host/gatewayHost.ts
+++ b/packages/gateway/src/host/gatewayHost.ts
@@ -34,6 +34,7 @@
 import type { GatewayAdapters } from "./gatewayAdapters.js";
 import type { GatewayOptions } from "./gatewayOptions.js";
 import { getClaimDelay } from "./getClaimDelay.js";
+import { getStopTimes } from "./getStopTimes.js";
 import { REBALANCE } from "./rebalance.js";
 import { repeatTask } from "./repeatTask.js";
 import { setRunning } from "./setRunning.js";
@@ -46,10 +47,6 @@
 const FALLBACK_MS = 800;
 /** A coordinator that has just taken over, on a small host, needs more than half a second for a handshake while all hosts link to it. */
 const LINK_TIMEOUT_MS = 2_000;
-/** The load balancer stops sending connections after two failed readiness checks, a second apart. */
-const LISTEN_AFTER_STOP_MS = 2_500;
-/** Part of the grace time that is reserved for closing down. */
-const STOP_MARGIN_MS = 300;
 /** A host without a key map is ready after this time nevertheless, as it can serve pooled services. */
 const READY_WITHOUT_KEYS_MS = 4_000;
 /** A leaving server gets requests until this long before the limit. */
@@ -223,9 +220,9 @@
         this.isStopping = true;
         this.callerPort.announceClose();
         const resigned = this.resign();
-        await clock.sleep(LISTEN_AFTER_STOP_MS);
-        const rest = this.settings.bounds.graceMs - LISTEN_AFTER_STOP_MS - STOP_MARGIN_MS;
-        await Promise.race([Promise.all([this.callerPort.close(), resigned]), clock.sleep(rest)]);
+        const { finishMs, listenMs } = getStopTimes(this.settings.bounds.graceMs);
+        await clock.sleep(listenMs);
+        await Promise.race([Promise.all([this.callerPort.close(), resigned]), clock.sleep(finishMs)]);
     }
 
     private async resign(): Promise<void> {
