Foreign registry entries of every kind in a test of the real program

With malformed entries in the registry and a change of the configuration, all three hosts ended within 1.4 s, the coordinator among them, and again after each restart (14 ends in 8 s; 200 requests lost their connections).

--- a/scripts/platformSystem.ts
+++ b/scripts/platformSystem.ts
@@ -4,6 +4,7 @@
 import { join } from "node:path";
 import { ChildProgram } from "./childProgram.js";
 import { getFreePorts } from "./getFreePorts.js";
+import { listForeignEntries } from "./listForeignEntries.js";
 import { LoopbackProxy } from "./loopbackProxy.js";
 
 const ROOT = new URL("../", import.meta.url).pathname;
@@ -96,6 +97,16 @@
         await post(`${this.storeControl}/rows`, { table: "op", key: "config", value });
     }
 
+    /** Writes entries of another writer into the registry, malformed in every way, for each service. */
+    async addForeignEntries(): Promise<void> {
+        await this.putForeignEntries(text => text);
+    }
+
+    /** Removes the entries of another writer. */
+    async removeForeignEntries(): Promise<void> {
+        await this.putForeignEntries(() => undefined);
+    }
+
     /** Sets fault switches of the store. */
     setStoreFaults(faults: object): Promise<void> {
         return post(`${this.storeControl}/faults`, faults);
@@ -133,6 +144,14 @@
         rmSync(this.folder, { recursive: true, force: true });
     }
 
+    private async putForeignEntries(getValue: (text: string) => string | undefined): Promise<void> {
+        for (const { dataCentres, name } of this.services) {
+            for (const [key, text] of listForeignEntries(name, dataCentres[0]!)) {
+                await post(`${this.storeControl}/rows`, { table: "servers", key, value: getValue(text) });
+            }
+        }
+    }
+
     private async startServer(name: string, flags: readonly string[]): Promise<void> {
         const known = this.servers.get(name)?.proxy;
         const proxy = known ?? new LoopbackProxy("");
