--- a/packages/standins/src/common/faults.ts
+++ b/packages/standins/src/common/faults.ts
@@ -33,6 +33,8 @@
     sheddingRate: z.number().min(0).max(1).default(0),
     /** Whether the server says that it is leaving. */
     isLeaving: z.boolean().default(false),
+    /** Whether the server does not reach the store, so that its entry lapses. */
+    isUnregistered: z.boolean().default(false),
     /** Time in ms from now during which the server refuses requests and says when it wants them again. */
     pauseMs: z.int().min(0).max(600_000).default(0),
 });
--- a/packages/standins/src/rangeServer/rangeServerStandIn.ts
+++ b/packages/standins/src/rangeServer/rangeServerStandIn.ts
@@ -77,6 +77,7 @@
     override async setFaults(faults: Parameters<StandIn["setFaults"]>[0]): Promise<void> {
         await super.setFaults(faults);
         this.pausedUntil = this.clock.now() + this.faults.pauseMs;
+        this.entry.isCutOff = this.faults.isUnregistered;
     }
 
     override readJournal(): unknown {
--- a/packages/standins/src/rangeServer/registeredEntry.ts
+++ b/packages/standins/src/rangeServer/registeredEntry.ts
@@ -11,6 +11,8 @@
     private readonly id: string;
     private readonly startedAt: number;
     private readonly getAddress: () => string;
+    /** Whether the store cannot be reached. */
+    isCutOff = false;
     private beats = 0;
     private isLeaving = false;
 
@@ -70,6 +72,9 @@
     }
 
     private async put(value: object | undefined): Promise<void> {
+        if (this.isCutOff) {
+            return;
+        }
         const lifetimeMs = LIFETIME_BEATS * this.settings.heartbeatMs;
         const row = { table: "servers", key: this.id, value: value && JSON.stringify(value), lifetimeMs };
         try {
--- a/scripts/loopbackProxy.ts
+++ b/scripts/loopbackProxy.ts
@@ -17,6 +17,8 @@
     private readonly sockets = new Set<Socket>();
     private mode: ProxyMode = "pass";
     private delayMs = 0;
+    /** The port while connections are refused. */
+    private refusedPort: number | undefined;
 
     constructor(target: string) {
         this.target = target;
@@ -25,7 +27,7 @@
 
     /** Address that the proxy listens at. */
     get address(): string {
-        return `${LOOPBACK}:${(this.server.address() as AddressInfo).port}`;
+        return `${LOOPBACK}:${this.refusedPort ?? (this.server.address() as AddressInfo).port}`;
     }
 
     /** Begins to listen on a free port. */
@@ -43,14 +45,32 @@
         }
     }
 
-    /** Closes the port and all connections. */
-    async stop(): Promise<void> {
+    /** Refuses connections from now on, and resets those that are open. */
+    async refuse(): Promise<void> {
+        this.refusedPort = (this.server.address() as AddressInfo).port;
         const closed = once(this.server, "close");
         this.server.close();
-        this.sockets.forEach(socket => socket.destroy());
+        this.sockets.forEach(socket => socket.resetAndDestroy());
         await closed;
     }
 
+    /** Takes connections again. Rejects when another program has taken the port meanwhile. */
+    async accept(): Promise<void> {
+        this.server.listen(this.refusedPort, LOOPBACK);
+        this.refusedPort = undefined;
+        await once(this.server, "listening");
+    }
+
+    /** Closes the port and all connections. */
+    async stop(): Promise<void> {
+        this.sockets.forEach(socket => socket.destroy());
+        if (this.server.listening) {
+            const closed = once(this.server, "close");
+            this.server.close();
+            await closed;
+        }
+    }
+
     private join(near: Socket): void {
         const [host, port] = this.target.split(":");
         this.keep(near);
--- a/scripts/platformFaults.ts
+++ b/scripts/platformFaults.ts
@@ -1,4 +1,5 @@
 import type { PlatformRun } from "./platformRun.js";
+import type { SoakKinds } from "./soakKinds.js";
 
 /** Brings a fault about at a target, and ends it after a time in ms. */
 type Fault = (run: PlatformRun, target: string, lengthMs: number) => Promise<void>;
@@ -14,6 +15,9 @@
 const LOST_ANSWERS = 10;
 const LATE_WRITES = 3;
 const GRACE_LIMIT_MS = 7_500;
+const LONG_READS = 12;
+/** Far longer than a pool's usual work, and well within the grace time. */
+const LONG_READ_MS = 1_200;
 
 const SERVER_FAULTS: Readonly<Record<string, readonly [longestMs: number, fault: Fault]>> = {
     serverKilled: [SHORT_MS, async (run, name, lengthMs) => {
@@ -73,6 +77,43 @@
     }],
 };
 
+/** Disruptions of single servers, hosts and registry entries that the review of the project used. */
+const SERVER_DISRUPTIONS: Readonly<Record<string, readonly [longestMs: number, fault: Fault]>> = {
+    serverIsolated: [PAUSE_MS, async (run, name, lengthMs) => {
+        const { proxy } = run.system.servers.get(name)!;
+        await run.system.setServerFaults(name, { isUnregistered: true });
+        await proxy.refuse();
+        await run.clock.sleep(lengthMs);
+        await proxy.accept();
+        await run.system.setServerFaults(name, {});
+    }],
+};
+
+const HOST_DISRUPTIONS: Readonly<Record<string, readonly [longestMs: number, fault: Fault]>> = {
+    hostStoppedAtWork: [SHORT_MS, async (run, name, lengthMs) => {
+        const reads = run.sendLongReads(name, LONG_READS, LONG_READ_MS);
+        await run.clock.sleep(LONG_READ_MS / 2);
+        await stopGracefully(run, name);
+        const lost = (await reads).filter(({ outcome }) => outcome !== "answered" && outcome !== "notRun");
+        await run.clock.sleep(lengthMs);
+        await run.system.restartHost(name);
+        if (lost.length > 0) {
+            const seen = lost.map(({ reason, status }) => reason ?? status).join(" ");
+            throw new Error(
+                `${name} cut off ${lost.length} of ${LONG_READS} requests in its shutdown: ${seen}`,
+            );
+        }
+    }],
+};
+
+const STORE_DISRUPTIONS: Readonly<Record<string, readonly [longestMs: number, fault: Fault]>> = {
+    foreignEntries: [OUTAGE_MS, async (run, _, lengthMs) => {
+        await run.system.addForeignEntries();
+        await run.clock.sleep(lengthMs);
+        await run.system.removeForeignEntries();
+    }],
+};
+
 const HOST_FAULTS: Readonly<Record<string, readonly [longestMs: number, fault: Fault]>> = {
     hostKilled: [SHORT_MS, async (run, name, lengthMs) => {
         await run.system.hosts.get(name)!.program.kill();
@@ -80,14 +121,7 @@
         await run.system.restartHost(name);
     }],
     hostStopped: [SHORT_MS, async (run, name, lengthMs) => {
-        const { program } = run.system.hosts.get(name)!;
-        const signalledAt = run.clock.now();
-        program.signal("SIGTERM");
-        await program.waitForEnd();
-        const took = run.clock.now() - signalledAt;
-        if (program.exitCode !== 0 || took > GRACE_LIMIT_MS) {
-            throw new Error(`${name} ended with ${program.exitCode} after ${Math.round(took)} ms`);
-        }
+        await stopGracefully(run, name);
         await run.clock.sleep(lengthMs);
         await run.system.restartHost(name);
     }],
@@ -132,9 +166,22 @@
     }],
 };
 
-const ALL = { ...SERVER_FAULTS, ...NOTICE_FAULTS, ...HOST_FAULTS, ...STORE_FAULTS };
+const ALL = {
+    ...SERVER_FAULTS,
+    ...NOTICE_FAULTS,
+    ...HOST_FAULTS,
+    ...STORE_FAULTS,
+    ...SERVER_DISRUPTIONS,
+    ...HOST_DISRUPTIONS,
+    ...STORE_DISRUPTIONS,
+};
 /** Faults that do not hold up what passes between the hosts and a server. */
-const CALM = new Set(["hostReloaded", ...Object.keys(NOTICE_FAULTS), ...Object.keys(STORE_FAULTS)]);
+const CALM = new Set([
+    "hostReloaded",
+    ...Object.keys(NOTICE_FAULTS),
+    ...Object.keys(STORE_FAULTS),
+    ...Object.keys(STORE_DISRUPTIONS),
+]);
 const STORE = "store";
 
 /** Faults of the network, processes, clocks and storage that a soak of the platform's program brings about, by target. */
@@ -142,11 +189,21 @@
     /**
      * Faults that may come to each target, with the longest time of each in ms.
      *
-     * @param hasNotices whether servers also say in their answers that they leave or want no requests; it changes the plan of every seed
+     * @param kinds further kinds of faults; each changes the plan of every seed
      */
-    list(run: PlatformRun, hasNotices: boolean): Readonly<Record<string, Readonly<Record<string, number>>>> {
-        const serverFaults = hasNotices ? { ...SERVER_FAULTS, ...NOTICE_FAULTS } : SERVER_FAULTS;
-        const each = (names: Iterable<string>, faults: typeof ALL | typeof SERVER_FAULTS) =>
+    list(
+        run: PlatformRun,
+        { hasDisruptions, hasNotices }: SoakKinds,
+    ): Readonly<Record<string, Readonly<Record<string, number>>>> {
+        const serverFaults = {
+            ...SERVER_FAULTS,
+            ...hasNotices ? NOTICE_FAULTS : {},
+            ...hasDisruptions ? SERVER_DISRUPTIONS : {},
+        };
+        const hostFaults = { ...HOST_FAULTS, ...hasDisruptions ? HOST_DISRUPTIONS : {} };
+        const storeFaults = { ...STORE_FAULTS, ...hasDisruptions ? STORE_DISRUPTIONS : {} };
+        const servers = [...run.system.servers.keys()].filter(name => !run.isSpared(name));
+        const each = (names: Iterable<string>, faults: typeof SERVER_FAULTS) =>
             [...names].map(
                 name => [
                     name,
@@ -154,9 +211,9 @@
                 ],
             );
         return Object.fromEntries([
-            ...each(run.system.servers.keys(), serverFaults),
-            ...each(run.system.hosts.keys(), HOST_FAULTS),
-            ...each([STORE], STORE_FAULTS),
+            ...each(servers, serverFaults),
+            ...each(run.system.hosts.keys(), hostFaults),
+            ...each([STORE], storeFaults),
         ]) as Record<string, Record<string, number>>;
     },
 
@@ -168,6 +225,17 @@
     },
 };
 
+async function stopGracefully(run: PlatformRun, name: string): Promise<void> {
+    const { program } = run.system.hosts.get(name)!;
+    const signalledAt = run.clock.now();
+    program.signal("SIGTERM");
+    await program.waitForEnd();
+    const took = run.clock.now() - signalledAt;
+    if (program.exitCode !== 0 || took > GRACE_LIMIT_MS) {
+        throw new Error(`${name} ended with ${program.exitCode} after ${Math.round(took)} ms`);
+    }
+}
+
 async function pause(
     run: PlatformRun,
     program: { signal(name: NodeJS.Signals): void; },
--- a/scripts/platformRun.ts
+++ b/scripts/platformRun.ts
@@ -19,6 +19,13 @@
     { name: "shorepermit", isKeyed: false, kind: "unsafe", dataCentres: ["north", "south"] },
     { name: "loghold", isKeyed: false, kind: "upload", dataCentres: ["north", "south"] },
 ] as const;
+/** A pool whose requests may take long, and whose servers get no faults: what becomes of its requests is the hosts' doing. */
+const LONG_SERVICE = {
+    name: "tidewatch",
+    isKeyed: false,
+    kind: "safe",
+    dataCentres: ["north", "south"],
+} as const;
 const HOSTS = { "north-1": "north", "north-2": "north", "south-1": "south" };
 const KEYS = 20;
 /** Lines of a host's output that an error repeats. */
@@ -39,14 +46,23 @@
 /** Hosts on the platform under load, whose servers and callers are judged by the observer at the end. */
 export class PlatformRun {
     readonly clock = new SystemClock();
-    readonly system = new PlatformSystem(SERVICES);
+    readonly system: PlatformSystem;
     readonly records = new ServerRecords(this.clock);
     private readonly calls: CallerEntry[] = [];
-    private readonly protocol = new PlatformProtocol(this.system.authority);
+    private readonly protocol: PlatformProtocol;
     private readonly agent = new Agent({ connections: IN_FLIGHT });
     private readonly disruptions: Disruption[] = [];
+    private readonly services: readonly { readonly name: string; }[];
     private probes = 0;
 
+    /** @param hasLongReads whether there is a service for `sendLongReads` */
+    constructor(hasLongReads = false) {
+        const services = hasLongReads ? [...SERVICES, LONG_SERVICE] : SERVICES;
+        this.services = services;
+        this.system = new PlatformSystem(services);
+        this.protocol = new PlatformProtocol(this.system.authority);
+    }
+
     /** Starts everything, and resolves once every service is served through every host. */
     async start(): Promise<void> {
         await this.system.start(HOSTS);
@@ -82,6 +98,31 @@
         };
     }
 
+    /** Describes the hosts that do not run; after all faults have ended these have ended by themselves. */
+    listEndedHosts(): readonly string[] {
+        return [...this.system.hosts].filter(([, { program }]) => program.hasEnded).map(
+            ([name, { program }]) =>
+                `${name} ended by itself: ${program.lines.at(-1) ?? "it printed nothing"}`,
+        );
+    }
+
+    /** Whether a server gets no faults. */
+    isSpared(server: string): boolean {
+        return server.startsWith(LONG_SERVICE.name);
+    }
+
+    /** Sends requests to one host whose work takes `workMs` at a server of a pool; resolves once all have ended. */
+    async sendLongReads(host: string, count: number, workMs: number): Promise<readonly CallerEntry[]> {
+        const { callers } = this.system.hosts.get(host)!;
+        const entries = await Promise.all(Array.from({ length: count }, () => {
+            const name = `long-${this.probes++}`;
+            const path = `/${LONG_SERVICE.name}/key-0/read?call=${name}&delay=${workMs}`;
+            return this.sendRead(name, path, callers, CALL_TIMEOUT_MS);
+        }));
+        this.calls.push(...entries);
+        return entries;
+    }
+
     /** Whether a host says that it is ready. */
     async isReady(name: string): Promise<boolean> {
         try {
@@ -98,14 +139,16 @@
     async waitUntilServed(): Promise<void> {
         const until = this.clock.now() + SERVED_LIMIT_MS;
         const hosts = [...this.system.hosts].filter(([, { program }]) => !program.hasEnded);
-        await Promise.all(hosts.flatMap(([host, { callers }]) =>
-            SERVICES.flatMap(({ name }) =>
-                Array.from(
-                    { length: KEYS },
-                    (_, key) => this.waitForAnswer(host, callers, `/${name}/key-${key}/probe`, until),
+        await Promise.all(
+            hosts.flatMap(([host, { callers }]) =>
+                this.services.flatMap(({ name }) =>
+                    Array.from(
+                        { length: KEYS },
+                        (_, key) => this.waitForAnswer(host, callers, `/${name}/key-${key}/probe`, until),
+                    )
                 )
-            )
-        ));
+            ),
+        );
     }
 
     /** The observer's verdict. The load must have been stopped. */
@@ -132,25 +175,21 @@
         await this.agent.destroy();
     }
 
+    private sendRead(name: string, path: string, entryHost: string, timeoutMs: number): Promise<CallerEntry> {
+        const { agent: dispatcher, clock, protocol } = this;
+        const call = { name, kind: "read", method: "GET", path, headers: {}, body: undefined } as const;
+        return sendCall(call, { clock, dispatcher, entryHost, attempt: 1, timeoutMs, protocol });
+    }
+
     private async waitForAnswer(host: string, callers: string, path: string, until: number): Promise<void> {
         for (;;) {
             const name = `probe-${this.probes++}`;
-            const call = {
+            const { outcome, reason, status } = await this.sendRead(
                 name,
-                kind: "read",
-                method: "GET",
-                path: `${path}?call=${name}`,
-                headers: {},
-                body: undefined,
-            } as const;
-            const { outcome, reason, status } = await sendCall(call, {
-                clock: this.clock,
-                dispatcher: this.agent,
-                entryHost: callers,
-                attempt: 1,
-                timeoutMs: PROBE_TIMEOUT_MS,
-                protocol: this.protocol,
-            });
+                `${path}?call=${name}`,
+                callers,
+                PROBE_TIMEOUT_MS,
+            );
             if (outcome === "answered") {
                 return;
             }
--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -8,6 +8,10 @@
 cli.option("--first-seed <number>", "seed of the first run", { default: 1 });
 cli.option("--seconds <number>", "time of failures in each run", { default: 30 });
 cli.option("--notices", "servers also say in their answers that they leave or want no requests for a time");
+cli.option(
+    "--disruptions",
+    "servers are also isolated, the registry gets entries of another writer, and hosts are stopped while long requests are at work",
+);
 cli.help();
 const { options } = cli.parse();
 if (!options.help) {
@@ -16,7 +20,7 @@
         const result = await soakPlatform(
             seed,
             Number(options.seconds) * MS_PER_SECOND,
-            Boolean(options.notices),
+            { hasNotices: Boolean(options.notices), hasDisruptions: Boolean(options.disruptions) },
         );
         process.stdout.write(`${JSON.stringify(result)}\n`);
         process.exitCode = result.isClean ? process.exitCode : 1;
--- /dev/null
+++ b/scripts/soakKinds.ts
@@ -0,0 +1,10 @@
+/** Kinds of faults that a soak brings about beside those of the network, processes, clocks and storage. */
+export type SoakKinds = {
+    /** Whether servers also say in their answers that they leave or want no requests. */
+    readonly hasNotices?: boolean;
+    /**
+     * Whether single servers are isolated (connections refused, entry lapsed), entries of another writer come into the registry, and hosts are
+     * stopped while long requests are at work.
+     */
+    readonly hasDisruptions?: boolean;
+};
--- a/scripts/soakPlatform.ts
+++ b/scripts/soakPlatform.ts
@@ -1,6 +1,7 @@
 import type { Finding } from "@arbutusdoor/standins";
 import { platformFaults } from "./platformFaults.js";
 import { PlatformRun } from "./platformRun.js";
+import type { SoakKinds } from "./soakKinds.js";
 import { planSoak } from "./soakPlan.js";
 
 /** What a soak of one seed found. */
@@ -18,14 +19,14 @@
 export async function soakPlatform(
     seed: number,
     durationMs: number,
-    hasNotices = false,
+    kinds: SoakKinds = {},
 ): Promise<SoakResult> {
-    const run = new PlatformRun();
+    const run = new PlatformRun(kinds.hasDisruptions);
     const errors: string[] = [];
     let steps = 0;
     try {
         await run.start();
-        const plan = planSoak(seed, durationMs, platformFaults.list(run, hasNotices));
+        const plan = planSoak(seed, durationMs, platformFaults.list(run, kinds));
         steps = plan.length;
         const stopLoad = run.startLoad({ seed });
         /** The last fault of each target: one may take longer than planned, for example until a server has drained. */
@@ -43,6 +44,7 @@
         errors.push(
             ...outcomes.flatMap(outcome => outcome.status === "rejected" ? [String(outcome.reason)] : []),
         );
+        errors.push(...run.listEndedHosts());
         await run.waitUntilServed().catch((reason: unknown) => errors.push(String(reason)));
         await stopLoad();
     }
