The line that says why a process ended is written before it ends

Seen while the matter without a case was reproduced: two of 14 ends had no invariantBroken line, since lines are written in the background and process.exit does not wait for those that are still queued.

--- a/packages/gateway/src/observability/lineWriter.ts
+++ b/packages/gateway/src/observability/lineWriter.ts
@@ -1,4 +1,4 @@
-import { write } from "node:fs";
+import { write, writeSync } from "node:fs";
 
 /** Bytes that may wait for the output; further lines are dropped and counted. */
 const WAITING_LIMIT_BYTES = 1_048_576;
@@ -36,6 +36,21 @@
         return dropped;
     }
 
+    /** Writes the waiting lines before it returns, for a process that ends now. An output that takes no more bytes loses them. */
+    writeAll(): void {
+        const bytes = Buffer.from(this.waiting.map(line => `${line}\n`).join(""));
+        this.waiting = [];
+        this.waitingBytes = 0;
+        try {
+            for (let offset = 0; offset < bytes.length;) {
+                offset += writeSync(this.descriptor, bytes, offset);
+            }
+        }
+        catch {
+            // There is nowhere else to report this.
+        }
+    }
+
     private flush(): void {
         if (this.isWriting || this.waiting.length === 0) {
             return;
--- a/packages/gateway/tests/observability.test.ts
+++ b/packages/gateway/tests/observability.test.ts
@@ -58,6 +58,19 @@
     await expect.poll(() => readFileSync(path, "utf8")).toBe(`${lines.join("\n")}\n`);
 });
 
+// Guards against processes that ended by themselves without the line that says why.
+test("lines that wait behind others are written before the process ends", () => {
+    const directory = mkdtempSync(join(tmpdir(), "lines-"));
+    onTestFinished(() => rmSync(directory, { recursive: true }));
+    const path = join(directory, "log");
+    const descriptor = openSync(path, "a");
+    onTestFinished(() => closeSync(descriptor));
+    const writer = new LineWriter(descriptor);
+    ["first", "second", "last"].forEach(line => writer.write(line));
+    writer.writeAll();
+    expect(readFileSync(path, "utf8")).toMatch(/second\nlast\n/);
+});
+
 test("lines beyond the limit are dropped and counted", () => {
     const descriptor = openSync("/dev/null", "r");
     onTestFinished(() => closeSync(descriptor));
