In the daemon, an attempt that none can follow lasts until the deadline

Now an attempt is limited only while another server, a retry, budget and a repeatable body are left. Without the change the new test sees 250 ms for both attempts, with it 250 and 500.

--- a/packages/daemon/src/routing/poolDispatcher.ts
+++ b/packages/daemon/src/routing/poolDispatcher.ts
@@ -38,7 +38,7 @@
         for (;;) {
             const server = await this.waitForServer(request, tried);
             const sending = server
-                ? await this.sendTo(server, request)
+                ? await this.sendTo(server, request, this.mayFollow(server, request, attempts.count, tried))
                 : this.refuseWithoutServer(request, tried);
             if (sending.answer.kind === "answered") {
                 return sending;
@@ -85,7 +85,22 @@
         return servers.find(server => server.name === picked);
     }
 
-    private async sendTo(server: Server, request: CallerRequest): Promise<Sending> {
+    /** Whether the request could be sent to another server if this one did not answer. */
+    private mayFollow(
+        server: Server,
+        request: CallerRequest,
+        attempt: number,
+        tried: ReadonlySet<ServerId>,
+    ): boolean {
+        const { retryRules, view } = this.dependencies;
+        const others = listPoolServers(view, request.service.name, request.requestClass).filter(({ name }) =>
+            name !== server.name && !tried.has(name as ServerId)
+        );
+        return others.length > 0 && request.body.isRepeatable
+            && retryRules.isAllowed(request, "unknown", attempt);
+    }
+
+    private async sendTo(server: Server, request: CallerRequest, mayFollow: boolean): Promise<Sending> {
         const { clock, picker, sender } = this.dependencies;
         const serverId = server.name as ServerId;
         const startedAt = clock.now();
@@ -103,7 +118,7 @@
             path: request.path,
             headers: request.headers,
             body: request.body.open(),
-            deadlineAt: this.getAttemptEnd(request),
+            deadlineAt: mayFollow ? this.getAttemptEnd(request) : request.deadlineAt,
             signal: request.signal,
         });
         const { answer } = sending;
@@ -116,13 +131,10 @@
         return sending;
     }
 
-    /** A repeatable attempt times out early enough to be retried at another server. */
+    /** An attempt that another one may follow times out early enough for that. */
     private getAttemptEnd(request: CallerRequest): number {
         const now = this.dependencies.clock.now();
         const { isIdempotent } = request.requestClass;
-        if (!request.body.isRepeatable) {
-            return request.deadlineAt;
-        }
         return now + this.dependencies.picker.getAttemptTimeout(isIdempotent, request.deadlineAt - now);
     }
 
--- a/packages/daemon/src/routing/retryRules.ts
+++ b/packages/daemon/src/routing/retryRules.ts
@@ -1,4 +1,4 @@
-import type { ClassId, Clock, Refusal, ServiceId } from "@arbutusdoor/common";
+import type { ClassId, Clock, OutcomeKind, Refusal, ServiceId } from "@arbutusdoor/common";
 import { mayRetry, RetryBudget, type RetryBudgetSettings } from "@arbutusdoor/policy";
 import type { CallerRequest } from "../entry/callerRequest.js";
 
@@ -19,12 +19,18 @@
 
     /** Whether to retry the request after a refusal; a retry that is allowed is taken from the budget. */
     consumeRetry(request: CallerRequest, refusal: Refusal, attempt: number): boolean {
+        const service = request.service.name as ServiceId;
+        const classId = request.requestClass.name as ClassId;
+        return this.isAllowed(request, refusal.outcome, attempt) && this.budget.spend(service, classId);
+    }
+
+    /** Whether the request could be retried now if its attempt ended with an outcome. */
+    isAllowed(request: CallerRequest, outcome: OutcomeKind, attempt: number): boolean {
         const service = request.service.name as ServiceId;
         const classId = request.requestClass.name as ClassId;
         const remaining = request.deadlineAt - this.clock.now();
         const tokens = this.budget.getTokens(service, classId);
-        const isAllowed = request.body.canOpen() && !request.signal.aborted
-            && mayRetry(request.requestClass, refusal.outcome, attempt, tokens, remaining);
-        return isAllowed && this.budget.spend(service, classId);
+        return request.body.canOpen() && !request.signal.aborted
+            && mayRetry(request.requestClass, outcome, attempt, tokens, remaining);
     }
 }
--- a/packages/daemon/tests/pooledRouter.test.ts
+++ b/packages/daemon/tests/pooledRouter.test.ts
@@ -69,6 +69,16 @@
     expect(new Set(traffic.sent.map(request => request.server)).size).toBe(2);
 });
 
+// Guards against a request that was given up with time left although no other attempt could follow.
+test("only an attempt that another one may follow ends before the deadline", async () => {
+    const { router, traffic } = createRouter(LOST, LOST);
+    expect(await getOutcome(router, "read")).toBe("unknown connectionLost");
+    expect(traffic.sent.map(({ deadline }) => deadline)).toEqual([250, 500]);
+    const once = createRouter(LOST);
+    await getOutcome(once.router, "once", RequestBody.whole(Buffer.from("x")));
+    expect(once.traffic.sent.map(({ deadline }) => deadline)).toEqual([500]);
+});
+
 test("once-only work is retried only if it did not run", async () => {
     const shed = createRouter(SHED);
     expect(await getOutcome(shed.router, "once", RequestBody.whole(Buffer.from("x")))).toBe("answered");
--- a/packages/mesh/tests/wsTransport.test.ts
+++ b/packages/mesh/tests/wsTransport.test.ts
@@ -15,6 +15,7 @@
 import { WebSocket } from "ws";
 import { Mesh } from "../src/mesh.js";
 import { MeshSettings } from "../src/settings/meshSettings.js";
+import { WsTransport } from "../src/transport/wsTransport.js";
 import { createRequest } from "./helpers/createRequest.js";
 import { RecordingHandler } from "./helpers/recordingHandler.js";
 
@@ -103,3 +104,10 @@
     expect(a.mesh.send("b" as HostId, "still here")).toBe(true);
     await vi.waitFor(() => expect(b.lines).toContain("control from a: \"still here\""), 10_000);
 });
+
+test.each([["127.1.2.3:70000"], ["300.1.1.1:80"], [""]])(
+    "a dial to %j, which is no address, fails like one that nobody answers",
+    async address => {
+        expect(await new WsTransport(1_000).dial(address, 1_024)).toBeUndefined();
+    },
+);
