--- a/packages/gateway/tests/callerPort.test.ts
+++ b/packages/gateway/tests/callerPort.test.ts
@@ -27,8 +27,8 @@
 let callerPort: CallerPort;
 let caller: Socket;
 
-beforeEach(async () => {
-    backends = new ScriptedBackends([]);
+/** Starts a port in front of `backends`, and connects a caller to it. */
+async function start(): Promise<void> {
     const started = await startCallerPort({
         clock,
         backends,
@@ -39,6 +39,11 @@
     caller = connect(started.port, LOOPBACK);
     caller.on("error", () => undefined);
     await once(caller, "connect");
+}
+
+beforeEach(async () => {
+    backends = new ScriptedBackends([]);
+    await start();
     await clock.sleep(SETTLE_MS);
 });
 
@@ -82,14 +87,7 @@
 test("a reply that cannot be written ends its own request alone", async () => {
     backends = new ScriptedBackends(["unwritable", "ok"]);
     await callerPort.close();
-    const started = await startCallerPort({
-        clock,
-        backends,
-        dialect: new FixedHeaderCodec(),
-        timeoutMs: 1_000,
-    });
-    callerPort = started.callerPort;
-    caller = connect(started.port, LOOPBACK);
+    await start();
     const statuses: string[] = [];
     for (let sent = 0; sent < 2; sent++) {
         caller.write(GET);
