--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -23,6 +23,7 @@
 export * from "./rangeServer/rangeServerSettings.js";
 export * from "./rangeServer/rangeServerStandIn.js";
 export * from "./rowStore/configuredService.js";
+export * from "./rowStore/listForeignEntries.js";
 export * from "./rowStore/newConfigurationText.js";
 export * from "./rowStore/rowStoreStandIn.js";
 export * from "./tableService/tableStandIn.js";
--- a/scripts/platformFaults.ts
+++ b/scripts/platformFaults.ts
@@ -77,7 +77,7 @@
     }],
 };
 
-/** Disruptions of single servers, hosts and registry entries that the review of the project used. */
+/** Cuts off a single server from all others, so that it looks like one that has ended. */
 const SERVER_DISRUPTIONS: Readonly<Record<string, readonly [longestMs: number, fault: Fault]>> = {
     serverIsolated: [PAUSE_MS, async (run, name, lengthMs) => {
         const { proxy } = run.system.servers.get(name)!;
--- a/scripts/platformSystem.ts
+++ b/scripts/platformSystem.ts
@@ -1,10 +1,9 @@
-import { type ConfiguredService, newConfigurationText } from "@arbutusdoor/standins";
+import { type ConfiguredService, listForeignEntries, newConfigurationText } from "@arbutusdoor/standins";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { ChildProgram } from "./childProgram.js";
 import { getFreePorts } from "./getFreePorts.js";
-import { listForeignEntries } from "./listForeignEntries.js";
 import { LoopbackProxy } from "./loopbackProxy.js";
 
 const ROOT = new URL("../", import.meta.url).pathname;
