Failed attempts name their connection and how long they took

Each connection of a pool now has a number for as long as the process runs; attemptFailed and requestAnswered carry it, attemptFailed the duration as well. No decision depends on it yet.

--- a/packages/clients/src/http/httpExchange.ts
+++ b/packages/clients/src/http/httpExchange.ts
@@ -1,8 +1,9 @@
-import type { Clock, Timer } from "@arbutusdoor/common";
+import type { Clock, ConnectionId, Timer } from "@arbutusdoor/common";
 import { Readable } from "node:stream";
 import type { Dispatcher } from "undici";
 import { AnswerBody } from "./answerBody.js";
 import type { AnswerProgress } from "./answerProgress.js";
+import type { AssignedConnection } from "./assignedConnection.js";
 import { getEndToEndHeaders } from "./getEndToEndHeaders.js";
 import { hasStatedEnd } from "./hasStatedEnd.js";
 import type { HttpOutcome } from "./httpOutcome.js";
@@ -20,6 +21,8 @@
     private readonly resolve: (outcome: HttpOutcome) => void;
     private readonly cancel = () => this.end(getCancelReason(this.request.signal), true);
     private readonly progress: AnswerProgress = { parts: 0 };
+    private readonly assigned: AssignedConnection = { getId: () => undefined };
+    private connection: ConnectionId | undefined;
     private timer: Timer | undefined;
     private controller: Dispatcher.DispatchController | undefined;
     private body: AnswerBody | undefined;
@@ -53,6 +56,7 @@
             controller.abort(error);
             return;
         }
+        this.connection = this.assigned.getId();
         this.controller = controller;
     }
 
@@ -75,7 +79,13 @@
             return;
         }
         this.body = new AnswerBody(controller);
-        this.settle({ kind: "head", status, headers, body: this.body.stream });
+        this.settle({
+            kind: "head",
+            status,
+            headers,
+            body: this.body.stream,
+            connection: this.connection,
+        });
     }
 
     onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -114,6 +124,7 @@
                 headers: headers as Record<string, string | string[]>,
                 body,
                 progress: this.progress,
+                assigned: this.assigned,
             };
             pool.dispatch(options, this);
         }
@@ -136,7 +147,7 @@
         this.release();
         this.settle(
             this.controller
-                ? { kind: "lost", isCancelled, reason }
+                ? { kind: "lost", isCancelled, reason, connection: this.connection }
                 : {
                     kind: "notSent",
                     isCancelled,
--- a/packages/clients/src/http/httpOutcome.ts
+++ b/packages/clients/src/http/httpOutcome.ts
@@ -1,4 +1,4 @@
-import type { HeaderFields } from "@arbutusdoor/common";
+import type { ConnectionId, HeaderFields } from "@arbutusdoor/common";
 import type { Readable } from "node:stream";
 
 /**
@@ -12,6 +12,7 @@
         readonly status: number;
         readonly headers: HeaderFields;
         readonly body: Readable;
+        readonly connection: ConnectionId | undefined;
     }
     | {
         readonly kind: "notSent";
@@ -22,4 +23,9 @@
         readonly isWithheld: boolean;
         readonly reason: string;
     }
-    | { readonly kind: "lost"; readonly isCancelled: boolean; readonly reason: string; };
+    | {
+        readonly kind: "lost";
+        readonly isCancelled: boolean;
+        readonly reason: string;
+        readonly connection: ConnectionId | undefined;
+    };
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./http/hopByHopHeaders.js";
 export * from "./ids/brand.js";
 export * from "./ids/classId.js";
+export * from "./ids/connectionId.js";
 export * from "./ids/dataCentreId.js";
 export * from "./ids/digest.js";
 export * from "./ids/hostId.js";
--- a/packages/gateway/src/backends/backendOutcome.ts
+++ b/packages/gateway/src/backends/backendOutcome.ts
@@ -1,4 +1,4 @@
-import type { HeaderFields } from "@arbutusdoor/common";
+import type { ConnectionId, HeaderFields } from "@arbutusdoor/common";
 import type { Readable } from "node:stream";
 import type { ServerNotice } from "./serverNotice.js";
 
@@ -15,7 +15,8 @@
 
 /**
  * How a request to one server ended: `answered` (the body errors unless it arrives completely); `notRun` (the server did not run it
- * and never will); `unknown` (it may have run); `cancelled` (aborted by the sender; it may have run if `isSent`).
+ * and never will); `unknown` (it may have run); `cancelled` (aborted by the sender; it may have run if `isSent`). The connection is
+ * `undefined` when the request was not sent.
  */
 export type BackendOutcome =
     | {
@@ -26,12 +27,14 @@
         /** Whether the answer proves that it is the server's own. */
         readonly isSigned: boolean;
         readonly notice?: ServerNotice;
+        readonly connection?: ConnectionId;
     }
     | {
         readonly kind: "notRun";
         readonly cause: NotRunCause;
         readonly detail: string;
         readonly notice?: ServerNotice;
+        readonly connection?: ConnectionId;
     }
-    | { readonly kind: "unknown"; readonly detail: string; }
-    | { readonly kind: "cancelled"; readonly isSent: boolean; };
+    | { readonly kind: "unknown"; readonly detail: string; readonly connection?: ConnectionId; }
+    | { readonly kind: "cancelled"; readonly isSent: boolean; readonly connection?: ConnectionId; };
--- a/packages/gateway/src/requests/requestRouter.ts
+++ b/packages/gateway/src/requests/requestRouter.ts
@@ -8,6 +8,7 @@
 import type { ServerAdmission } from "../routing/serverAdmission.js";
 import type { SharedRetryBudget } from "../routing/sharedRetryBudget.js";
 import { AttemptRecorder } from "./attemptRecorder.js";
+import type { AttemptTrace } from "./attemptTrace.js";
 import { createRequestState } from "./createRequestState.js";
 import { destroyOverdueBody } from "./destroyOverdueBody.js";
 import type { ForwardableAnswer } from "./forwardableAnswer.js";
@@ -189,20 +190,22 @@
         if (controller.signal.aborted && !isExpired) {
             return undefined;
         }
+        const trace = { connection: outcome.connection, durationMs: duration };
         if (answer?.kind === "whole" || answer?.kind === "stream") {
             loads.recordAnswer(server.id, duration);
-            return this.handleAnswer(state, server, answer);
+            return this.handleAnswer(state, server, answer, trace);
         }
         if (request.callerGone.aborted) {
             return { kind: "gone" };
         }
-        return this.handleFailure(state, server, outcome, answer, isExpired);
+        return this.handleFailure(state, server, outcome, answer, isExpired, trace);
     }
 
     private handleAnswer(
         state: RequestState,
         server: RegisteredServer,
         answer: ForwardableAnswer,
+        trace: AttemptTrace,
     ): GatewayReply | undefined {
         const { status } = answer;
         const isFailure = status >= FIRST_FAILURE_STATUS;
@@ -210,7 +213,7 @@
         if (isFailure && state.request.route.isIdempotent && answer.kind === "whole") {
             state.errorAnswer = answer;
             state.excludedServers.add(server.id);
-            this.saveFailure(state, server, "serverError", `status ${status}`);
+            this.saveFailure(state, server, "serverError", `status ${status}`, trace);
             return undefined;
         }
         if (answer.kind === "stream") {
@@ -218,7 +221,7 @@
                 this.log("requestFailed", state, { server: server.id, status, reason: "answerOverdue" });
             });
         }
-        this.log("requestAnswered", state, { server: server.id, status });
+        this.log("requestAnswered", state, { server: server.id, status, connection: trace.connection });
         return createAnswer(answer);
     }
 
@@ -228,6 +231,7 @@
         outcome: BackendOutcome,
         answer: UnusableAnswer | undefined,
         isExpired: boolean,
+        trace: AttemptTrace,
     ): GatewayReply | undefined {
         const { loads } = this.parts;
         const { request } = state;
@@ -240,13 +244,13 @@
                 // It has not left this host, so another attempt is no retry.
                 state.sends--;
             }
-            this.saveFailure(state, server, outcome.cause, outcome.detail);
+            this.saveFailure(state, server, outcome.cause, outcome.detail, trace);
             return undefined;
         }
         const isUnsent = outcome.kind === "cancelled" && !outcome.isSent;
         state.runs += isUnsent ? 0 : 1;
         const detail = answer?.reason ?? (outcome.kind === "unknown" ? outcome.detail : "given up");
-        this.saveFailure(state, server, isExpired ? "overdue" : "connectionLost", detail);
+        this.saveFailure(state, server, isExpired ? "overdue" : "connectionLost", detail, trace);
         return undefined;
     }
 
@@ -294,9 +298,22 @@
         return request.deadlineAt - this.parts.clock.now();
     }
 
-    private saveFailure(state: RequestState, server: RegisteredServer, reason: string, detail: string): void {
+    private saveFailure(
+        state: RequestState,
+        server: RegisteredServer,
+        reason: string,
+        detail: string,
+        trace?: AttemptTrace,
+    ): void {
         state.lastFailure = { reason, detail };
-        this.log("attemptFailed", state, { server: server.id, reason, detail });
+        const durationMs = trace && Math.round(trace.durationMs);
+        this.log("attemptFailed", state, {
+            server: server.id,
+            reason,
+            detail,
+            connection: trace?.connection,
+            durationMs,
+        });
     }
 
     private log(
