The HTTP library no longer answers a caller whose request is at work

Callers saw 408 (not run, and never will be) for a request that its server ran: REFUSED. The runtime's HTTP server writes 408 by itself when a further head on the connection is not finished within the header timeout, and 400 or 431 when it is malformed or too long, as long as no head of an answer has been sent; it does not know the request that was passed on.

Such bytes now get a reply only on a connection without open requests, where it is true. Requests that were read to their end keep their answers, the last of which closes the connection; a broken body closes it without an answer. A line (callerUnreadable, 508) and a counter say so, with the open requests.

--- a/packages/common/src/logging/logEvent.ts
+++ b/packages/common/src/logging/logEvent.ts
@@ -162,6 +162,11 @@
         text: "an internal error ended a request; other requests go on",
     },
     callerPortFailed: { number: 506, level: "error", text: "the port for callers reported an error" },
+    callerUnreadable: {
+        number: 508,
+        level: "warn",
+        text: "bytes on a caller's connection are no request, or a head was not finished in time",
+    },
     linesLeftOut: { number: 504, level: "warn", text: "log lines were dropped" },
     tableHistoryLost: {
         number: 605,
--- a/packages/gateway/src/requests/callerConnection.ts
+++ b/packages/gateway/src/requests/callerConnection.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 
 /** Requests of one connection that are routed at the same time; a caller may send several before the first is answered. */
@@ -5,6 +6,7 @@
 
 /** A request that was read from the connection and has no complete reply yet. */
 type OpenRequest = {
+    readonly message: IncomingMessage;
     /** Resolves to whether the request may be routed. One behind a reply that closes the connection never may: it counts as not read. */
     readonly turn: Promise<boolean>;
     isRouted: boolean;
@@ -22,6 +24,7 @@
     private readonly requests: OpenRequest[] = [];
     private readonly isClosing: () => boolean;
     private isEnding = false;
+    private isReadingEnded = false;
 
     /** @param isClosing whether replies are to close the connection, so that nothing more is routed beside what is */
     constructor(socket: Socket, isClosing: () => boolean) {
@@ -30,13 +33,37 @@
         socket.once("close", () => this.abandon());
     }
 
+    /** Number of requests that were read and have no complete reply. */
+    get size(): number {
+        return this.requests.length;
+    }
+
+    /** Whether nothing more is read as a request, so that the last reply closes the connection. */
+    get hasEndedReading(): boolean {
+        return this.isReadingEnded;
+    }
+
+    /** Whether all of its requests were read to their end. */
+    get isWhole(): boolean {
+        return this.requests.every(({ message }) => message.complete);
+    }
+
+    /** Reads no further request; those that were read keep their replies. */
+    endReading(): void {
+        this.isReadingEnded = true;
+    }
+
     /** Adds a request that was read. It has to be removed once it has its reply, unless the connection closes before. */
-    add(notifyClosed: () => void): OpenRequest {
+    add(message: IncomingMessage, notifyClosed: () => void): OpenRequest {
         let start: OpenRequest["start"] = () => undefined;
         const turn = new Promise<boolean>(resolve => {
             start = resolve;
         });
-        const request: OpenRequest = { turn, start, isRouted: false, notifyClosed };
+        const request: OpenRequest = { message, turn, start, isRouted: false, notifyClosed };
+        if (this.isReadingEnded) {
+            start(false);
+            return request;
+        }
         this.requests.push(request);
         this.startWaiting();
         return request;
@@ -49,11 +76,15 @@
             this.requests.splice(index, 1);
             this.startWaiting();
         }
+        if (this.isReadingEnded && this.requests.length === 0) {
+            this.socket.destroySoon();
+        }
     }
 
-    /** Whether no request behind this one is routed, so that its reply may close the connection. */
+    /** Whether no request behind this one is or will be routed, so that its reply may close the connection. */
     isLast(request: OpenRequest): boolean {
-        return !this.requests.slice(this.requests.indexOf(request) + 1).some(({ isRouted }) => isRouted);
+        const behind = this.requests.slice(this.requests.indexOf(request) + 1);
+        return this.isClosing() ? !behind.some(({ isRouted }) => isRouted) : behind.length === 0;
     }
 
     /** Routes no further request, since a reply closes the connection. */
--- a/packages/gateway/src/requests/callerPort.ts
+++ b/packages/gateway/src/requests/callerPort.ts
@@ -9,16 +9,17 @@
 } from "@arbutusdoor/common";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { pipeline, Readable } from "node:stream";
 import polka from "polka";
 import type { RouteTable } from "../configuration/routeTable.js";
 import type { TargetRotation } from "../configuration/targetRotation.js";
 import { CallerConnection } from "./callerConnection.js";
 import type { CallerHeaderCodec } from "./callerHeaderCodec.js";
+import { endUnreadable } from "./endUnreadable.js";
 import type { GatewayReply } from "./gatewayReply.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
 import { readGatewayBody } from "./readGatewayBody.js";
 import type { RequestRouter } from "./requestRouter.js";
+import { writeAnswer } from "./writeAnswer.js";
 
 /** Shared by all requests: creating an error with its stack trace costs more than routing a request. */
 const CALLER_GONE = new ArbutusdoorError("the caller disconnected");
@@ -69,6 +70,11 @@
         metrics.gauge("arbutusdoor_requests_in_flight", () => this.openRequests);
         metrics.gauge("arbutusdoor_caller_connections", () => this.openConnections);
         this.server.on("connection", (socket: Socket) => this.countConnection(socket));
+        this.server.on(
+            "clientError",
+            (error, socket) =>
+                endUnreadable(error, socket as Socket, this.getConnection(socket as Socket), parts),
+        );
         this.server.on("error", ({ message }) => logger.log("callerPortFailed", { reason: message }));
     }
 
@@ -129,7 +135,7 @@
             }
         };
         message.on("error", () => callerGone.abort(CALLER_GONE));
-        const request = connection.add(end);
+        const request = connection.add(message, end);
         if (!await request.turn) {
             return;
         }
@@ -156,7 +162,8 @@
             { route, result },
             (clock.now() - arrivedAt) * MICROSECONDS_PER_MS,
         );
-        const isCloseDue = this.isClosing && connection.isLast(request) || !message.complete;
+        const isEnding = this.isClosing || connection.hasEndedReading;
+        const isCloseDue = isEnding && connection.isLast(request) || !message.complete;
         if (isCloseDue && !response.destroyed) {
             response.setHeader("connection", "close");
             connection.end();
@@ -302,27 +309,6 @@
     }
 }
 
-function writeAnswer(
-    message: IncomingMessage,
-    response: ServerResponse,
-    { body, headers, status }: Extract<GatewayReply, { kind: "answer"; }>,
-): void {
-    for (const [name, value] of Object.entries(headers)) {
-        response.setHeader(name, value as string | string[]);
-    }
-    if (body instanceof Readable) {
-        response.writeHead(status);
-        // A body that ends early closes the connection, so that the answer does not look complete.
-        pipeline(body, response, () => undefined);
-        return;
-    }
-    if (message.method !== "HEAD") {
-        response.setHeader("content-length", body.length);
-    }
-    response.writeHead(status);
-    response.end(body);
-}
-
 function refuse(status: number, reason: string, retryAfterMs?: number): ParsedRequest {
     return { kind: "reply", reply: { kind: "refusal", status, reason, retryAfterMs } };
 }
--- a/packages/gateway/tests/pipelinedRequests.test.ts
+++ b/packages/gateway/tests/pipelinedRequests.test.ts
@@ -1,11 +1,11 @@
-import { type Metrics, type RequestId, SystemClock } from "@arbutusdoor/common";
+import { type Metrics, SystemClock } from "@arbutusdoor/common";
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { Readable } from "node:stream";
 import { afterEach, beforeEach, expect, test } from "vitest";
-import { CallerHeaderCodec } from "../src/requests/callerHeaderCodec.js";
 import type { CallerPort } from "../src/requests/callerPort.js";
 import { HeldBackends } from "./support/heldBackends.js";
+import { PathHeaderCodec } from "./support/pathHeaderCodec.js";
 import { startCallerPort } from "./support/startCallerPort.js";
 
 const LOOPBACK = "127.0.0.1";
@@ -15,17 +15,6 @@
 /** More than is read whole before it is passed on. */
 const LONG_BYTES = 200_000;
 
-class PathHeaderCodec extends CallerHeaderCodec {
-    override readRequestHeaders(headers: Readonly<Record<string, string | readonly string[] | undefined>>) {
-        const timeoutMs = Number(headers["x-timeout"] ?? TIMEOUT_MS);
-        return { id: String(headers["x-id"]) as RequestId, timeoutMs, key: undefined };
-    }
-
-    override createRetryHeaders(): Record<string, string> {
-        return {};
-    }
-}
-
 const clock = new SystemClock();
 let backends: HeldBackends;
 let metrics: Metrics;
--- a/packages/gateway/tests/support/heldBackends.ts
+++ b/packages/gateway/tests/support/heldBackends.ts
@@ -11,8 +11,11 @@
     readonly cancelled: string[] = [];
     private readonly held = new Map<string, (outcome: BackendOutcome) => void>();
 
-    override send({ path, signal }: BackendAttempt): Promise<BackendOutcome> {
+    override send({ body, path, signal }: BackendAttempt): Promise<BackendOutcome> {
         this.sent.push(path);
+        if (body instanceof Readable) {
+            body.on("error", () => undefined).resume();
+        }
         return new Promise(resolve => {
             this.held.set(path, resolve);
             signal.addEventListener("abort", () => {
