A request is never sent twice over one connection

Callers saw work that may run once run twice, or a 503 (not run, and never will be) for a request that waited at its server and ran: TWICE and REFUSED.

Cause: a repeat bears the id of the first attempt and often went over the connection on which that was refused. A server may send an answer twice, late; the second copy of the refusal bears the id and was taken for the answer to the repeat, which the server ran.

Each attempt of a request now goes over a connection that has carried none of the others, so that an answer with its id on that connection can only be its own. The check stands where the request gets its connection; before that the pool prefers another idle connection, an open one first, and replaces the connection only if there is none.

Evidence: repeatedAnswers.test.ts (503, 421 and 429; the second copy 0 and 40 ms after the repeat; one connection and four) failed in 25 of 26 cases before, all pass now.

--- a/packages/clients/src/http/createHttpPool.ts
+++ b/packages/clients/src/http/createHttpPool.ts
@@ -7,8 +7,9 @@
  * connecting. The exchange limits the wait for an answer.
  */
 export function createHttpPool(baseUrl: string, limits: PoolLimits): Pool {
+    const members = new Set<PoolConnection>();
     return new Pool(baseUrl, {
         connections: limits.connections,
-        factory: origin => new PoolConnection(origin, limits).client,
+        factory: origin => new PoolConnection(origin, limits, members).client,
     });
 }
--- a/packages/clients/src/http/httpExchange.ts
+++ b/packages/clients/src/http/httpExchange.ts
@@ -49,15 +49,21 @@
             controller.abort(new Error("the request has ended or was sent before"));
             return;
         }
-        if (this.request.maySend?.() === false) {
-            this.isWithheld = true;
-            const error = new Error("the request was not to be sent any more");
-            this.fail(error.message, false, error);
-            controller.abort(error);
+        const { carriers, maySend } = this.request;
+        const connection = this.assigned.getId();
+        if (maySend?.() === false) {
+            this.withhold(controller, "the request was not to be sent any more");
             return;
         }
-        this.connection = this.assigned.getId();
+        if (connection !== undefined && carriers?.has(connection)) {
+            this.withhold(controller, "the connection has carried this request before");
+            return;
+        }
+        this.connection = connection;
         this.controller = controller;
+        if (connection !== undefined) {
+            carriers?.add(connection);
+        }
     }
 
     onResponseStart(
@@ -125,6 +131,7 @@
                 body,
                 progress: this.progress,
                 assigned: this.assigned,
+                carriers: this.request.carriers,
             };
             pool.dispatch(options, this);
         }
@@ -133,6 +140,13 @@
         }
     }
 
+    private withhold(controller: Dispatcher.DispatchController, reason: string): void {
+        this.isWithheld = true;
+        const error = new Error(reason);
+        this.fail(reason, false, error);
+        controller.abort(error);
+    }
+
     /** Aborts the exchange; if it has no connection yet, it never gets one. */
     private end(reason: string, isCancelled: boolean): void {
         if (this.isEnded) {
--- a/packages/clients/src/http/httpRequest.ts
+++ b/packages/clients/src/http/httpRequest.ts
@@ -1,4 +1,4 @@
-import type { HeaderFields, Milliseconds } from "@arbutusdoor/common";
+import type { ConnectionId, HeaderFields, Milliseconds } from "@arbutusdoor/common";
 import type { Readable } from "node:stream";
 
 /** A request to send over a connection. */
@@ -13,6 +13,11 @@
     readonly isMatchingAnswer?: (status: number, headers: HeaderFields) => boolean;
     /** Aborts the exchange at any point; an answer body in progress then ends with an error. */
     readonly signal?: AbortSignal;
+    /**
+     * Connections that have carried a request which an answer could be mistaken for one to. None of them is used; the one that is used is
+     * added.
+     */
+    readonly carriers?: Set<ConnectionId>;
     /** Whether the request may still be sent; asked when it gets its connection. */
     readonly maySend?: () => boolean;
 };
--- a/packages/clients/src/http/poolConnection.ts
+++ b/packages/clients/src/http/poolConnection.ts
@@ -17,6 +17,8 @@
 type ConnectionOptions = Dispatcher.DispatchOptions & {
     readonly progress?: AnswerProgress;
     readonly assigned?: AssignedConnection;
+    /** Connections that must not carry the exchange. */
+    readonly carriers?: ReadonlySet<ConnectionId>;
 };
 
 /** A member of a pool: one connection at a time, opened when a request needs it. */
@@ -24,11 +26,16 @@
     /** The client that sends over the connection, for the pool. */
     readonly client: Client;
     private readonly limits: PoolLimits;
+    private readonly members: Set<PoolConnection>;
     private readonly strayBytes = new StrayBytes();
+    private readonly dispatch: Client["dispatch"];
     private id: ConnectionId | undefined;
+    private socket: Socket | undefined;
 
-    constructor(origin: URL, limits: PoolLimits) {
+    /** @param members the connections of the pool, to which this one adds itself */
+    constructor(origin: URL, limits: PoolLimits, members: Set<PoolConnection>) {
         this.limits = limits;
+        this.members = members.add(this);
         this.client = new Client(origin, {
             pipelining: 1,
             connect: this.createConnector(),
@@ -37,14 +44,47 @@
             headersTimeout: 0,
             bodyTimeout: 0,
         });
-        const dispatch = this.client.dispatch.bind(this.client);
+        this.dispatch = this.client.dispatch.bind(this.client);
         this.client.dispatch = (options: ConnectionOptions, handler) => {
-            this.strayBytes.follow(options.progress);
-            if (options.assigned) {
-                options.assigned.getId = () => this.id;
-            }
-            return dispatch(options, handler);
+            const member = this.findMember(options.carriers);
+            const hasRoom = member.send(options, handler);
+            // The pool chose this connection: if another one carries the exchange, this one still has room.
+            return member !== this || hasRoom;
         };
+        // The pool drops a member that could not connect.
+        this.client.on("connectionError", () => this.members.delete(this));
+    }
+
+    private get isIdle(): boolean {
+        return this.client.stats.size === 0 && !this.client.closed && !this.client.destroyed;
+    }
+
+    private isAmong(carriers: ReadonlySet<ConnectionId>): boolean {
+        return this.client.stats.connected && this.id !== undefined && carriers.has(this.id);
+    }
+
+    /**
+     * Returns this member, or the one to use instead if its connection must not carry the exchange: an idle one, open if possible, since
+     * new connections cost a busy server the most. If there is none, this connection is replaced, unless it has got another exchange.
+     */
+    private findMember(carriers: ReadonlySet<ConnectionId> | undefined): PoolConnection {
+        if (!carriers || !this.isAmong(carriers)) {
+            return this;
+        }
+        const idle = [...this.members].filter(member => member.isIdle && !member.isAmong(carriers));
+        const other = idle.find(({ client }) => client.stats.connected) ?? idle[0];
+        if (!other && this.isIdle) {
+            this.socket?.destroy();
+        }
+        return other ?? this;
+    }
+
+    private send(options: ConnectionOptions, handler: Dispatcher.DispatchHandler): boolean {
+        this.strayBytes.follow(options.progress);
+        if (options.assigned) {
+            options.assigned.getId = () => this.id;
+        }
+        return this.dispatch(options, handler);
     }
 
     private createConnector(): buildConnector.connector {
@@ -64,6 +104,7 @@
                 }
                 if (socket) {
                     this.id = String(++opened) as ConnectionId;
+                    this.socket = socket;
                     socket.prependListener("error", renameReset);
                     resetWhenAbandoned(socket, () => this.client.stats.running > 0);
                 }
--- a/packages/gateway/src/backends/backendAttempt.ts
+++ b/packages/gateway/src/backends/backendAttempt.ts
@@ -1,4 +1,4 @@
-import type { HeaderFields, Milliseconds, RequestId } from "@arbutusdoor/common";
+import type { ConnectionId, HeaderFields, Milliseconds, RequestId } from "@arbutusdoor/common";
 import type { Readable } from "node:stream";
 import type { RegisteredServer } from "../discovery/registeredServer.js";
 
@@ -15,6 +15,11 @@
     readonly timeLeft: Milliseconds;
     /** Aborts the request: its connection is closed, which tells the server to stop. */
     readonly signal: AbortSignal;
+    /**
+     * Connections that carried attempts of the request. A further attempt goes over another one, which is added: an answer bears only the
+     * id, so that a second answer to an earlier attempt could be taken for that to a later one on the same connection.
+     */
+    readonly carriers: Set<ConnectionId>;
     /** Whether the request may still be sent; asked when it gets its connection. */
     readonly maySend?: () => boolean;
 };
--- a/packages/gateway/src/requests/createRequestState.ts
+++ b/packages/gateway/src/requests/createRequestState.ts
@@ -9,6 +9,7 @@
         request,
         excludedServers: new Set(),
         running: new RunningAttempts(clock),
+        carriers: new Set(),
         sends: 0,
         runs: 0,
         lastFailure: undefined,
--- a/packages/gateway/src/requests/requestRouter.ts
+++ b/packages/gateway/src/requests/requestRouter.ts
@@ -170,6 +170,7 @@
             body: getSentBody(request.body),
             timeLeft,
             signal,
+            carriers: state.carriers,
             maySend: () => admission.mayReceive(server),
         });
         if ((outcome.kind === "answered" || outcome.kind === "notRun") && outcome.notice) {
--- a/packages/gateway/src/requests/requestState.ts
+++ b/packages/gateway/src/requests/requestState.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds, ServerId } from "@arbutusdoor/common";
+import type { ConnectionId, Milliseconds, ServerId } from "@arbutusdoor/common";
 import type { ForwardableAnswer } from "./forwardableAnswer.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
 import type { RunningAttempts } from "./runningAttempts.js";
@@ -12,6 +12,8 @@
     readonly excludedServers: Set<ServerId>;
     /** Attempts that have not ended. */
     readonly running: RunningAttempts;
+    /** Connections that carried its attempts. */
+    readonly carriers: Set<ConnectionId>;
     sends: number;
     /** Attempts that have ended and in which it may have run. */
     runs: number;
