The answer to an order is never taken for that to another one

Each release now has a connection of its own. Grants share connections, since a second answer to a grant frees nothing; a connection on which a server gave any other answer carries no further order.

--- a/packages/clients/src/http/assignedConnection.ts
+++ b/packages/clients/src/http/assignedConnection.ts
@@ -1,4 +1,4 @@
-import type { ConnectionId } from "@arbutusdoor/common";
+import type { OpenConnection } from "./openConnection.js";
 
 /** The connection to which an exchange is assigned; its pool sets the function. */
-export type AssignedConnection = { getId: () => ConnectionId | undefined; };
+export type AssignedConnection = { get: () => OpenConnection | undefined; };
--- a/packages/clients/src/http/httpClient.ts
+++ b/packages/clients/src/http/httpClient.ts
@@ -36,6 +36,10 @@
     readonly timeoutMs?: number;
     /** Whether an answer belongs to this call, for servers that may send answers to other calls. */
     readonly isMatchingAnswer?: (status: number, headers: HeaderFields) => boolean;
+    /** Whether the connection of an answer carries no further call; see the request. */
+    readonly isLastAnswer?: (status: number, headers: HeaderFields) => boolean;
+    /** Whether the connection is closed after the answer. */
+    readonly closesConnection?: boolean;
     /** Aborts the call. */
     readonly signal?: AbortSignal;
 };
@@ -120,6 +124,8 @@
             body: call.body,
             headTimeout: call.timeoutMs ?? limits.timeoutMs,
             isMatchingAnswer: call.isMatchingAnswer,
+            isLastAnswer: call.isLastAnswer,
+            closesConnection: call.closesConnection,
             signal,
         };
         const outcome = await HttpExchange.send(this.pool, request, clock);
--- a/packages/clients/src/http/httpExchange.ts
+++ b/packages/clients/src/http/httpExchange.ts
@@ -1,4 +1,4 @@
-import type { Clock, ConnectionId, Timer } from "@arbutusdoor/common";
+import type { Clock, Timer } from "@arbutusdoor/common";
 import { Readable } from "node:stream";
 import type { Dispatcher } from "undici";
 import { AnswerBody } from "./answerBody.js";
@@ -8,6 +8,7 @@
 import { hasStatedEnd } from "./hasStatedEnd.js";
 import type { HttpOutcome } from "./httpOutcome.js";
 import type { HttpRequest } from "./httpRequest.js";
+import type { OpenConnection } from "./openConnection.js";
 
 const FIRST_FINAL_STATUS = 200;
 
@@ -21,8 +22,8 @@
     private readonly resolve: (outcome: HttpOutcome) => void;
     private readonly cancel = () => this.end(getCancelReason(this.request.signal), true);
     private readonly progress: AnswerProgress = { parts: 0 };
-    private readonly assigned: AssignedConnection = { getId: () => undefined };
-    private connection: ConnectionId | undefined;
+    private readonly assigned: AssignedConnection = { get: () => undefined };
+    private connection: OpenConnection | undefined;
     private timer: Timer | undefined;
     private controller: Dispatcher.DispatchController | undefined;
     private body: AnswerBody | undefined;
@@ -50,19 +51,19 @@
             return;
         }
         const { carriers, maySend } = this.request;
-        const connection = this.assigned.getId();
+        const connection = this.assigned.get();
         if (maySend?.() === false) {
             this.withhold(controller, "the request was not to be sent any more");
             return;
         }
-        if (connection !== undefined && carriers?.has(connection)) {
-            this.withhold(controller, "the connection has carried this request before");
+        if (connection && (connection.isRetired || carriers?.has(connection.id))) {
+            this.withhold(controller, "the connection must not carry this request");
             return;
         }
         this.connection = connection;
         this.controller = controller;
-        if (connection !== undefined) {
-            carriers?.add(connection);
+        if (connection) {
+            carriers?.add(connection.id);
         }
     }
 
@@ -84,13 +85,16 @@
             this.end("the answer on the connection belongs to another request", false);
             return;
         }
+        if (this.connection && this.request.isLastAnswer?.(status, headers)) {
+            this.connection.isRetired = true;
+        }
         this.body = new AnswerBody(controller);
         this.settle({
             kind: "head",
             status,
             headers,
             body: this.body.stream,
-            connection: this.connection,
+            connection: this.connection?.id,
         });
     }
 
@@ -132,6 +136,7 @@
                 progress: this.progress,
                 assigned: this.assigned,
                 carriers: this.request.carriers,
+                reset: this.request.closesConnection,
             };
             pool.dispatch(options, this);
         }
@@ -161,7 +166,7 @@
         this.release();
         this.settle(
             this.controller
-                ? { kind: "lost", isCancelled, reason, connection: this.connection }
+                ? { kind: "lost", isCancelled, reason, connection: this.connection?.id }
                 : {
                     kind: "notSent",
                     isCancelled,
--- a/packages/clients/src/http/httpRequest.ts
+++ b/packages/clients/src/http/httpRequest.ts
@@ -11,6 +11,13 @@
     readonly headTimeout: Milliseconds;
     /** Whether an answer belongs to this request. Any other answer means that the connection is out of sync, and it is closed. */
     readonly isMatchingAnswer?: (status: number, headers: HeaderFields) => boolean;
+    /**
+     * Whether an answer is the last one that its connection carries: a second copy of it could be taken for that to a later request, which
+     * would be told something untrue. By default each connection is used again.
+     */
+    readonly isLastAnswer?: (status: number, headers: HeaderFields) => boolean;
+    /** Whether the other side is asked to close the connection after the answer. */
+    readonly closesConnection?: boolean;
     /** Aborts the exchange at any point; an answer body in progress then ends with an error. */
     readonly signal?: AbortSignal;
     /**
--- a/packages/clients/src/http/poolConnection.ts
+++ b/packages/clients/src/http/poolConnection.ts
@@ -3,6 +3,7 @@
 import { buildConnector, Client, type Dispatcher } from "undici";
 import type { AnswerProgress } from "./answerProgress.js";
 import type { AssignedConnection } from "./assignedConnection.js";
+import type { OpenConnection } from "./openConnection.js";
 import type { PoolLimits } from "./poolLimits.js";
 import { StrayBytes } from "./strayBytes.js";
 
@@ -29,7 +30,7 @@
     private readonly members: Set<PoolConnection>;
     private readonly strayBytes = new StrayBytes();
     private readonly dispatch: Client["dispatch"];
-    private id: ConnectionId | undefined;
+    private open: OpenConnection | undefined;
     private socket: Socket | undefined;
 
     /** @param members the connections of the pool, to which this one adds itself */
@@ -59,8 +60,10 @@
         return this.client.stats.size === 0 && !this.client.closed && !this.client.destroyed;
     }
 
-    private isAmong(carriers: ReadonlySet<ConnectionId>): boolean {
-        return this.client.stats.connected && this.id !== undefined && carriers.has(this.id);
+    /** Whether its connection must not carry an exchange. */
+    private isUnusable(carriers: ReadonlySet<ConnectionId> | undefined): boolean {
+        return this.client.stats.connected && this.open !== undefined
+            && (this.open.isRetired || carriers?.has(this.open.id) === true);
     }
 
     /**
@@ -68,10 +71,10 @@
      * new connections cost a busy server the most. If there is none, this connection is replaced, unless it has got another exchange.
      */
     private findMember(carriers: ReadonlySet<ConnectionId> | undefined): PoolConnection {
-        if (!carriers || !this.isAmong(carriers)) {
+        if (!this.isUnusable(carriers)) {
             return this;
         }
-        const idle = [...this.members].filter(member => member.isIdle && !member.isAmong(carriers));
+        const idle = [...this.members].filter(member => member.isIdle && !member.isUnusable(carriers));
         const other = idle.find(({ client }) => client.stats.connected) ?? idle[0];
         if (!other && this.isIdle) {
             this.socket?.destroy();
@@ -82,7 +85,7 @@
     private send(options: ConnectionOptions, handler: Dispatcher.DispatchHandler): boolean {
         this.strayBytes.follow(options.progress);
         if (options.assigned) {
-            options.assigned.getId = () => this.id;
+            options.assigned.get = () => this.open;
         }
         return this.dispatch(options, handler);
     }
@@ -103,7 +106,7 @@
                     return;
                 }
                 if (socket) {
-                    this.id = String(++opened) as ConnectionId;
+                    this.open = { id: String(++opened) as ConnectionId, isRetired: false };
                     this.socket = socket;
                     socket.prependListener("error", renameReset);
                     resetWhenAbandoned(socket, () => this.client.stats.running > 0);
