--- a/packages/standins/src/common/faults.ts
+++ b/packages/standins/src/common/faults.ts
@@ -29,6 +29,10 @@
     liesAboutLoad: z.boolean().default(false),
     /** Time in ms from now during which the server works slowly. */
     coldStartMs: z.int().min(0).max(600_000).default(0),
+    /** Every so many answers, refusals and answers to orders among them, one is sent a second time, late; 0: none. */
+    secondAnswersEvery: z.int().min(0).default(0),
+    /** Whether the server has no room for any request. */
+    isFull: z.boolean().default(false),
     /** Share of requests that are refused as not run. */
     sheddingRate: z.number().min(0).max(1).default(0),
     /** Whether the server says that it is leaving. */
--- a/packages/standins/src/common/standIn.ts
+++ b/packages/standins/src/common/standIn.ts
@@ -7,6 +7,7 @@
 import { Listener } from "./listener.js";
 import type { Place } from "./place.js";
 import { readJson } from "./readJson.js";
+import { SecondAnswers } from "./secondAnswers.js";
 import { sendJson } from "./sendJson.js";
 import type { StandInRequest } from "./standInRequest.js";
 
@@ -24,12 +25,14 @@
     });
     protected readonly gate = new Gate();
     protected faults = Faults.parse({});
+    private readonly secondAnswers: SecondAnswers;
     private readonly control = polka();
     private readonly listener: Listener;
     private readonly controlListener: Listener;
 
     constructor(clock: Clock, place: Place) {
         this.clock = clock;
+        this.secondAnswers = new SecondAnswers(clock);
         this.listener = new Listener(place.host, place.port, toListener(this.app));
         this.controlListener = new Listener(place.host, place.controlPort, toListener(this.control));
         for (const app of [this.app, this.control]) {
@@ -141,6 +144,7 @@
     }
 
     private async handle(handler: Handler, request: StandInRequest, response: ServerResponse): Promise<void> {
+        this.secondAnswers.follow(request, response, this.faults.secondAnswersEvery);
         if (this.faults.down === "unavailable") {
             sendJson(response, 503, { error: "unavailable" });
             return;
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./caller/callerProtocol.js";
 export * from "./caller/callerSettings.js";
 export * from "./caller/getSummary.js";
+export * from "./caller/isOwnAnswer.js";
 export * from "./caller/platformProtocol.js";
 export * from "./caller/runCallers.js";
 export * from "./caller/sendCall.js";
--- a/packages/standins/src/rangeServer/rangeServerStandIn.ts
+++ b/packages/standins/src/rangeServer/rangeServerStandIn.ts
@@ -197,7 +197,7 @@
         }
         const gone = new AbortController();
         response.once("close", () => gone.abort());
-        const outcome = await this.slots.take(gone.signal);
+        const outcome = this.faults.isFull ? "full" : await this.slots.take(gone.signal);
         if (outcome === "abandoned") {
             return;
         }
--- a/packages/standins/src/rowStore/newConfigurationText.ts
+++ b/packages/standins/src/rowStore/newConfigurationText.ts
@@ -3,7 +3,6 @@
 const LIMITS = {
     "max-header-bytes": 16_384,
     "max-body-bytes": 33_554_432,
-    "header-timeout": "5000ms",
     "idle-timeout": "10000ms",
 };
 const ROUTE_COLUMNS = ["name", "hostname", "prefix", "route-type", "service", "timeout", "max-attempts"];
@@ -11,12 +10,18 @@
 const ROUTE_TIMEOUT = "10s";
 const MAX_ATTEMPTS = 2;
 const MAX_CONNECTIONS = 64;
+const HEADER_TIMEOUT_MS = 5_000;
 
-/** The operator's row of configuration: each service with a route of its own, by the first part of the path. */
+/**
+ * The operator's row of configuration: each service with a route of its own, by the first part of the path.
+ *
+ * @param headerTimeoutMs longest time that a caller may take for the head of a request
+ */
 export function newConfigurationText(
     version: number,
     authority: string,
     services: readonly ConfiguredService[],
+    headerTimeoutMs = HEADER_TIMEOUT_MS,
 ): string {
     const routes = services.map((
         { kind, name },
@@ -26,6 +31,6 @@
         "config-version": version,
         "routes": { columns: ROUTE_COLUMNS, rows: routes },
         "services": { columns: SERVICE_COLUMNS, rows },
-        "limits": LIMITS,
+        "limits": { ...LIMITS, "header-timeout": `${headerTimeoutMs}ms` },
     });
 }
--- a/scripts/platformFaults.ts
+++ b/scripts/platformFaults.ts
@@ -15,6 +15,11 @@
 const LOST_ANSWERS = 10;
 const LATE_WRITES = 3;
 const GRACE_LIMIT_MS = 7_500;
+/** A fifth of the answers: far more than any server sends twice, so that a short soak meets each place. */
+const REPEATED_EVERY = 5;
+const FULL_MS = 4_000;
+/** Short enough that some repeats of a refused request find room. */
+const FULL_TURN_MS = 90;
 const LONG_READS = 12;
 /** Far longer than a pool's usual work, and well within the grace time. */
 const LONG_READ_MS = 1_200;
@@ -89,6 +94,30 @@
     }],
 };
 
+/** Servers that send answers a second time, at any point, or that are full. */
+const ANSWER_FAULTS: Readonly<Record<string, readonly [longestMs: number, fault: Fault]>> = {
+    serverRepeatsAnswers: [OUTAGE_MS, async (run, name, lengthMs) => {
+        await run.system.setServerFaults(name, { secondAnswersEvery: REPEATED_EVERY });
+        await run.clock.sleep(lengthMs);
+        await run.system.setServerFaults(name, {});
+    }],
+    serverFullRepeatsAnswers: [FULL_MS, async (run, name, lengthMs) => {
+        for (const until = run.clock.now() + lengthMs; run.clock.now() < until;) {
+            for (const isFull of [true, false]) {
+                await run.system.setServerFaults(name, { secondAnswersEvery: REPEATED_EVERY, isFull });
+                await run.clock.sleep(FULL_TURN_MS);
+            }
+        }
+        await run.system.setServerFaults(name, {});
+    }],
+};
+
+const CALLER_FAULTS: Readonly<Record<string, readonly [longestMs: number, fault: Fault]>> = {
+    callersBeginHeads: [SHORT_MS, async (run, name) => {
+        await run.sendWithUnfinishedHeads(name, LONG_READS, run.headerTimeoutMs + LONG_READ_MS);
+    }],
+};
+
 const HOST_DISRUPTIONS: Readonly<Record<string, readonly [longestMs: number, fault: Fault]>> = {
     hostStoppedAtWork: [SHORT_MS, async (run, name, lengthMs) => {
         const reads = run.sendLongReads(name, LONG_READS, LONG_READ_MS);
@@ -174,6 +203,8 @@
     ...SERVER_DISRUPTIONS,
     ...HOST_DISRUPTIONS,
     ...STORE_DISRUPTIONS,
+    ...ANSWER_FAULTS,
+    ...CALLER_FAULTS,
 };
 /** Faults that do not hold up what passes between the hosts and a server. */
 const CALM = new Set([
@@ -181,6 +212,7 @@
     ...Object.keys(NOTICE_FAULTS),
     ...Object.keys(STORE_FAULTS),
     ...Object.keys(STORE_DISRUPTIONS),
+    ...Object.keys(CALLER_FAULTS),
 ]);
 const STORE = "store";
 
@@ -193,14 +225,19 @@
      */
     list(
         run: PlatformRun,
-        { hasDisruptions, hasNotices }: SoakKinds,
+        { hasDisruptions, hasNotices, hasSecondAnswers }: SoakKinds,
     ): Readonly<Record<string, Readonly<Record<string, number>>>> {
         const serverFaults = {
             ...SERVER_FAULTS,
             ...hasNotices ? NOTICE_FAULTS : {},
             ...hasDisruptions ? SERVER_DISRUPTIONS : {},
+            ...hasSecondAnswers ? ANSWER_FAULTS : {},
+        };
+        const hostFaults = {
+            ...HOST_FAULTS,
+            ...hasDisruptions ? HOST_DISRUPTIONS : {},
+            ...hasSecondAnswers ? CALLER_FAULTS : {},
         };
-        const hostFaults = { ...HOST_FAULTS, ...hasDisruptions ? HOST_DISRUPTIONS : {} };
         const storeFaults = { ...STORE_FAULTS, ...hasDisruptions ? STORE_DISRUPTIONS : {} };
         const servers = [...run.system.servers.keys()].filter(name => !run.isSpared(name));
         const each = (names: Iterable<string>, faults: typeof SERVER_FAULTS) =>
--- a/scripts/platformRun.ts
+++ b/scripts/platformRun.ts
@@ -11,7 +11,9 @@
 import { Agent } from "undici";
 import type * as z from "zod";
 import { PlatformSystem } from "./platformSystem.js";
+import { sendWithUnfinishedHead } from "./sendWithUnfinishedHead.js";
 import { ServerRecords } from "./serverRecords.js";
+import type { SoakKinds } from "./soakKinds.js";
 
 const SERVICES = [
     { name: "gustboard", isKeyed: true, kind: "safe", dataCentres: ["north", "north", "south"] },
@@ -26,6 +28,8 @@
     kind: "safe",
     dataCentres: ["north", "south"],
 } as const;
+/** The service to which callers send a request and the beginning of another. */
+const BEGUN_SERVICE = "shorepermit";
 const HOSTS = { "north-1": "north", "north-2": "north", "south-1": "south" };
 const KEYS = 20;
 /** Lines of a host's output that an error repeats. */
@@ -40,6 +44,8 @@
 const LOAD_SECONDS = 3_600;
 const IN_FLIGHT = 300;
 const UPLOAD_BYTES = 100_000;
+/** Short enough that a request's work lasts longer. */
+const SHORT_HEADER_TIMEOUT_MS = 1_000;
 /** After the end of a fault, what it held up arrives within a request's time. */
 const SETTLE_MS = CALL_TIMEOUT_MS;
 
@@ -53,13 +59,16 @@
     private readonly agent = new Agent({ connections: IN_FLIGHT });
     private readonly disruptions: Disruption[] = [];
     private readonly services: readonly { readonly name: string; }[];
+    private readonly kinds: SoakKinds;
     private probes = 0;
 
-    /** @param hasLongReads whether there is a service for `sendLongReads` */
-    constructor(hasLongReads = false) {
-        const services = hasLongReads ? [...SERVICES, LONG_SERVICE] : SERVICES;
+    /** @param kinds further kinds of faults, for which there are services, limits or requests of their own */
+    constructor(kinds: SoakKinds = {}) {
+        const services = kinds.hasDisruptions ? [...SERVICES, LONG_SERVICE] : SERVICES;
+        this.kinds = kinds;
         this.services = services;
-        this.system = new PlatformSystem(services);
+        const headerTimeoutMs = kinds.hasSecondAnswers ? SHORT_HEADER_TIMEOUT_MS : undefined;
+        this.system = new PlatformSystem(services, undefined, headerTimeoutMs);
         this.protocol = new PlatformProtocol(this.system.authority);
     }
 
@@ -77,7 +86,7 @@
             entryHosts: [...this.system.hosts.values()].map(({ callers }) => callers),
             reads: ["gustboard", "agenda"],
             filings: ["shorepermit", "agenda"],
-            uploads: ["loghold"],
+            uploads: this.kinds.hasSecondAnswers ? ["loghold", "agenda"] : ["loghold"],
             count: LOAD_COUNT,
             seconds: LOAD_SECONDS,
             requestsPerSecond: LOAD_RATE,
@@ -123,6 +132,29 @@
         return entries;
     }
 
+    /** Longest time in ms that a caller may take for the head of a request, while that is short. */
+    get headerTimeoutMs(): number {
+        return SHORT_HEADER_TIMEOUT_MS;
+    }
+
+    /** Sends filings to one host whose work takes `workMs`, and behind each the beginning of a further head; resolves once all have ended. */
+    async sendWithUnfinishedHeads(host: string, count: number, workMs: number): Promise<void> {
+        const { callers: entryHost } = this.system.hosts.get(host)!;
+        const entries = await Promise.all(Array.from({ length: count }, () => {
+            const name = `begun-${this.probes++}`;
+            const path = `/${BEGUN_SERVICE}/key-${this.probes % KEYS}/once?call=${name}&delay=${workMs}`;
+            const body = Buffer.from(`filing ${name}`);
+            const call = { name, kind: "once", method: "POST", path, headers: {}, body } as const;
+            return sendWithUnfinishedHead(call, {
+                clock: this.clock,
+                entryHost,
+                protocol: this.protocol,
+                timeoutMs: CALL_TIMEOUT_MS,
+            });
+        }));
+        this.calls.push(...entries);
+    }
+
     /** Whether a host says that it is ready. */
     async isReady(name: string): Promise<boolean> {
         try {
--- a/scripts/platformSystem.ts
+++ b/scripts/platformSystem.ts
@@ -57,15 +57,21 @@
     private storeProgram: ChildProgram | undefined;
     private storeAddress = "";
     private storeControl = "";
+    private readonly headerTimeoutMs: number | undefined;
     private version = 0;
 
-    /** @param hostProgram the program of the hosts */
+    /**
+     * @param hostProgram the program of the hosts
+     * @param headerTimeoutMs longest time that a caller may take for the head of a request; some seconds by default
+     */
     constructor(
         services: readonly PlatformService[],
         hostProgram = `${ROOT}platform/dist/main.js`,
+        headerTimeoutMs?: number,
     ) {
         this.services = services;
         this.hostProgram = hostProgram;
+        this.headerTimeoutMs = headerTimeoutMs;
     }
 
     /** Starts the store, all servers and the hosts; each host is given with its data centre. */
@@ -92,7 +98,12 @@
     /** Writes the next version of the operator's configuration. */
     async configure(): Promise<void> {
         this.version += 3;
-        const value = newConfigurationText(this.version, this.authority, this.services);
+        const value = newConfigurationText(
+            this.version,
+            this.authority,
+            this.services,
+            this.headerTimeoutMs,
+        );
         await post(`${this.storeControl}/rows`, { table: "op", key: "config", value });
     }
 
--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -12,6 +12,10 @@
     "--disruptions",
     "servers are also isolated, the registry gets entries of another writer, and hosts are stopped while long requests are at work",
 );
+cli.option(
+    "--answers",
+    "servers also send answers a second time, or have no room, and callers begin a head behind a request at work",
+);
 cli.help();
 const { options } = cli.parse();
 if (!options.help) {
@@ -20,7 +24,11 @@
         const result = await soakPlatform(
             seed,
             Number(options.seconds) * MS_PER_SECOND,
-            { hasNotices: Boolean(options.notices), hasDisruptions: Boolean(options.disruptions) },
+            {
+                hasNotices: Boolean(options.notices),
+                hasDisruptions: Boolean(options.disruptions),
+                hasSecondAnswers: Boolean(options.answers),
+            },
         );
         process.stdout.write(`${JSON.stringify(result)}\n`);
         process.exitCode = result.isClean ? process.exitCode : 1;
--- a/scripts/soakKinds.ts
+++ b/scripts/soakKinds.ts
@@ -7,4 +7,9 @@
      * stopped while long requests are at work.
      */
     readonly hasDisruptions?: boolean;
+    /**
+     * Whether servers also send answers a second time, or have no room for a time, uploads go to keys, too, and callers begin a further head
+     * behind a request at work.
+     */
+    readonly hasSecondAnswers?: boolean;
 };
--- a/scripts/soakPlatform.ts
+++ b/scripts/soakPlatform.ts
@@ -21,7 +21,7 @@
     durationMs: number,
     kinds: SoakKinds = {},
 ): Promise<SoakResult> {
-    const run = new PlatformRun(kinds.hasDisruptions);
+    const run = new PlatformRun(kinds);
     const errors: string[] = [];
     let steps = 0;
     try {
