In the daemon, a second copy of a refusal is not taken for that of the next request

A connection that has given a refusal carries no further request, and an answer that repeats the id of another request is not accepted. Servers need not repeat the id, as before; a second answer of one that does not cannot be told from the next one.

--- a/packages/clients/src/backend/httpBackendTraffic.ts
+++ b/packages/clients/src/backend/httpBackendTraffic.ts
@@ -11,8 +11,9 @@
 
 const REFUSED_STATUS = 503;
 const REFUSAL_HEADER = "arbutusdoor-not-run";
+const REQUEST_ID_HEADER = "arbutusdoor-request-id";
 const RESERVED_FIELDS = new Set([
-    "arbutusdoor-request-id",
+    REQUEST_ID_HEADER,
     "arbutusdoor-slice",
     "arbutusdoor-generation",
     "arbutusdoor-deadline-ms",
@@ -29,7 +30,9 @@
  * - `arbutusdoor-host`: the entry host that sends.
  *
  * A server that did not run a request answers with status 503 and `arbutusdoor-not-run: shed`, `stale` or `leaving`.
- * An answer that does not state where its body ends counts as lost, because a truncated one cannot be detected.
+ * An answer that does not state where its body ends counts as lost, because a truncated one cannot be detected. So does an answer that
+ * repeats the id of another request. A server need not repeat the id, so a connection that has given a refusal carries no further request:
+ * a second copy of the refusal would be taken for that of the next one.
  */
 export class HttpBackendTraffic extends BackendTraffic {
     private readonly clock: Clock;
@@ -76,7 +79,16 @@
         const pool = this.pools.get(request.address);
         return HttpExchange.send(
             pool,
-            { method, path, headers, body, headTimeout: deadline, signal },
+            {
+                method,
+                path,
+                headers,
+                body,
+                headTimeout: deadline,
+                signal,
+                isMatchingAnswer: (_, { [REQUEST_ID_HEADER]: id }) => id === undefined || id === request.id,
+                isLastAnswer: (status, answerHeaders) => isRefusal(status, answerHeaders),
+            },
             this.clock,
         );
     }
@@ -93,7 +105,7 @@
 
     private getRequestHeaders(request: BackendRequest): HeaderFields {
         const headers = getEndToEndHeaders(request.headers, RESERVED_FIELDS);
-        headers["arbutusdoor-request-id"] = request.id;
+        headers[REQUEST_ID_HEADER] = request.id;
         headers["arbutusdoor-deadline-ms"] = toWholeMilliseconds(request.deadline);
         headers["arbutusdoor-host"] = this.settings.host;
         if (request.slice) {
@@ -125,6 +137,10 @@
     }
 }
 
+function isRefusal(status: number, headers: HeaderFields): boolean {
+    return status === REFUSED_STATUS && headers[REFUSAL_HEADER] !== undefined;
+}
+
 function toWholeMilliseconds(duration: Milliseconds): string {
     return String(Math.max(0, Math.floor(duration)));
 }
