--- a/packages/gateway/tests/ownershipFuzzer.test.ts
+++ b/packages/gateway/tests/ownershipFuzzer.test.ts
@@ -75,6 +75,29 @@
     },
 );
 
+const ANSWER_SEEDS = Array.from({ length: 40 }, (_, index) => 8_200 + index);
+
+// Guards against two owners of a key: grants share connections, on which a server may answer twice.
+test.each(ANSWER_SEEDS)(
+    "seed %i: no key has two holders while second answers to grants are taken for those to others",
+    seed => {
+        const fuzzer = new OwnershipFuzzer(seed, { ...MORE_FAULTS, grantAnswer: 0.1 }, {}, PARTITIONED);
+        fuzzer.run(RUN_MS);
+        expect(fuzzer.violations).toEqual([]);
+        expect(fuzzer.served).toBeGreaterThan(8 * (RUN_MS / 20) / 3);
+    },
+);
+
+// Releases therefore have connections of their own.
+test("the check can fail: with second answers to releases that are taken for those to others, a key gets two holders", () => {
+    const violations = ANSWER_SEEDS.flatMap(seed => {
+        const fuzzer = new OwnershipFuzzer(seed, { ...MORE_FAULTS, releaseAnswer: 0.1 }, {}, PARTITIONED);
+        fuzzer.run(RUN_MS);
+        return fuzzer.violations;
+    });
+    expect(violations.length).toBeGreaterThan(0);
+});
+
 // Waiting for grants to expire relies on this assumption: the network drops an order that was given up.
 test("the check can fail: with orders that arrive after they were given up, a key is taken with too low a fencing token", () => {
     expect(listViolations(MORE_SEEDS, { ...PARTITIONED, dropAfterMs: Infinity }).join()).toMatch(
--- a/packages/gateway/tests/support/faultProbabilities.ts
+++ b/packages/gateway/tests/support/faultProbabilities.ts
@@ -15,6 +15,10 @@
     readonly bump?: number;
     /** A write gets no answer, and takes effect at once, late or never. */
     readonly lostAnswer?: number;
+    /** A second answer to another grant is taken for that to a grant. */
+    readonly grantAnswer?: number;
+    /** A second answer to another release is taken for that to a release. */
+    readonly releaseAnswer?: number;
     /** A write is refused. */
     readonly refusal?: number;
 };
--- a/packages/gateway/tests/support/ownershipFuzzer.ts
+++ b/packages/gateway/tests/support/ownershipFuzzer.ts
@@ -11,9 +11,11 @@
 import { createStripedMap } from "./createStripedMap.js";
 import type { FaultModel } from "./faultModel.js";
 import type { FaultProbabilities } from "./faultProbabilities.js";
+import { getPresetOutcome } from "./getPresetOutcome.js";
 import type { InFlightOrder } from "./inFlightOrder.js";
 import type { MapWrite } from "./mapWrite.js";
 import { OwnershipChecker } from "./ownershipChecker.js";
+import type { Partition } from "./partition.js";
 import { SAME_CLOCK } from "./sameClock.js";
 import { SimulatedServer } from "./simulatedServer.js";
 import { UnreliableMapRow } from "./unreliableMapRow.js";
@@ -33,9 +35,6 @@
 
 const DEFAULTS: FaultModel = { dropAfterMs: 0, isAddressReused: false, registryLagMs: 0, isOneSided: false };
 
-/** A partition of a server, from the newest coordinator only or from all. */
-type Partition = { readonly until: Milliseconds; readonly isOneSided: boolean; };
-
 /**
  * A seeded random run of successive coordinators over a few servers: orders are lost, carried out late or partitioned, servers crash and
  * restart, coordinators are replaced while earlier ones go on renewing grants. Checks in each step who holds which key.
@@ -207,19 +206,12 @@
             const arrivesAt = this.now + 2;
             const appliesAt = isLate ? arrivesAt + this.random.nextInteger(LATE_MS) : arrivesAt;
             const isLost = isLate || this.random.nextFraction() < this.probabilities.lost;
-            const answersAt = this.now + (isLost ? this.settings.orderTimeoutMs : 4);
-            this.inFlight.push({
-                order,
-                sender: scheduler,
-                server,
-                sentAt: this.now,
-                arrivesAt,
-                appliesAt,
-                isArrived: false,
-                isApplied: false,
-                outcome: isLost ? { kind: "unknown", reason: "lost" } : undefined,
-                answersAt,
-            });
+            const isMistaken = this.happens(this.probabilities[`${order.kind}Answer`]);
+            const answersAt = this.now + (isLost && !isMistaken ? this.settings.orderTimeoutMs : 4);
+            const times = { sentAt: this.now, arrivesAt, appliesAt, answersAt };
+            const outcome = getPresetOutcome(order, isMistaken, isLost);
+            const state = { isArrived: false, isApplied: false, outcome };
+            this.inFlight.push({ order, sender: scheduler, server, ...times, ...state });
         }
     }
 
