--- a/scripts/platformFaults.ts
+++ b/scripts/platformFaults.ts
@@ -23,6 +23,7 @@
 const LONG_READS = 12;
 /** Far longer than a pool's usual work, and well within the grace time. */
 const LONG_READ_MS = 1_200;
+const LONG_WORK_MS = 1_500;
 
 const SERVER_FAULTS: Readonly<Record<string, readonly [longestMs: number, fault: Fault]>> = {
     serverKilled: [SHORT_MS, async (run, name, lengthMs) => {
@@ -112,6 +113,19 @@
     }],
 };
 
+/** A server that leaves while its ranges are at work, and answers each release twice. */
+const LEAVING_FAULTS: Readonly<Record<string, readonly [longestMs: number, fault: Fault]>> = {
+    serverLeavesAndRepeatsAnswers: [SHORT_MS, async (run, name, lengthMs) => {
+        await run.system.setServerFaults(name, { secondAnswersEvery: 1 });
+        const reads = run.sendKeyedReads(name.replace(/-\d+$/, ""), OUTAGE_MS, LONG_WORK_MS);
+        await run.clock.sleep(LONG_WORK_MS);
+        await run.records.stop(name, run.system.servers.get(name)!);
+        await reads;
+        await run.clock.sleep(lengthMs);
+        await run.system.restartServer(name);
+    }],
+};
+
 const CALLER_FAULTS: Readonly<Record<string, readonly [longestMs: number, fault: Fault]>> = {
     callersBeginHeads: [SHORT_MS, async (run, name) => {
         await run.sendWithUnfinishedHeads(name, LONG_READS, run.headerTimeoutMs + LONG_READ_MS);
@@ -204,6 +218,7 @@
     ...HOST_DISRUPTIONS,
     ...STORE_DISRUPTIONS,
     ...ANSWER_FAULTS,
+    ...LEAVING_FAULTS,
     ...CALLER_FAULTS,
 };
 /** Faults that do not hold up what passes between the hosts and a server. */
@@ -231,7 +246,7 @@
             ...SERVER_FAULTS,
             ...hasNotices ? NOTICE_FAULTS : {},
             ...hasDisruptions ? SERVER_DISRUPTIONS : {},
-            ...hasSecondAnswers ? ANSWER_FAULTS : {},
+            ...hasSecondAnswers ? { ...ANSWER_FAULTS, ...LEAVING_FAULTS } : {},
         };
         const hostFaults = {
             ...HOST_FAULTS,
--- a/scripts/platformRun.ts
+++ b/scripts/platformRun.ts
@@ -32,6 +32,9 @@
 const BEGUN_SERVICE = "shorepermit";
 const HOSTS = { "north-1": "north", "north-2": "north", "south-1": "south" };
 const KEYS = 20;
+/** Keys and pause of reads that keep most ranges of a server at work. */
+const WORKED_KEYS = 60;
+const READ_PAUSE_MS = 15;
 /** Lines of a host's output that an error repeats. */
 const DESCRIBED_LINES = 20;
 const POLL_MS = 50;
@@ -155,6 +158,23 @@
         this.calls.push(...entries);
     }
 
+    /** Sends reads of a service's keys through all hosts for a time, each with long work; resolves once all have ended. */
+    async sendKeyedReads(service: string, durationMs: number, workMs: number): Promise<void> {
+        const until = this.clock.now() + durationMs;
+        const reads: Promise<CallerEntry>[] = [];
+        while (this.clock.now() < until) {
+            for (const { callers, program } of this.system.hosts.values()) {
+                const name = `keyed-${this.probes++}`;
+                const path = `/${service}/key-${this.probes % WORKED_KEYS}/read?call=${name}&delay=${workMs}`;
+                if (!program.hasEnded) {
+                    reads.push(this.sendRead(name, path, callers, CALL_TIMEOUT_MS));
+                }
+            }
+            await this.clock.sleep(READ_PAUSE_MS);
+        }
+        this.calls.push(...await Promise.all(reads));
+    }
+
     /** Whether a host says that it is ready. */
     async isReady(name: string): Promise<boolean> {
         try {
