--- a/packages/clients/src/http/httpRequest.ts
+++ b/packages/clients/src/http/httpRequest.ts
@@ -21,8 +21,8 @@
     /** Aborts the exchange at any point; an answer body in progress then ends with an error. */
     readonly signal?: AbortSignal;
     /**
-     * Connections that have carried a request which an answer could be mistaken for one to. None of them is used; the one that is used is
-     * added.
+     * Connections that have carried a request with the same id. None of them is used, since a second copy of an earlier answer could be
+     * taken for that to this request; the connection that is used is added.
      */
     readonly carriers?: Set<ConnectionId>;
     /** Whether the request may still be sent; asked when it gets its connection. */
