--- a/packages/gateway/src/requests/callerPort.ts
+++ b/packages/gateway/src/requests/callerPort.ts
@@ -17,7 +17,7 @@
 import { endUnreadable } from "./endUnreadable.js";
 import type { GatewayReply } from "./gatewayReply.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
-import { readGatewayBody } from "./readGatewayBody.js";
+import { RequestReader } from "./requestReader.js";
 import type { RequestRouter } from "./requestRouter.js";
 import { writeAnswer } from "./writeAnswer.js";
 
@@ -27,11 +27,8 @@
 const PARSER_HEADER_BYTES = 131_072;
 /** Interval at which connections are checked for timeouts. */
 const TIMEOUT_CHECK_MS = 500;
-const DEFAULT_TIMEOUT_MS = 30_000;
 const MICROSECONDS_PER_MS = 1_000;
-const RETRY_AFTER_MS = 300;
 const BAD_GATEWAY = 502;
-const HEADER_SEPARATOR_BYTES = 4;
 
 /** Dependencies of the port. */
 type CallerPortParts = {
@@ -44,15 +41,11 @@
     readonly getRoutes: () => RouteTable | undefined;
 };
 
-/** A request that can be routed, or the reply to one that cannot. */
-type ParsedRequest =
-    | { readonly kind: "request"; readonly request: GatewayRequest; }
-    | { readonly kind: "reply"; readonly reply: GatewayReply; };
-
 /** The HTTP server for callers: reads requests, has them routed and writes the replies. */
 export class CallerPort {
     private readonly parts: CallerPortParts;
     private readonly server: Server;
+    private readonly reader: RequestReader;
     private readonly connections = new WeakMap<Socket, CallerConnection>();
     private openRequests = 0;
     private openConnections = 0;
@@ -61,6 +54,7 @@
 
     constructor(parts: CallerPortParts) {
         this.parts = parts;
+        this.reader = new RequestReader(parts);
         this.server = createServer({
             maxHeaderSize: PARSER_HEADER_BYTES,
             requestTimeout: 0,
@@ -145,7 +139,7 @@
             end();
             connection.remove(request);
         });
-        const parsed = await this.read(message, arrivedAt, callerGone.signal);
+        const parsed = await this.reader.read(message, arrivedAt, callerGone.signal);
         // When the process lags behind, a request and its caller's disconnection may both be waiting to be read.
         await waitForSocketReads();
         if (message.socket.readableEnded || message.socket.destroyed) {
@@ -203,62 +197,6 @@
         return request.callerGone.aborted ? { kind: "gone" } : await this.parts.router.route(request);
     }
 
-    private async read(
-        message: IncomingMessage,
-        arrivedAt: number,
-        callerGone: AbortSignal,
-    ): Promise<ParsedRequest> {
-        const { dialect, getRoutes, rotation } = this.parts;
-        const routes = getRoutes();
-        if (!routes) {
-            return refuse(503, "noConfiguration", RETRY_AFTER_MS);
-        }
-        const { limits } = routes.configuration;
-        if (getHeaderBytes(message) > limits.headerBytes) {
-            return refuse(431, "headersTooLarge");
-        }
-        const path = message.url ?? "/";
-        const route = routes.match(message.headers.host ?? "", path.split("?", 1)[0]!);
-        if (!route) {
-            return refuse(404, "noRoute");
-        }
-        const headers = message.headers as HeaderFields;
-        const { id, key, timeoutMs = DEFAULT_TIMEOUT_MS } = dialect.readRequestHeaders(headers);
-        if (!id) {
-            return refuse(400, "noRequestId");
-        }
-        const body = await readGatewayBody(message, limits.bodyBytes);
-        if (body.kind !== "body") {
-            return body.kind === "tooLarge"
-                ? refuse(413, "bodyTooLarge")
-                : { kind: "reply", reply: { kind: "gone" } };
-        }
-        const target = rotation.next(route);
-        const service = target === undefined ? undefined : routes.getService(target);
-        if (!service) {
-            return refuse(503, "noService", RETRY_AFTER_MS);
-        }
-        const deadlineAt = arrivedAt + Math.min(timeoutMs, route.timeoutMs);
-        const method = message.method ?? "GET";
-        return {
-            kind: "request",
-            request: {
-                id,
-                configurationVersion: routes.configuration.version,
-                route,
-                service,
-                key,
-                method,
-                path,
-                headers,
-                body: body.body,
-                arrivedAt,
-                deadlineAt,
-                callerGone,
-            },
-        };
-    }
-
     private write(message: IncomingMessage, response: ServerResponse, reply: GatewayReply): void {
         if (reply.kind === "gone" || response.destroyed) {
             response.destroy();
@@ -308,13 +246,3 @@
         }
     }
 }
-
-function refuse(status: number, reason: string, retryAfterMs?: number): ParsedRequest {
-    return { kind: "reply", reply: { kind: "refusal", status, reason, retryAfterMs } };
-}
-
-function getHeaderBytes(message: IncomingMessage): number {
-    const { rawHeaders } = message;
-    return rawHeaders.reduce((total, text) => total + text.length, 0)
-        + rawHeaders.length / 2 * HEADER_SEPARATOR_BYTES;
-}
