A host says what ended its shutdown, and which requests that cut off

The record of the incident shows nothing of the stopped host: no line said how many connections and requests were open when the port closed, what ended the process, when the lease was given up, or which requests had no answer. callerPortClosing, requestCutOff and fields of processStopped say it, so that the next record tells the hypotheses apart.

No logic is changed: the shutdown moved to a class of its own, and the count of open requests became a list.

--- a/packages/common/src/logging/logEvent.ts
+++ b/packages/common/src/logging/logEvent.ts
@@ -167,6 +167,16 @@
         level: "warn",
         text: "bytes on a caller's connection are no request, or a head was not finished in time",
     },
+    callerPortClosing: {
+        number: 509,
+        level: "info",
+        text: "the port for callers is closed; connections and requests that were open then",
+    },
+    requestCutOff: {
+        number: 510,
+        level: "error",
+        text: "a request had no complete reply when the process ended; it may have run",
+    },
     linesLeftOut: { number: 504, level: "warn", text: "log lines were dropped" },
     tableHistoryLost: {
         number: 605,
--- a/packages/gateway/src/host/gatewayHost.ts
+++ b/packages/gateway/src/host/gatewayHost.ts
@@ -1,6 +1,7 @@
 import type {
     Clock,
     HostIncarnation,
+    LogFields,
     Logger,
     Metrics,
     Milliseconds,
@@ -34,7 +35,7 @@
 import type { GatewayAdapters } from "./gatewayAdapters.js";
 import type { GatewayOptions } from "./gatewayOptions.js";
 import { getClaimDelay } from "./getClaimDelay.js";
-import { getStopTimes } from "./getStopTimes.js";
+import { GracefulShutdown } from "./gracefulShutdown.js";
 import { REBALANCE } from "./rebalance.js";
 import { repeatTask } from "./repeatTask.js";
 import { setRunning } from "./setRunning.js";
@@ -214,15 +215,12 @@
         this.settings = { ...this.settings, bounds: settings.bounds };
     }
 
-    /** Stops gracefully: gives up the lease, gives the load balancer time to notice, and finishes every request that was read. */
-    async stop(): Promise<void> {
-        const { clock } = this.parts;
+    /** Stops gracefully. Returns what ended the shutdown, for the log. */
+    stop(): Promise<LogFields> {
         this.isStopping = true;
-        this.callerPort.announceClose();
-        const resigned = this.resign();
-        const { finishMs, listenMs } = getStopTimes(this.settings.bounds.graceMs);
-        await clock.sleep(listenMs);
-        await Promise.race([Promise.all([this.callerPort.close(), resigned]), clock.sleep(finishMs)]);
+        const { callerPort, parts: { clock } } = this;
+        return new GracefulShutdown({ clock, callerPort, resign: () => this.resign() })
+            .run(this.settings.bounds.graceMs);
     }
 
     private async resign(): Promise<void> {
--- a/packages/gateway/src/requests/callerPort.ts
+++ b/packages/gateway/src/requests/callerPort.ts
@@ -3,6 +3,7 @@
     ArbutusdoorError,
     type Clock,
     type HeaderFields,
+    type LogFields,
     type Logger,
     type Metrics,
     waitForSocketReads,
@@ -17,6 +18,7 @@
 import { endUnreadable } from "./endUnreadable.js";
 import type { GatewayReply } from "./gatewayReply.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
+import { OpenRequests } from "./openRequests.js";
 import { RequestReader } from "./requestReader.js";
 import type { RequestRouter } from "./requestRouter.js";
 import { writeAnswer } from "./writeAnswer.js";
@@ -29,6 +31,8 @@
 const TIMEOUT_CHECK_MS = 500;
 const MICROSECONDS_PER_MS = 1_000;
 const BAD_GATEWAY = 502;
+/** Far more than a host has open at the end of its shutdown. */
+const MAX_CUT_OFF_LINES = 100;
 
 /** Dependencies of the port. */
 type CallerPortParts = {
@@ -47,7 +51,7 @@
     private readonly server: Server;
     private readonly reader: RequestReader;
     private readonly connections = new WeakMap<Socket, CallerConnection>();
-    private openRequests = 0;
+    private readonly open: OpenRequests;
     private openConnections = 0;
     private isClosing = false;
     private notifyIdle: (() => void) | undefined;
@@ -55,13 +59,14 @@
     constructor(parts: CallerPortParts) {
         this.parts = parts;
         this.reader = new RequestReader(parts);
+        this.open = new OpenRequests(parts.clock);
         this.server = createServer({
             maxHeaderSize: PARSER_HEADER_BYTES,
             requestTimeout: 0,
             connectionsCheckingInterval: TIMEOUT_CHECK_MS,
         });
         const { logger, metrics } = parts;
-        metrics.gauge("arbutusdoor_requests_in_flight", () => this.openRequests);
+        metrics.gauge("arbutusdoor_requests_in_flight", () => this.open.size);
         metrics.gauge("arbutusdoor_caller_connections", () => this.openConnections);
         this.server.on("connection", (socket: Socket) => this.countConnection(socket));
         this.server.on(
@@ -103,9 +108,10 @@
     async close(): Promise<void> {
         this.isClosing = true;
         await acceptPendingConnections(this.server);
+        this.parts.logger.log("callerPortClosing", this.describe());
         this.server.close();
         this.server.closeIdleConnections();
-        while (this.openRequests > 0) {
+        while (this.open.size > 0) {
             await new Promise<void>(resolve => {
                 this.notifyIdle = resolve;
             });
@@ -113,33 +119,43 @@
         this.server.closeIdleConnections();
     }
 
+    /** Number of open connections, and of requests at each stage, for the log. */
+    describe(): LogFields {
+        return { connections: this.openConnections, ...this.open.countStages() };
+    }
+
+    /** Logs the requests that the end of the process cuts off. */
+    logCutOff(): void {
+        this.open.describe(MAX_CUT_OFF_LINES).forEach(fields =>
+            this.parts.logger.log("requestCutOff", fields)
+        );
+    }
+
     private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
-        const { clock, metrics } = this.parts;
+        const { clock, dialect, metrics } = this.parts;
         const arrivedAt = clock.now();
         const callerGone = new AbortController();
         const connection = this.getConnection(message.socket);
-        let isOpen = false;
+        const open = this.open.add(dialect.readRequestHeaders(message.headers as HeaderFields).id);
         const end = () => {
             if (!response.writableFinished) {
                 callerGone.abort(CALLER_GONE);
             }
-            if (isOpen) {
-                isOpen = false;
-                this.endRequest();
-            }
+            this.endRequest(open);
         };
         message.on("error", () => callerGone.abort(CALLER_GONE));
         const request = connection.add(message, end);
         if (!await request.turn) {
+            this.endRequest(open);
             return;
         }
-        isOpen = true;
-        this.openRequests++;
+        open.stage = "arriving";
         response.once("close", () => {
             end();
             connection.remove(request);
         });
         const parsed = await this.reader.read(message, arrivedAt, callerGone.signal);
+        open.stage = "routed";
         // When the process lags behind, a request and its caller's disconnection may both be waiting to be read.
         await waitForSocketReads();
         if (message.socket.readableEnded || message.socket.destroyed) {
@@ -150,6 +166,7 @@
         if (parsed.kind === "reply" && reply.kind === "refusal") {
             this.logRefusal(message, reply);
         }
+        open.stage = "answering";
         const result = reply.kind === "gone" ? "gone" : String(reply.status);
         metrics.record(
             "arbutusdoor_request_us",
@@ -239,9 +256,9 @@
         });
     }
 
-    private endRequest(): void {
-        this.openRequests--;
-        if (this.openRequests === 0) {
+    private endRequest(request: ReturnType<OpenRequests["add"]>): void {
+        this.open.remove(request);
+        if (this.open.size === 0) {
             this.notifyIdle?.();
         }
     }
