A request that the end of a shutdown would cut off is refused as not run

Callers saw: a booking over a connection that was accepted before the port closed, passed on 5.6 s after SIGTERM and cut off at 5.7 s without a byte (LOST).

Cause: nothing that passes a request on asked how much time the process has left.

Once the port is closed, a request is sent to a server only if the process outlasts its deadline, whatever road it came by; else it is refused at once: 503, stopping, Retry-After. The check stands where each attempt begins and once more where it gets its connection, so that it also holds for repeats and for requests that waited for a connection.

plannedStop.test.ts: heads and bodies that were begun before the port closed and end late; both failed before (the server had them), and pass. Two cases held before: a connection that was accepted just before the port closed, and work that outlasts the grace time.

--- a/packages/gateway/src/host/createCallerPort.ts
+++ b/packages/gateway/src/host/createCallerPort.ts
@@ -3,6 +3,7 @@
 import type { HostCount } from "../links/hostCount.js";
 import { CallerPort } from "../requests/callerPort.js";
 import { RequestRouter } from "../requests/requestRouter.js";
+import { ShutdownSchedule } from "../requests/shutdownSchedule.js";
 import type { KeyRouting } from "../routing/keyRouting.js";
 import type { LoadReporter } from "../routing/loadReporter.js";
 import { PoolRouting } from "../routing/poolRouting.js";
@@ -51,6 +52,7 @@
         getHosts: () => hosts.recentMax ?? DEFAULT_HOSTS,
     });
     const { backends, callerHeaders } = adapters;
+    const shutdown = new ShutdownSchedule(clock);
     const router = new RequestRouter({
         clock,
         logger,
@@ -61,6 +63,7 @@
         admission,
         budget,
         loads,
+        shutdown,
     });
     const rotation = new TargetRotation();
     return new CallerPort({
@@ -70,6 +73,7 @@
         router,
         dialect: callerHeaders,
         rotation,
+        shutdown,
         getRoutes: () => state.routes,
     });
 }
--- a/packages/gateway/src/host/gracefulShutdown.ts
+++ b/packages/gateway/src/host/gracefulShutdown.ts
@@ -23,12 +23,12 @@
         const { callerPort, clock } = this.parts;
         const startedAt = clock.now();
         const getElapsed = () => Math.round(clock.now() - startedAt);
-        callerPort.announceClose();
+        const { finishMs, listenMs } = getStopTimes(graceMs);
+        callerPort.announceClose(listenMs, finishMs);
         let resignationMs: number | undefined;
         const resigned = this.parts.resign().then(() => {
             resignationMs = getElapsed();
         });
-        const { finishMs, listenMs } = getStopTimes(graceMs);
         await clock.sleep(listenMs);
         const cause = await Promise.race([
             Promise.all([callerPort.close(), resigned]).then(() => "drained"),
--- a/packages/gateway/src/requests/callerPort.ts
+++ b/packages/gateway/src/requests/callerPort.ts
@@ -6,6 +6,7 @@
     type LogFields,
     type Logger,
     type Metrics,
+    type Milliseconds,
     waitForSocketReads,
 } from "@arbutusdoor/common";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
@@ -21,6 +22,7 @@
 import { OpenRequests } from "./openRequests.js";
 import { RequestReader } from "./requestReader.js";
 import type { RequestRouter } from "./requestRouter.js";
+import type { ShutdownSchedule } from "./shutdownSchedule.js";
 import { writeAnswer } from "./writeAnswer.js";
 
 /** Shared by all requests: creating an error with its stack trace costs more than routing a request. */
@@ -42,6 +44,7 @@
     readonly router: RequestRouter;
     readonly dialect: CallerHeaderCodec;
     readonly rotation: TargetRotation;
+    readonly shutdown: ShutdownSchedule;
     readonly getRoutes: () => RouteTable | undefined;
 };
 
@@ -53,7 +56,6 @@
     private readonly connections = new WeakMap<Socket, CallerConnection>();
     private readonly open: OpenRequests;
     private openConnections = 0;
-    private isClosing = false;
     private notifyIdle: (() => void) | undefined;
 
     constructor(parts: CallerPortParts) {
@@ -99,14 +101,16 @@
         this.server.keepAliveTimeout = idleTimeoutMs;
     }
 
-    /** Sends `connection: close` with each reply from now on. */
-    announceClose(): void {
-        this.isClosing = true;
+    /** Closes each connection with its last reply from now on. The port is to be closed after `listenMs`, the process ends `finishMs` later. */
+    announceClose(listenMs: Milliseconds, finishMs: Milliseconds): void {
+        this.parts.shutdown.begin(listenMs, finishMs);
     }
 
     /** Stops accepting connections; resolves once every request that was read has its complete reply. */
     async close(): Promise<void> {
-        this.isClosing = true;
+        if (!this.parts.shutdown.isStopping) {
+            this.announceClose(0, Infinity);
+        }
         await acceptPendingConnections(this.server);
         this.parts.logger.log("callerPortClosing", this.describe());
         this.server.close();
@@ -173,7 +177,7 @@
             { route, result },
             (clock.now() - arrivedAt) * MICROSECONDS_PER_MS,
         );
-        const isEnding = this.isClosing || connection.hasEndedReading;
+        const isEnding = this.parts.shutdown.isStopping || connection.hasEndedReading;
         const isCloseDue = isEnding && connection.isLast(request) || !message.complete;
         if (isCloseDue && !response.destroyed) {
             response.setHeader("connection", "close");
@@ -204,7 +208,7 @@
     private getConnection(socket: Socket): CallerConnection {
         let connection = this.connections.get(socket);
         if (!connection) {
-            connection = new CallerConnection(socket, () => this.isClosing);
+            connection = new CallerConnection(socket, () => this.parts.shutdown.isStopping);
             this.connections.set(socket, connection);
         }
         return connection;
--- a/packages/gateway/src/requests/requestRouter.ts
+++ b/packages/gateway/src/requests/requestRouter.ts
@@ -19,6 +19,7 @@
 import { RequestLog } from "./requestLog.js";
 import type { RequestState } from "./requestState.js";
 import { ServerSelector } from "./serverSelector.js";
+import type { ShutdownSchedule } from "./shutdownSchedule.js";
 import type { UnusableAnswer } from "./unusableAnswer.js";
 
 /** A request with less time left is not sent. */
@@ -43,6 +44,7 @@
     readonly admission: ServerAdmission;
     readonly budget: SharedRetryBudget;
     readonly loads: LoadReporter;
+    readonly shutdown: ShutdownSchedule;
 };
 
 /** Routes requests to backend servers: selects a server, sends the request, and retries where that is safe and within the budget. */
@@ -85,6 +87,12 @@
         if (running.reply || (state.sends > 0 && !this.mayRetry(state))) {
             return await this.finish(state);
         }
+        if (!this.parts.shutdown.canServe(request.deadlineAt)) {
+            if (state.runs + running.size === 0) {
+                state.lastFailure = { reason: "stopping", detail: "" };
+            }
+            return await this.finish(state);
+        }
         const server = await this.selector.select(state);
         if (request.callerGone.aborted) {
             return { kind: "gone" };
@@ -151,7 +159,7 @@
         timeLeft: Milliseconds,
         controller: AbortController,
     ): Promise<GatewayReply | undefined> {
-        const { admission, backends, clock, loads, metrics } = this.parts;
+        const { admission, backends, clock, loads, metrics, shutdown } = this.parts;
         const { request } = state;
         const sentAt = clock.now();
         const limit = this.getAttemptLimit(request, timeLeft);
@@ -171,7 +179,7 @@
             timeLeft,
             signal,
             carriers: state.carriers,
-            maySend: () => admission.mayReceive(server),
+            maySend: () => admission.mayReceive(server) && shutdown.canServe(request.deadlineAt),
         });
         if ((outcome.kind === "answered" || outcome.kind === "notRun") && outcome.notice) {
             admission.recordNotice(server, outcome.notice);
--- a/packages/gateway/tests/pipelinedRequests.test.ts
+++ b/packages/gateway/tests/pipelinedRequests.test.ts
@@ -11,6 +11,8 @@
 const LOOPBACK = "127.0.0.1";
 const SETTLE_MS = 50;
 const TIMEOUT_MS = 2_000;
+/** Longer than any of these tests. */
+const STOP_MS = 10_000;
 const SHORT_TIMEOUT_MS = 150;
 /** More than is read whole before it is passed on. */
 const LONG_BYTES = 200_000;
@@ -77,7 +79,7 @@
 
 test("a planned stop with several requests under way: all of them are answered, and only the last answer closes the connection", async () => {
     await send(["/1", "/2", "/3"]);
-    callerPort.announceClose();
+    callerPort.announceClose(STOP_MS, STOP_MS);
     ["/2", "/1", "/3"].forEach(path => backends.answer(path));
     await clock.sleep(SETTLE_MS);
     expect(listBodies()).toEqual(["/1", "/2", "/3"]);
@@ -88,7 +90,7 @@
 test("a planned stop routes nothing that waits behind the requests under way: it counts as not read", async () => {
     const paths = Array.from({ length: 12 }, (_, index) => `/${index}`);
     await send(paths);
-    callerPort.announceClose();
+    callerPort.announceClose(STOP_MS, STOP_MS);
     for (const path of paths.slice(0, 8)) {
         backends.answer(path);
         await clock.sleep(5);
--- /dev/null
+++ b/packages/gateway/tests/plannedStop.test.ts
@@ -0,0 +1,113 @@
+import { type LogEvent, type LogFields, SystemClock } from "@arbutusdoor/common";
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { GracefulShutdown } from "../src/host/gracefulShutdown.js";
+import type { CallerPort } from "../src/requests/callerPort.js";
+import { ConnectedCaller } from "./support/connectedCaller.js";
+import { HeldBackends } from "./support/heldBackends.js";
+import { PathHeaderCodec } from "./support/pathHeaderCodec.js";
+import { startCallerPort } from "./support/startCallerPort.js";
+
+const SETTLE_MS = 60;
+const TIMEOUT_MS = 600;
+const LONG_TIMEOUT_MS = 5_000;
+const GRACE_MS = 2_400;
+/** Half of the grace time. */
+const LISTEN_MS = 1_200;
+/** Eleven twelfths of the grace time. */
+const END_MS = 2_200;
+/** Too late for a request with the usual timeout. */
+const LATE_MS = 1_900;
+
+const clock = new SystemClock();
+let backends: HeldBackends;
+let callerPort: CallerPort;
+let port: number;
+let callers: ConnectedCaller[];
+let events: [LogEvent, LogFields][];
+
+beforeEach(async () => {
+    backends = new HeldBackends();
+    callers = [];
+    events = [];
+    const started = await startCallerPort({
+        clock,
+        backends,
+        dialect: new PathHeaderCodec(),
+        timeoutMs: LONG_TIMEOUT_MS,
+        route: { isIdempotent: false, timeoutMs: LONG_TIMEOUT_MS },
+    });
+    ({ callerPort, port } = started);
+    started.logger.onEvent((event, fields) => events.push([event, fields]));
+});
+
+afterEach(async () => {
+    callers.forEach(({ socket }) => socket.destroy());
+    await callerPort.close();
+});
+
+// Guards against requests that were passed on just before the process ended, and cut off (LOST around SIGTERM).
+test.each([
+    [
+        "whose head was begun before the port closed",
+        getHead("/late").slice(0, 40),
+        getHead("/late").slice(40),
+    ],
+    ["whose body was begun before the port closed", `${getHead("/late", 6, LONG_TIMEOUT_MS)}abc`, "def"],
+])("a request %s and ends too late to be served is refused as not run", async (_, begun, rest) => {
+    const late = await call();
+    late.send(begun);
+    await clock.sleep(SETTLE_MS);
+    const stopped = stop();
+    await clock.sleep(LATE_MS);
+    late.send(rest);
+    await clock.sleep(SETTLE_MS);
+    expect(backends.sent).toEqual([]);
+    expect([late.statuses, late.closings]).toEqual([["503"], 1]);
+    expect(await stopped).toMatchObject({ cause: "drained" });
+});
+
+// Guards against connections that the port had just accepted and closed before their first request came.
+test("a request over a connection that was accepted just before the port closed is served", async () => {
+    const stopped = stop();
+    await clock.sleep(LISTEN_MS - SETTLE_MS);
+    const fresh = await call();
+    await clock.sleep(3 * SETTLE_MS);
+    fresh.send(getHead("/fresh"));
+    await clock.sleep(SETTLE_MS);
+    backends.answer("/fresh");
+    await clock.sleep(SETTLE_MS);
+    expect([fresh.statuses, fresh.closings, fresh.hasEnded]).toEqual([["200"], 1, true]);
+    expect(await stopped).toMatchObject({ cause: "drained" });
+});
+
+test("a request whose work outlasts the grace time is cut off at its end and named in the log", async () => {
+    const caller = await call();
+    caller.send(getHead("/work", 0, LONG_TIMEOUT_MS));
+    await clock.sleep(SETTLE_MS);
+    const { cause, stopMs } = await stop();
+    expect(cause).toBe("timeLimit");
+    expect(stopMs).toBeGreaterThanOrEqual(END_MS);
+    expect(stopMs).toBeLessThan(GRACE_MS);
+    expect(
+        events.filter(([event]) => event === "requestCutOff").map((
+            [, { request, stage }],
+        ) => [request, stage]),
+    )
+        .toEqual([["/work", "routed"]]);
+});
+
+async function call(): Promise<ConnectedCaller> {
+    const caller = new ConnectedCaller(port);
+    callers.push(caller);
+    await clock.sleep(SETTLE_MS);
+    return caller;
+}
+
+function stop(resign: () => Promise<void> = async () => undefined): Promise<LogFields> {
+    return new GracefulShutdown({ clock, callerPort, resign }).run(GRACE_MS);
+}
+
+function getHead(path: string, bodyBytes = 0, timeoutMs = TIMEOUT_MS): string {
+    return `POST ${path} HTTP/1.1\r\nHost: board.example\r\nX-Id: ${path}\r\nX-Timeout: ${timeoutMs}\r\n`
+        + `Content-Length: ${bodyBytes}\r\n\r\n`;
+}
--- a/packages/gateway/tests/support/createRouter.ts
+++ b/packages/gateway/tests/support/createRouter.ts
@@ -13,6 +13,7 @@
 import { assignInitialKeys } from "../../src/ownership/assignInitialKeys.js";
 import type { KeyMap } from "../../src/ownership/keyMap.js";
 import { RequestRouter } from "../../src/requests/requestRouter.js";
+import { ShutdownSchedule } from "../../src/requests/shutdownSchedule.js";
 import { KeyRouting } from "../../src/routing/keyRouting.js";
 import { LoadReporter } from "../../src/routing/loadReporter.js";
 import { PoolRouting } from "../../src/routing/poolRouting.js";
@@ -36,6 +37,7 @@
     /** Address of all servers; by default each has its own. */
     readonly address?: string;
     readonly loads?: LoadReporter;
+    readonly shutdown?: ShutdownSchedule;
 };
 
 /** Creates a router in data centre `north` that knows three servers of the service `board`; server `a` holds all keys. */
@@ -47,6 +49,7 @@
         clock,
         loads = new LoadReporter("h" as HostId, "h-1" as HostIncarnation),
         servers = new TableView<RegisteredServer>(),
+        shutdown = new ShutdownSchedule(clock),
     }: RouterParameters,
 ): RequestRouter {
     const maps = new TableView<KeyMap>();
@@ -82,5 +85,6 @@
         admission,
         budget: new SharedRetryBudget(() => ({ share: 0, windowMs: 10_000, allowance }), () => 1),
         loads,
+        shutdown,
     });
 }
--- a/packages/gateway/tests/support/startCallerPort.ts
+++ b/packages/gateway/tests/support/startCallerPort.ts
@@ -3,10 +3,12 @@
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import type { BackendClient } from "../../src/backends/backendClient.js";
+import type { Route } from "../../src/configuration/route.js";
 import { RouteTable } from "../../src/configuration/routeTable.js";
 import { TargetRotation } from "../../src/configuration/targetRotation.js";
 import type { CallerHeaderCodec } from "../../src/requests/callerHeaderCodec.js";
 import { CallerPort } from "../../src/requests/callerPort.js";
+import { ShutdownSchedule } from "../../src/requests/shutdownSchedule.js";
 import { createRoute } from "./createRoute.js";
 import { createRouter } from "./createRouter.js";
 
@@ -19,14 +21,17 @@
     readonly dialect: CallerHeaderCodec;
     /** Longest time for the header section, and for an idle connection. */
     readonly timeoutMs: number;
+    /** Properties of the route that differ from the usual ones. */
+    readonly route?: Partial<Route>;
 };
 
 /** Starts a caller port on the loopback address, with one route to the pooled service `board`. */
-export async function startCallerPort({ backends, clock, dialect, timeoutMs }: CallerPortParameters) {
+export async function startCallerPort({ backends, clock, dialect, route, timeoutMs }: CallerPortParameters) {
     const metrics = new Metrics();
+    const logger = new Logger(clock, "test", "silent");
     const routes = new RouteTable({
         version: 1,
-        routes: [createRoute()],
+        routes: [createRoute(route)],
         services: [{ id: "board" as ServiceId, maxConnections: 100, isKeyed: false, coldKeysMs: 0 }],
         limits: {
             headerBytes: 16_384,
@@ -35,18 +40,20 @@
             idleTimeoutMs: timeoutMs,
         },
     });
+    const shutdown = new ShutdownSchedule(clock);
     const callerPort = new CallerPort({
         clock,
-        logger: new Logger(clock, "test", "silent"),
+        logger,
         metrics,
-        router: createRouter({ clock, backends }),
+        router: createRouter({ clock, backends, shutdown }),
         dialect,
         rotation: new TargetRotation(),
+        shutdown,
         getRoutes: () => routes,
     });
     const port = await findFreePort();
     await callerPort.listen(LOOPBACK, port);
-    return { callerPort, metrics, port };
+    return { callerPort, logger, metrics, port };
 }
 
 async function findFreePort(): Promise<number> {
