A port that closes neither keeps unused connections nor breaks off answers

Callers saw: connections that they had opened ahead stayed usable until the process ended under them (LOST).

Cause: who is idle was left to the HTTP library. It counts a connection on which nothing has come yet as active, and one whose answer was written as idle, also when the answer has not been sent out. And the shutdown ended with the last open request, whatever connections were left.

PortDrain knows the connections and their requests itself: at the close, connections without a request are closed, one that was accepted just now after half a second; those on which a head has begun or a request is open stay until their answer is out; the close is over when no connection is left, so that nothing can come after it.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./http/acceptPendingConnections.js";
 export * from "./http/headerFields.js";
 export * from "./http/hopByHopHeaders.js";
+export * from "./http/portDrain.js";
 export * from "./ids/brand.js";
 export * from "./ids/classId.js";
 export * from "./ids/connectionId.js";
--- /dev/null
+++ b/packages/common/tests/portDrain.test.ts
@@ -0,0 +1,129 @@
+import { once } from "node:events";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { PortDrain } from "../src/http/portDrain.js";
+import { SystemClock } from "../src/time/systemClock.js";
+
+const LOOPBACK = "127.0.0.1";
+const SETTLE_MS = 60;
+/** Longer than a new connection is given for its first request. */
+const OLD_MS = 600;
+/** More than the sockets of one connection buffer. */
+const LONG_BYTES = 12_000_000;
+const HEAD = "GET /work HTTP/1.1\r\nHost: board.example\r\n\r\n";
+const LONG_HEAD = HEAD.replace("/work", "/long");
+const POST_HEAD = "POST /work HTTP/1.1\r\nHost: board.example\r\nContent-Length: 6\r\n\r\n";
+
+const clock = new SystemClock();
+let server: Server;
+let drain: PortDrain;
+let caller: Socket;
+let received: number;
+let hasEnded: boolean;
+/** Ends the answers to `/work`, each of which ends its connection. */
+let answers: (() => void)[];
+
+beforeEach(async () => {
+    answers = [];
+    received = 0;
+    hasEnded = false;
+    server = createServer((message, response) => void answer(message, response));
+    drain = new PortDrain(server, clock);
+    await once(server.listen(0, LOOPBACK), "listening");
+    caller = connect((server.address() as AddressInfo).port, LOOPBACK);
+    caller.on("error", () => undefined);
+    caller.on("close", () => {
+        hasEnded = true;
+    });
+    caller.on("data", data => {
+        received += data.length;
+    });
+    await once(caller, "connect");
+    await clock.sleep(SETTLE_MS);
+});
+
+afterEach(() => {
+    caller.destroy();
+    server.close();
+});
+
+// Guards against connections that stay usable, and answers that are broken off, when a port closes (LOST around SIGTERM).
+test.each([
+    ["that was opened long ago and never used", async () => clock.sleep(OLD_MS)],
+    ["that is idle after an answer", async () => {
+        caller.write(HEAD);
+        await clock.sleep(SETTLE_MS);
+        answers.pop()!();
+        await clock.sleep(SETTLE_MS);
+    }],
+])("a connection %s closes with the port", async (_, prepare) => {
+    await prepare();
+    const closed = drain.close();
+    await clock.sleep(SETTLE_MS);
+    expect(hasEnded).toBe(true);
+    await closed;
+    expect(drain.size).toBe(0);
+});
+
+test.each([
+    ["that was accepted just now", "", HEAD],
+    ["on which a head has begun", HEAD.slice(0, 20), HEAD.slice(20)],
+    ["on which a body arrives", `${POST_HEAD}abc`, "def"],
+    ["that carries a request", HEAD, ""],
+])("a connection %s stays until its answer has arrived", async (_, before, after) => {
+    caller.write(before);
+    await clock.sleep(SETTLE_MS);
+    const closed = drain.close();
+    await clock.sleep(SETTLE_MS);
+    caller.write(after);
+    await clock.sleep(SETTLE_MS);
+    expect(hasEnded).toBe(false);
+    answers.pop()!();
+    await closed;
+    await clock.sleep(SETTLE_MS);
+    expect([received > 0, hasEnded, drain.size]).toEqual([true, true, 0]);
+});
+
+test("an answer that was written and not yet sent out when the port closes arrives whole", async () => {
+    caller.pause();
+    caller.write(LONG_HEAD);
+    await clock.sleep(SETTLE_MS);
+    const closed = drain.close();
+    await clock.sleep(SETTLE_MS);
+    caller.resume();
+    await closed;
+    await clock.sleep(SETTLE_MS);
+    expect(received).toBeGreaterThan(LONG_BYTES);
+});
+
+test("an answer that waits behind one that is not yet sent out arrives, too", async () => {
+    caller.pause();
+    caller.write(LONG_HEAD + HEAD);
+    await clock.sleep(SETTLE_MS);
+    const closed = drain.close();
+    await clock.sleep(SETTLE_MS);
+    answers.pop()!();
+    caller.resume();
+    await closed;
+    await clock.sleep(SETTLE_MS);
+    expect(received).toBeGreaterThan(LONG_BYTES);
+    expect(hasEnded).toBe(true);
+});
+
+test("a connection that was accepted just now and sends nothing is closed soon", async () => {
+    const closed = drain.close();
+    await clock.sleep(SETTLE_MS);
+    expect(hasEnded).toBe(false);
+    await closed;
+    expect(drain.size).toBe(0);
+});
+
+function answer(message: IncomingMessage, response: ServerResponse): void {
+    if (message.url === "/long") {
+        response.setHeader("content-length", LONG_BYTES);
+        response.end(Buffer.alloc(LONG_BYTES, "x"));
+        return;
+    }
+    answers.push(() => response.end("answered"));
+}
--- a/packages/gateway/src/requests/callerPort.ts
+++ b/packages/gateway/src/requests/callerPort.ts
@@ -1,5 +1,4 @@
 import {
-    acceptPendingConnections,
     ArbutusdoorError,
     type Clock,
     type HeaderFields,
@@ -7,6 +6,7 @@
     type Logger,
     type Metrics,
     type Milliseconds,
+    PortDrain,
     waitForSocketReads,
 } from "@arbutusdoor/common";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
@@ -55,8 +55,7 @@
     private readonly reader: RequestReader;
     private readonly connections = new WeakMap<Socket, CallerConnection>();
     private readonly open: OpenRequests;
-    private openConnections = 0;
-    private notifyIdle: (() => void) | undefined;
+    private readonly drain: PortDrain;
 
     constructor(parts: CallerPortParts) {
         this.parts = parts;
@@ -67,10 +66,14 @@
             requestTimeout: 0,
             connectionsCheckingInterval: TIMEOUT_CHECK_MS,
         });
+        this.drain = new PortDrain(this.server, parts.clock);
         const { logger, metrics } = parts;
         metrics.gauge("arbutusdoor_requests_in_flight", () => this.open.size);
-        metrics.gauge("arbutusdoor_caller_connections", () => this.openConnections);
-        this.server.on("connection", (socket: Socket) => this.countConnection(socket));
+        metrics.gauge("arbutusdoor_caller_connections", () => this.drain.size);
+        this.server.on(
+            "connection",
+            () => metrics.count("arbutusdoor_caller_connections_accepted_total"),
+        );
         this.server.on(
             "clientError",
             (error, socket) =>
@@ -106,26 +109,18 @@
         this.parts.shutdown.begin(listenMs, finishMs);
     }
 
-    /** Stops accepting connections; resolves once every request that was read has its complete reply. */
+    /** Stops accepting connections; resolves once every request that was read has its complete reply and all connections are closed. */
     async close(): Promise<void> {
         if (!this.parts.shutdown.isStopping) {
             this.announceClose(0, Infinity);
         }
-        await acceptPendingConnections(this.server);
         this.parts.logger.log("callerPortClosing", this.describe());
-        this.server.close();
-        this.server.closeIdleConnections();
-        while (this.open.size > 0) {
-            await new Promise<void>(resolve => {
-                this.notifyIdle = resolve;
-            });
-        }
-        this.server.closeIdleConnections();
+        await this.drain.close();
     }
 
     /** Number of open connections, and of requests at each stage, for the log. */
     describe(): LogFields {
-        return { connections: this.openConnections, ...this.open.countStages() };
+        return { connections: this.drain.size, ...this.open.countStages() };
     }
 
     /** Logs the requests that the end of the process cuts off. */
@@ -145,12 +140,12 @@
             if (!response.writableFinished) {
                 callerGone.abort(CALLER_GONE);
             }
-            this.endRequest(open);
+            this.open.remove(open);
         };
         message.on("error", () => callerGone.abort(CALLER_GONE));
         const request = connection.add(message, end);
         if (!await request.turn) {
-            this.endRequest(open);
+            this.open.remove(open);
             return;
         }
         open.stage = "arriving";
@@ -199,12 +194,6 @@
         this.write(message, response, { kind: "refusal", status: BAD_GATEWAY, reason: "internalError" });
     }
 
-    private countConnection(socket: Socket): void {
-        this.parts.metrics.count("arbutusdoor_caller_connections_accepted_total");
-        this.openConnections++;
-        socket.once("close", () => this.openConnections--);
-    }
-
     private getConnection(socket: Socket): CallerConnection {
         let connection = this.connections.get(socket);
         if (!connection) {
@@ -259,11 +248,4 @@
             configuration: this.parts.getRoutes()?.configuration.version,
         });
     }
-
-    private endRequest(request: ReturnType<OpenRequests["add"]>): void {
-        this.open.remove(request);
-        if (this.open.size === 0) {
-            this.notifyIdle?.();
-        }
-    }
 }
--- a/packages/gateway/tests/plannedStop.test.ts
+++ b/packages/gateway/tests/plannedStop.test.ts
@@ -1,4 +1,5 @@
 import { type LogEvent, type LogFields, SystemClock } from "@arbutusdoor/common";
+import { once } from "node:events";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { GracefulShutdown } from "../src/host/gracefulShutdown.js";
 import type { CallerPort } from "../src/requests/callerPort.js";
@@ -17,6 +18,8 @@
 const END_MS = 2_200;
 /** Too late for a request with the usual timeout. */
 const LATE_MS = 1_900;
+/** More than the sockets of one connection buffer. */
+const LONG_BYTES = 8_000_000;
 
 const clock = new SystemClock();
 let backends: HeldBackends;
@@ -66,6 +69,21 @@
     expect(await stopped).toMatchObject({ cause: "drained" });
 });
 
+// Guards against connections that were opened ahead and stayed usable until the process ended under them.
+test("a connection that was opened ahead and never used is closed with the port", async () => {
+    const unused = await call();
+    const working = await call();
+    const stopped = stop();
+    await clock.sleep(LISTEN_MS - SETTLE_MS);
+    working.send(getHead("/work"));
+    await clock.sleep(3 * SETTLE_MS);
+    expect(unused.hasEnded).toBe(true);
+    unused.send(getHead("/late"));
+    backends.answer("/work");
+    expect(await stopped).toMatchObject({ cause: "drained" });
+    expect([backends.sent, working.statuses]).toEqual([["/work"], ["200"]]);
+});
+
 // Guards against connections that the port had just accepted and closed before their first request came.
 test("a request over a connection that was accepted just before the port closed is served", async () => {
     const stopped = stop();
@@ -80,6 +98,21 @@
     expect(await stopped).toMatchObject({ cause: "drained" });
 });
 
+// Guards against an answer that the HTTP server broke off when the port closed, since it was written but not yet sent.
+test("an answer that a slow caller is still reading when the port closes arrives whole", async () => {
+    const slow = await call();
+    slow.socket.pause();
+    slow.send(getHead("/long", 0, LONG_TIMEOUT_MS));
+    await clock.sleep(SETTLE_MS);
+    backends.answer("/long", "x".repeat(LONG_BYTES), { "content-length": String(LONG_BYTES) });
+    const stopped = stop();
+    await clock.sleep(LISTEN_MS + SETTLE_MS);
+    slow.socket.resume();
+    expect(await stopped).toMatchObject({ cause: "drained" });
+    await once(slow.socket, "close");
+    expect(slow.received.split("\r\n\r\n")[1]).toHaveLength(LONG_BYTES);
+});
+
 test("a request whose work outlasts the grace time is cut off at its end and named in the log", async () => {
     const caller = await call();
     caller.send(getHead("/work", 0, LONG_TIMEOUT_MS));
