A resignation that is late or fails does not end the process under its requests

The limit of time counts from SIGTERM, also when timers run late. A lease that the store did not take back is logged, too.

--- a/packages/common/src/logging/logEvent.ts
+++ b/packages/common/src/logging/logEvent.ts
@@ -11,6 +11,16 @@
         level: "error",
         text: "an internal invariant is violated; the process stops",
     },
+    resigned: {
+        number: 108,
+        level: "info",
+        text: "a host that stops has given up its leases and links, if it had any",
+    },
+    resignationFailed: {
+        number: 109,
+        level: "error",
+        text: "a host that stops could not give up the coordinator lease, which expires by itself",
+    },
     loopLagged: { number: 107, level: "warn", text: "timers ran late: the process had no processor time" },
     processStarting: {
         number: 106,
--- a/packages/gateway/src/coordination/leaseManager.ts
+++ b/packages/gateway/src/coordination/leaseManager.ts
@@ -127,7 +127,11 @@
         const { own } = this;
         if (own) {
             this.own = undefined;
-            await this.parts.table.write(LEASE_KEY, own.version, this.createLease(own.term, 0));
+            const { logger, table } = this.parts;
+            const outcome = await table.write(LEASE_KEY, own.version, this.createLease(own.term, 0));
+            if (outcome.kind !== "committed") {
+                logger.log("resignationFailed", { term: own.term, error: outcome.kind });
+            }
         }
     }
 
--- a/packages/gateway/src/host/gatewayHost.ts
+++ b/packages/gateway/src/host/gatewayHost.ts
@@ -218,15 +218,14 @@
     /** Stops gracefully. Returns what ended the shutdown, for the log. */
     stop(): Promise<LogFields> {
         this.isStopping = true;
-        const { callerPort, parts: { clock } } = this;
-        return new GracefulShutdown({ clock, callerPort, resign: () => this.resign() })
+        const { callerPort, parts: { clock, logger } } = this;
+        return new GracefulShutdown({ clock, logger, callerPort, resign: () => this.resign() })
             .run(this.settings.bounds.graceMs);
     }
 
     private async resign(): Promise<void> {
         this.coordinator.stop();
-        await this.lease.resign();
-        this.hub.closeLinks();
+        await this.lease.resign().finally(() => this.hub.closeLinks());
     }
 
     private isReady(): boolean {
--- a/packages/gateway/src/host/gracefulShutdown.ts
+++ b/packages/gateway/src/host/gracefulShutdown.ts
@@ -1,10 +1,11 @@
-import type { Clock, LogFields, Milliseconds } from "@arbutusdoor/common";
+import type { Clock, LogFields, Logger, Milliseconds } from "@arbutusdoor/common";
 import type { CallerPort } from "../requests/callerPort.js";
 import { getStopTimes } from "./getStopTimes.js";
 
 /** Dependencies of a shutdown. */
 type ShutdownParts = {
     readonly clock: Clock;
+    readonly logger: Logger;
     readonly callerPort: CallerPort;
     /** Gives up the coordinator lease and all links. */
     readonly resign: () => Promise<void>;
@@ -22,19 +23,29 @@
     async run(graceMs: Milliseconds): Promise<LogFields> {
         const { callerPort, clock } = this.parts;
         const startedAt = clock.now();
-        const getElapsed = () => Math.round(clock.now() - startedAt);
         const { finishMs, listenMs } = getStopTimes(graceMs);
         callerPort.announceClose(listenMs, finishMs);
-        let resignationMs: number | undefined;
-        const resigned = this.parts.resign().then(() => {
-            resignationMs = getElapsed();
-        });
+        const resignation = this.resign();
         await clock.sleep(listenMs);
+        const endsAt = startedAt + listenMs + finishMs;
         const cause = await Promise.race([
-            Promise.all([callerPort.close(), resigned]).then(() => "drained"),
-            clock.sleep(finishMs).then(() => "timeLimit"),
+            Promise.all([callerPort.close(), resignation]).then(() => "drained"),
+            clock.sleep(endsAt - clock.now()).then(() => "timeLimit"),
         ]);
         callerPort.logCutOff();
-        return { cause, stopMs: getElapsed(), resignationMs, ...callerPort.describe() };
+        return { cause, stopMs: Math.round(clock.now() - startedAt), ...callerPort.describe() };
+    }
+
+    /** Resigns and logs how that ended. Never rejects: the shutdown goes on, and the lease expires by itself. */
+    private async resign(): Promise<void> {
+        const { clock, logger } = this.parts;
+        const startedAt = clock.now();
+        try {
+            await this.parts.resign();
+            logger.log("resigned", { durationMs: Math.round(clock.now() - startedAt) });
+        }
+        catch (error) {
+            logger.log("resignationFailed", { error: (error as Error).message });
+        }
     }
 }
--- a/packages/gateway/tests/plannedStop.test.ts
+++ b/packages/gateway/tests/plannedStop.test.ts
@@ -1,4 +1,4 @@
-import { type LogEvent, type LogFields, SystemClock } from "@arbutusdoor/common";
+import { type LogEvent, type LogFields, type Logger, SystemClock } from "@arbutusdoor/common";
 import { once } from "node:events";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { GracefulShutdown } from "../src/host/gracefulShutdown.js";
@@ -26,6 +26,7 @@
 let callerPort: CallerPort;
 let port: number;
 let callers: ConnectedCaller[];
+let logger: Logger;
 let events: [LogEvent, LogFields][];
 
 beforeEach(async () => {
@@ -39,8 +40,8 @@
         timeoutMs: LONG_TIMEOUT_MS,
         route: { isIdempotent: false, timeoutMs: LONG_TIMEOUT_MS },
     });
-    ({ callerPort, port } = started);
-    started.logger.onEvent((event, fields) => events.push([event, fields]));
+    ({ callerPort, logger, port } = started);
+    logger.onEvent((event, fields) => events.push([event, fields]));
 });
 
 afterEach(async () => {
@@ -98,6 +99,39 @@
     expect(await stopped).toMatchObject({ cause: "drained" });
 });
 
+// Guards against requests that came while the host waited for its resignation only, and that it did not wait for.
+test("a request that comes while only the resignation is awaited is answered before the shutdown ends", async () => {
+    const caller = await call();
+    caller.send(getHead("/late").slice(0, 40));
+    const resignMs = LISTEN_MS + 200;
+    const stopped = stop(() => clock.sleep(resignMs));
+    await clock.sleep(resignMs - SETTLE_MS);
+    caller.send(getHead("/late").slice(40));
+    await clock.sleep(2 * SETTLE_MS);
+    let hasStopped = false;
+    void stopped.then(() => {
+        hasStopped = true;
+    });
+    await clock.sleep(SETTLE_MS);
+    expect(hasStopped).toBe(false);
+    backends.answer("/late");
+    await stopped;
+    expect(caller.statuses).toEqual(["200"]);
+});
+
+// Guards against a store that fails a resignation and with it ends the process under its requests.
+test("a resignation that fails is logged, and the shutdown goes on", async () => {
+    const caller = await call();
+    caller.send(getHead("/work"));
+    await clock.sleep(SETTLE_MS);
+    const stopped = stop(() => Promise.reject(new Error("no store")));
+    await clock.sleep(SETTLE_MS);
+    backends.answer("/work");
+    expect(await stopped).toMatchObject({ cause: "drained" });
+    expect(caller.statuses).toEqual(["200"]);
+    expect(events.filter(([event]) => event === "resignationFailed")).toHaveLength(1);
+});
+
 // Guards against an answer that the HTTP server broke off when the port closed, since it was written but not yet sent.
 test("an answer that a slow caller is still reading when the port closes arrives whole", async () => {
     const slow = await call();
@@ -137,7 +171,7 @@
 }
 
 function stop(resign: () => Promise<void> = async () => undefined): Promise<LogFields> {
-    return new GracefulShutdown({ clock, callerPort, resign }).run(GRACE_MS);
+    return new GracefulShutdown({ clock, logger, callerPort, resign }).run(GRACE_MS);
 }
 
 function getHead(path: string, bodyBytes = 0, timeoutMs = TIMEOUT_MS): string {
