A planned stop answers every request that was read

Callers saw: with a second request sent behind the first, the answer to the first closed the connection after SIGTERM, and the second, read whole, got none. A caller of once-only work may not repeat it, since nothing tells it that the request did not run.

Cause: after SIGTERM requests behind the ones at work were not routed, and counted as not read, although they were.

They are served like any other, or refused if the process does not outlast them. The last reply closes the connection; it decides that only when it is next to be sent, since further requests can come while it waits behind others.

--- a/packages/gateway/src/requests/callerConnection.ts
+++ b/packages/gateway/src/requests/callerConnection.ts
@@ -11,6 +11,9 @@
     readonly turn: Promise<boolean>;
     isRouted: boolean;
     readonly start: (mayRoute: boolean) => void;
+    /** Resolves once the request has its reply, or the connection has closed. */
+    readonly removed: Promise<void>;
+    readonly notifyRemoved: () => void;
     /** Called when the connection has closed before the reply. */
     readonly notifyClosed: () => void;
 };
@@ -22,14 +25,11 @@
 export class CallerConnection {
     private readonly socket: Socket;
     private readonly requests: OpenRequest[] = [];
-    private readonly isClosing: () => boolean;
     private isEnding = false;
     private isReadingEnded = false;
 
-    /** @param isClosing whether replies are to close the connection, so that nothing more is routed beside what is */
-    constructor(socket: Socket, isClosing: () => boolean) {
+    constructor(socket: Socket) {
         this.socket = socket;
-        this.isClosing = isClosing;
         socket.once("close", () => this.abandon());
     }
 
@@ -59,7 +59,19 @@
         const turn = new Promise<boolean>(resolve => {
             start = resolve;
         });
-        const request: OpenRequest = { message, turn, start, isRouted: false, notifyClosed };
+        let notifyRemoved: OpenRequest["notifyRemoved"] = () => undefined;
+        const removed = new Promise<void>(resolve => {
+            notifyRemoved = resolve;
+        });
+        const request: OpenRequest = {
+            message,
+            turn,
+            start,
+            removed,
+            notifyRemoved,
+            isRouted: false,
+            notifyClosed,
+        };
         if (this.isReadingEnded) {
             start(false);
             return request;
@@ -74,6 +86,7 @@
         const index = this.requests.indexOf(request);
         if (index >= 0) {
             this.requests.splice(index, 1);
+            request.notifyRemoved();
             this.startWaiting();
         }
         if (this.isReadingEnded && this.requests.length === 0) {
@@ -81,10 +94,16 @@
         }
     }
 
-    /** Whether no request behind this one is or will be routed, so that its reply may close the connection. */
+    /** Whether no request was read behind this one. */
     isLast(request: OpenRequest): boolean {
-        const behind = this.requests.slice(this.requests.indexOf(request) + 1);
-        return this.isClosing() ? !behind.some(({ isRouted }) => isRouted) : behind.length === 0;
+        return this.requests.at(-1) === request;
+    }
+
+    /** Resolves once the replies to all requests before this one are complete, or the connection has closed. */
+    async waitForTurn(request: OpenRequest): Promise<void> {
+        while (this.requests.includes(request) && this.requests[0] !== request) {
+            await this.requests[0]!.removed;
+        }
     }
 
     /** Routes no further request, since a reply closes the connection. */
@@ -100,8 +119,7 @@
             waiting.forEach(({ start }) => start(false));
             return;
         }
-        const limit = this.isClosing() ? 1 : MAX_ROUTED;
-        const starting = waiting.slice(0, Math.max(0, limit - routed));
+        const starting = waiting.slice(0, Math.max(0, MAX_ROUTED - routed));
         for (const request of starting) {
             request.isRouted = true;
             request.start(true);
@@ -116,9 +134,10 @@
 
     private abandon(): void {
         this.isEnding = true;
-        this.requests.splice(0).forEach(({ notifyClosed, start }) => {
+        this.requests.splice(0).forEach(({ notifyClosed, notifyRemoved, start }) => {
             start(false);
             notifyClosed();
+            notifyRemoved();
         });
     }
 }
--- a/packages/gateway/src/requests/callerPort.ts
+++ b/packages/gateway/src/requests/callerPort.ts
@@ -172,7 +172,12 @@
             { route, result },
             (clock.now() - arrivedAt) * MICROSECONDS_PER_MS,
         );
-        const isEnding = this.parts.shutdown.isStopping || connection.hasEndedReading;
+        const { shutdown } = this.parts;
+        if (shutdown.isStopping) {
+            // The reply may announce the close only once it is next to be sent: requests that come until then are read as well.
+            await connection.waitForTurn(request);
+        }
+        const isEnding = shutdown.isStopping || connection.hasEndedReading;
         const isCloseDue = isEnding && connection.isLast(request) || !message.complete;
         if (isCloseDue && !response.destroyed) {
             response.setHeader("connection", "close");
@@ -197,7 +202,7 @@
     private getConnection(socket: Socket): CallerConnection {
         let connection = this.connections.get(socket);
         if (!connection) {
-            connection = new CallerConnection(socket, () => this.parts.shutdown.isStopping);
+            connection = new CallerConnection(socket);
             this.connections.set(socket, connection);
         }
         return connection;
