The daemon's port can share the gateway's bookkeeping of requests and shutdown

CallerConnection, OpenRequests and ShutdownSchedule move to packages/common/src/http, since the daemon's callers' port needs the same. No behaviour changes: only the imports differ.

--- a/packages/gateway/src/requests/openRequests.ts
+++ b/packages/common/src/http/openRequests.ts
@@ -1,4 +1,7 @@
-import type { Clock, LogFields, Milliseconds, RequestId } from "@arbutusdoor/common";
+import type { RequestId } from "../ids/requestId.js";
+import type { LogFields } from "../logging/logFields.js";
+import type { Clock } from "../time/clock.js";
+import type { Milliseconds } from "../time/milliseconds.js";
 
 /** How far a request has got: its body arrives, it waits behind others of its connection, it was routed, or its answer is being written. */
 type RequestStage = "arriving" | "waiting" | "routed" | "answering";
--- a/packages/gateway/src/requests/shutdownSchedule.ts
+++ b/packages/common/src/http/shutdownSchedule.ts
@@ -1,4 +1,5 @@
-import type { Clock, Milliseconds } from "@arbutusdoor/common";
+import type { Clock } from "../time/clock.js";
+import type { Milliseconds } from "../time/milliseconds.js";
 
 /** Time from the last deadline of a request to the end of the process, in which its answer is still sent out. */
 const ANSWER_MARGIN_MS = 100;
--- a/packages/gateway/src/host/createCallerPort.ts
+++ b/packages/gateway/src/host/createCallerPort.ts
@@ -1,9 +1,14 @@
-import type { Clock, Logger, Metrics, RandomSource } from "@arbutusdoor/common";
+import {
+    type Clock,
+    type Logger,
+    type Metrics,
+    type RandomSource,
+    ShutdownSchedule,
+} from "@arbutusdoor/common";
 import { TargetRotation } from "../configuration/targetRotation.js";
 import type { HostCount } from "../links/hostCount.js";
 import { CallerPort } from "../requests/callerPort.js";
 import { RequestRouter } from "../requests/requestRouter.js";
-import { ShutdownSchedule } from "../requests/shutdownSchedule.js";
 import type { KeyRouting } from "../routing/keyRouting.js";
 import type { LoadReporter } from "../routing/loadReporter.js";
 import { PoolRouting } from "../routing/poolRouting.js";
--- a/packages/gateway/src/requests/callerPort.ts
+++ b/packages/gateway/src/requests/callerPort.ts
@@ -1,12 +1,15 @@
 import {
     ArbutusdoorError,
+    CallerConnection,
     type Clock,
     type HeaderFields,
     type LogFields,
     type Logger,
     type Metrics,
     type Milliseconds,
+    OpenRequests,
     PortDrain,
+    type ShutdownSchedule,
     waitForSocketReads,
 } from "@arbutusdoor/common";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
@@ -14,15 +17,12 @@
 import polka from "polka";
 import type { RouteTable } from "../configuration/routeTable.js";
 import type { TargetRotation } from "../configuration/targetRotation.js";
-import { CallerConnection } from "./callerConnection.js";
 import type { CallerHeaderCodec } from "./callerHeaderCodec.js";
 import { endUnreadable } from "./endUnreadable.js";
 import type { GatewayReply } from "./gatewayReply.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
-import { OpenRequests } from "./openRequests.js";
 import { RequestReader } from "./requestReader.js";
 import type { RequestRouter } from "./requestRouter.js";
-import type { ShutdownSchedule } from "./shutdownSchedule.js";
 import { writeAnswer } from "./writeAnswer.js";
 
 /** Shared by all requests: creating an error with its stack trace costs more than routing a request. */
--- a/packages/gateway/src/requests/endUnreadable.ts
+++ b/packages/gateway/src/requests/endUnreadable.ts
@@ -1,6 +1,5 @@
-import type { Logger, Metrics } from "@arbutusdoor/common";
+import type { CallerConnection, Logger, Metrics } from "@arbutusdoor/common";
 import type { Socket } from "node:net";
-import type { CallerConnection } from "./callerConnection.js";
 
 /** Replies to a caller whose bytes are no request, by the code of the error. */
 const STATUS_LINES: ReadonlyMap<string, string> = new Map([
--- a/packages/gateway/src/requests/requestRouter.ts
+++ b/packages/gateway/src/requests/requestRouter.ts
@@ -1,4 +1,4 @@
-import type { Clock, Logger, Metrics, Milliseconds } from "@arbutusdoor/common";
+import type { Clock, Logger, Metrics, Milliseconds, ShutdownSchedule } from "@arbutusdoor/common";
 import type { BackendClient } from "../backends/backendClient.js";
 import type { BackendOutcome } from "../backends/backendOutcome.js";
 import type { RegisteredServer } from "../discovery/registeredServer.js";
@@ -19,7 +19,6 @@
 import { RequestLog } from "./requestLog.js";
 import type { RequestState } from "./requestState.js";
 import { ServerSelector } from "./serverSelector.js";
-import type { ShutdownSchedule } from "./shutdownSchedule.js";
 import type { UnusableAnswer } from "./unusableAnswer.js";
 
 /** A request with less time left is not sent. */
--- a/packages/gateway/tests/support/createRouter.ts
+++ b/packages/gateway/tests/support/createRouter.ts
@@ -6,6 +6,7 @@
     Logger,
     Metrics,
     RandomSource,
+    ShutdownSchedule,
 } from "@arbutusdoor/common";
 import type { BackendClient } from "../../src/backends/backendClient.js";
 import type { RegisteredServer } from "../../src/discovery/registeredServer.js";
@@ -13,7 +14,6 @@
 import { assignInitialKeys } from "../../src/ownership/assignInitialKeys.js";
 import type { KeyMap } from "../../src/ownership/keyMap.js";
 import { RequestRouter } from "../../src/requests/requestRouter.js";
-import { ShutdownSchedule } from "../../src/requests/shutdownSchedule.js";
 import { KeyRouting } from "../../src/routing/keyRouting.js";
 import { LoadReporter } from "../../src/routing/loadReporter.js";
 import { PoolRouting } from "../../src/routing/poolRouting.js";
--- a/packages/gateway/tests/support/startCallerPort.ts
+++ b/packages/gateway/tests/support/startCallerPort.ts
@@ -1,4 +1,4 @@
-import { type Clock, Logger, Metrics, type ServiceId } from "@arbutusdoor/common";
+import { type Clock, Logger, Metrics, type ServiceId, ShutdownSchedule } from "@arbutusdoor/common";
 import { once } from "node:events";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -8,7 +8,6 @@
 import { TargetRotation } from "../../src/configuration/targetRotation.js";
 import type { CallerHeaderCodec } from "../../src/requests/callerHeaderCodec.js";
 import { CallerPort } from "../../src/requests/callerPort.js";
-import { ShutdownSchedule } from "../../src/requests/shutdownSchedule.js";
 import { createRoute } from "./createRoute.js";
 import { createRouter } from "./createRouter.js";
 
