The check of OPERATIONS.md's reasons reads the gateway's request reader, too

The list has the new file as well, and is as strict as before.

Failed before, passes with this change (3 of 3 in operationsLines).

--- a/packages/daemon/tests/operationsLines.test.ts
+++ b/packages/daemon/tests/operationsLines.test.ts
@@ -3,7 +3,7 @@
 import { expect, test } from "vitest";
 
 const PAGE = readFileSync(new URL("../../../docs/OPERATIONS.md", import.meta.url), "utf8");
-const SOURCES = ["requestRouter.ts", "serverSelector.ts", "callerPort.ts"].map(name =>
+const SOURCES = ["requestRouter.ts", "serverSelector.ts", "callerPort.ts", "requestReader.ts"].map(name =>
     readFileSync(new URL(`../../gateway/src/requests/${name}`, import.meta.url), "utf8")
 ).join("\n");
 const COORDINATOR = [
