The daemon's callers' port answers every request that it has read before it closes

Callers could see, at a planned stop of an entry host: - several requests sent together: the first answer closed the connection, and those behind it, read and passed on, got none.

Cause: the port left it to the HTTP library which connections are idle, and each answer announced the close regardless of what was read behind it. It now closes by PortDrain and keeps the order of a connection's requests in CallerConnection, as the gateway's port does; that also replaces OpenExchanges. Requests that the end of the process cuts off can be named in the log.

Not seen in the users' record; found by reading.

--- a/packages/daemon/src/entry/callerPort.ts
+++ b/packages/daemon/src/entry/callerPort.ts
@@ -1,22 +1,26 @@
 import {
-    acceptPendingConnections,
     ArbutusdoorError,
+    CallerConnection,
     type Clock,
     createRefusal,
+    type LogFields,
+    type Logger,
     type Metrics,
+    type Milliseconds,
+    OpenRequests,
+    PortDrain,
     type Refusal,
+    type ShutdownSchedule,
 } from "@arbutusdoor/common";
 import type { Declaration } from "@arbutusdoor/configuration";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
-import type { Duplex } from "node:stream";
+import type { AddressInfo, Socket } from "node:net";
 import polka from "polka";
 import type { RequestRouter } from "../routing/requestRouter.js";
 import type { Answer } from "../serving/answer.js";
 import type { CallerRequest } from "./callerRequest.js";
 import { getForwardedHeaders } from "./getForwardedHeaders.js";
 import { matchRequest } from "./matchRequest.js";
-import { OpenExchanges } from "./openExchanges.js";
 import { readCallerOptions } from "./readCallerOptions.js";
 import { readRequestBody } from "./readRequestBody.js";
 import { refuseMalformed } from "./refuseMalformed.js";
@@ -27,6 +31,8 @@
 /** A shared error, since creating one with its stack costs more than routing a request. */
 const CALLER_GONE = new ArbutusdoorError("the caller left");
 const MICROSECONDS_PER_MS = 1_000;
+/** Bound of the log lines at the end of a stop. */
+const MAX_CUT_OFF_LINES = 100;
 
 /** Limits of the callers' port. */
 type CallerLimits = {
@@ -40,9 +46,11 @@
 /** Dependencies and limits of the callers' port. */
 type CallerPortOptions = {
     readonly clock: Clock;
+    readonly logger: Logger;
     readonly metrics: Metrics;
     readonly ids: RequestIds;
     readonly router: RequestRouter;
+    readonly shutdown: ShutdownSchedule;
     readonly limits: CallerLimits;
     readonly getDeclaration: () => Declaration | undefined;
 };
@@ -56,20 +64,21 @@
 export class CallerPort {
     private readonly options: CallerPortOptions;
     private readonly server: Server;
-    private readonly exchanges = new OpenExchanges();
-    private inFlight = 0;
-    private isClosing = false;
-    private notifyIdle: (() => void) | undefined;
+    private readonly connections = new WeakMap<Socket, CallerConnection>();
+    private readonly open: OpenRequests;
+    private readonly drain: PortDrain;
 
     constructor(options: CallerPortOptions) {
         this.options = options;
+        this.open = new OpenRequests(options.clock);
         this.server = createServer({
             maxHeaderSize: options.limits.headerLimitBytes,
             keepAliveTimeout: options.limits.callerIdleMs,
             requestTimeout: 0,
         });
-        this.server.on("clientError", (error, socket) => this.endMalformed(error, socket));
-        options.metrics.gauge("arbutusdoor_requests_in_flight", () => this.inFlight);
+        this.drain = new PortDrain(this.server, options.clock);
+        this.server.on("clientError", (error, socket) => this.endMalformed(error, socket as Socket));
+        options.metrics.gauge("arbutusdoor_requests_in_flight", () => this.open.size);
     }
 
     /** Starts to listen; resolves to the port. Rejects when the address cannot be bound. */
@@ -85,56 +94,92 @@
         });
     }
 
-    /** Closes each connection after its next answer from now on, so that few are left when the port closes. */
-    announceClose(): void {
-        this.isClosing = true;
+    /**
+     * Closes each connection with its last answer from now on, so that few are left when the port closes. The port is to be closed after
+     * `listenMs`, the process ends `finishMs` later.
+     */
+    announceClose(listenMs: Milliseconds, finishMs: Milliseconds): void {
+        this.options.shutdown.begin(listenMs, finishMs);
     }
 
-    /** Stops accepting connections and resolves once every request has its complete answer. */
+    /** Stops accepting connections; resolves once every request that was read has its complete answer and all connections are closed. */
     async close(): Promise<void> {
-        this.isClosing = true;
-        await acceptPendingConnections(this.server);
-        this.server.close();
-        this.server.closeIdleConnections();
-        while (this.inFlight > 0) {
-            await new Promise<void>(resolve => {
-                this.notifyIdle = resolve;
-            });
+        const { logger, shutdown } = this.options;
+        if (!shutdown.isStopping) {
+            this.announceClose(0, Infinity);
         }
-        this.server.closeIdleConnections();
+        logger.log("callerPortClosing", this.describe());
+        await this.drain.close();
+    }
+
+    /** Number of open connections, and of requests at each stage, for the log. */
+    describe(): LogFields {
+        return { connections: this.drain.size, ...this.open.countStages() };
+    }
+
+    /** Logs the requests that the end of the process cuts off. */
+    logCutOff(): void {
+        this.open.describe(MAX_CUT_OFF_LINES).forEach(fields =>
+            this.options.logger.log("requestCutOff", fields)
+        );
     }
 
     private async handleRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
-        const { clock, metrics } = this.options;
-        const id = this.options.ids.next();
+        const { clock, ids, metrics, router, shutdown } = this.options;
+        const id = ids.next();
         const beganAt = clock.now();
         const disconnected = new AbortController();
-        this.inFlight++;
-        this.exchanges.add(message, response);
-        response.once("close", () => {
+        const connection = this.getConnection(message.socket);
+        const open = this.open.add(id);
+        const end = () => {
             if (!response.writableFinished) {
                 disconnected.abort(CALLER_GONE);
             }
-            this.endRequest();
+            this.open.remove(open);
+        };
+        const request = connection.add(message, end);
+        if (!await request.turn) {
+            this.open.remove(open);
+            return;
+        }
+        open.stage = "arriving";
+        response.once("close", () => {
+            end();
+            connection.remove(request);
         });
         const reading = await this.read(message, id, beganAt, disconnected.signal);
-        const answer = reading.kind === "request"
-            ? await this.options.router.route(reading.request)
-            : reading;
+        open.stage = "routed";
+        const answer = reading.kind === "request" ? await router.route(reading.request) : reading;
+        open.stage = "answering";
         const labels = getLabels(reading, answer);
         metrics.record("arbutusdoor_request_us", labels, (clock.now() - beganAt) * MICROSECONDS_PER_MS);
+        if (shutdown.isStopping) {
+            // The answer may announce the close only once it is next to be sent: requests that come until then are read as well.
+            await connection.waitForTurn(request);
+        }
+        const isCloseDue = shutdown.isStopping && connection.isLast(request) || !message.complete;
+        if (isCloseDue && !response.destroyed) {
+            response.setHeader("connection", "close");
+            connection.end();
+        }
         this.answer(message, response, id, answer);
     }
 
+    private getConnection(socket: Socket): CallerConnection {
+        let connection = this.connections.get(socket);
+        if (!connection) {
+            connection = new CallerConnection(socket);
+            this.connections.set(socket, connection);
+        }
+        return connection;
+    }
+
     private answer(
         message: IncomingMessage,
         response: ServerResponse,
         id: CallerRequest["id"],
         answer: Answer,
     ): void {
-        if (this.isClosing || !message.complete) {
-            response.setHeader("connection", "close");
-        }
         if (answer.kind === "answered") {
             sendAnswer(response, id, answer);
         }
@@ -150,7 +195,7 @@
         beganAt: number,
         signal: AbortSignal,
     ): Promise<Reading> {
-        if (this.inFlight > this.options.limits.inFlightLimit) {
+        if (this.open.size > this.options.limits.inFlightLimit) {
             return refuse("queueFull", "the entry host has as many requests in flight as it takes");
         }
         const declaration = this.options.getDeclaration();
@@ -198,23 +243,16 @@
     }
 
     /** A request that arrived whole still gets its answer; one whose body is broken gets none, as its outcome is unclear. */
-    private endMalformed(error: Error, socket: Duplex): void {
+    private endMalformed(error: Error, socket: Socket): void {
         this.options.metrics.count("arbutusdoor_malformed_requests_total");
-        const state = this.exchanges.getState(socket);
-        if (state === "idle") {
+        const { isWhole, size } = this.getConnection(socket);
+        if (size === 0) {
             refuseMalformed(socket, error);
         }
-        else if (state === "broken") {
+        else if (!isWhole) {
             socket.destroy();
         }
     }
-
-    private endRequest(): void {
-        this.inFlight--;
-        if (this.inFlight === 0) {
-            this.notifyIdle?.();
-        }
-    }
 }
 
 function refuse(reason: Refusal["reason"], detail: string): Reading {
--- a/packages/daemon/src/entry/entryPlugin.ts
+++ b/packages/daemon/src/entry/entryPlugin.ts
@@ -14,14 +14,16 @@
     private port!: CallerPort;
 
     override install(kernel: Kernel): void {
-        const { clock, metrics, settings } = kernel;
+        const { clock, logger, metrics, settings, shutdown } = kernel;
         const configuration = kernel.get(CONFIGURATION);
         this.kernel = kernel;
         this.port = new CallerPort({
             clock,
+            logger,
             metrics,
             ids: new RequestIds(kernel.get(PEERS).self.incarnation),
             router: kernel.get(CALLER_ROUTER),
+            shutdown,
             limits: settings,
             getDeclaration: () => configuration.current()?.declaration,
         });
@@ -34,8 +36,10 @@
 
     /** Keeps serving until the load balancer has had time to see that this host is not ready, then drains the port. */
     override async drain(): Promise<void> {
-        this.port.announceClose();
-        await this.kernel.clock.sleep(this.kernel.settings.readyDelayMs);
+        const { readyDelayMs, stopLimitMs } = this.kernel.settings;
+        const listenMs = Math.min(readyDelayMs, stopLimitMs);
+        this.port.announceClose(listenMs, stopLimitMs - listenMs);
+        await this.kernel.clock.sleep(listenMs);
         await this.port.close();
     }
 }
--- a/packages/daemon/src/entry/sendAnswer.ts
+++ b/packages/daemon/src/entry/sendAnswer.ts
@@ -10,12 +10,16 @@
     requestId: RequestId,
     answer: Extract<Answer, { kind: "answered"; }>,
 ): void {
+    const { body } = answer;
+    if (response.destroyed) {
+        body.destroy();
+        return;
+    }
     response.writeHead(answer.status, {
         ...getAnswerHeaders(answer.headers),
         [OUTCOME_HEADERS.OUTCOME]: "answered",
         [OUTCOME_HEADERS.REQUEST_ID]: requestId,
     });
-    const { body } = answer;
     body.on("error", () => response.destroy());
     response.on("close", () => body.destroy());
     body.pipe(response);
--- a/packages/daemon/src/kernel/kernel.ts
+++ b/packages/daemon/src/kernel/kernel.ts
@@ -4,6 +4,7 @@
     type Logger,
     type Metrics,
     type RandomSource,
+    ShutdownSchedule,
 } from "@arbutusdoor/common";
 import type { Settings } from "../settings/settings.js";
 import type { Plugin } from "./plugin.js";
@@ -25,6 +26,8 @@
     readonly random: RandomSource;
     readonly logger: Logger;
     readonly metrics: Metrics;
+    /** Begins with a graceful stop. */
+    readonly shutdown: ShutdownSchedule;
     private readonly services = new Map<string, unknown>();
     private readonly plugins: readonly Plugin[];
     private hasBegunStop = false;
@@ -35,6 +38,7 @@
         this.random = options.random;
         this.logger = options.logger;
         this.metrics = options.metrics;
+        this.shutdown = new ShutdownSchedule(options.clock);
         this.plugins = plugins;
     }
 
--- a/packages/daemon/tests/callerPort.test.ts
+++ b/packages/daemon/tests/callerPort.test.ts
@@ -1,4 +1,4 @@
-import { type HostIncarnation, ManualClock, Metrics } from "@arbutusdoor/common";
+import { type HostIncarnation, Logger, ManualClock, Metrics, ShutdownSchedule } from "@arbutusdoor/common";
 import { Readable } from "node:stream";
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, expect, test } from "vitest";
@@ -10,6 +10,8 @@
 import { ScriptedRouter } from "./helpers/scriptedRouter.js";
 import { sendRaw } from "./helpers/sendRaw.js";
 
+const STOP_MS = 60_000;
+
 const ports: CallerPort[] = [];
 
 afterEach(async () => {
@@ -21,9 +23,11 @@
     const clock = new ManualClock();
     const callerPort = new CallerPort({
         clock,
+        logger: new Logger(clock, "test", "silent"),
         metrics: new Metrics(),
         ids: new RequestIds("entry-1-a" as HostIncarnation),
         router,
+        shutdown: new ShutdownSchedule(clock),
         limits: { headerLimitBytes: 2_048, bufferedBodyBytes: 100, inFlightLimit, callerIdleMs: 75_000 },
         getDeclaration: createDeclaration,
     });
@@ -184,7 +188,7 @@
 test("once the close is announced, connections are closed after their next answer and new ones are still served", async () => {
     const { port, callerPort } = await open(answerWithBody);
     const before = await fetch(`http://127.0.0.1:${port}/permits/x`);
-    callerPort.announceClose();
+    callerPort.announceClose(STOP_MS, STOP_MS);
     const after = await fetch(`http://127.0.0.1:${port}/permits/x`);
     expect([before, after].map(response => response.headers.get("connection"))).toEqual([
         "keep-alive",
