The daemon refuses a request as not run that its stop would cut off

Callers could see: a request that came or left a queue late in a planned stop was passed on to a server, and cut off when the process ended at its limit (`stopLimitMs`, 120 s by default); for once-only work the intent stayed begun and its outcome unknown.

Cause: nothing that passes a request on asked how much time the process had left. Now the callers' port refuses such a request at once, before once-only work is recorded; so do the router of keyed services (first and later attempts, and the wait for an owner), the one of pooled services, and the dispatcher of servers, through which the requests of other hosts go too. The refusal is `stopping`: 503, not run, with Retry-After, and closes the connection.

Not seen in the users' record; found by reading.

--- a/packages/daemon/src/entry/callerPort.ts
+++ b/packages/daemon/src/entry/callerPort.ts
@@ -18,6 +18,7 @@
 import polka from "polka";
 import type { RequestRouter } from "../routing/requestRouter.js";
 import type { Answer } from "../serving/answer.js";
+import { refuseStopping } from "../serving/refuseStopping.js";
 import type { CallerRequest } from "./callerRequest.js";
 import { getForwardedHeaders } from "./getForwardedHeaders.js";
 import { matchRequest } from "./matchRequest.js";
@@ -214,7 +215,11 @@
             return reading;
         }
         const { deadline, idempotencyKey } = reading.wishes;
-        const { bufferedBodyBytes } = this.options.limits;
+        const deadlineAt = beganAt + deadline;
+        const { limits: { bufferedBodyBytes }, shutdown } = this.options;
+        if (!shutdown.canServe(deadlineAt)) {
+            return refuseStopping();
+        }
         const { bodyLimitBytes } = requestClass;
         const body = await readRequestBody(
             message,
@@ -225,6 +230,9 @@
         if (body.kind === "refusal") {
             return body;
         }
+        if (!shutdown.canServe(deadlineAt)) {
+            return refuseStopping();
+        }
         const request: CallerRequest = {
             id,
             tenant: declaration.tenant,
@@ -235,7 +243,7 @@
             path: url,
             headers: getForwardedHeaders(message.headers),
             body: body.body,
-            deadlineAt: beganAt + deadline,
+            deadlineAt,
             idempotencyKey,
             signal,
         };
--- a/packages/daemon/src/routing/keyedRouter.ts
+++ b/packages/daemon/src/routing/keyedRouter.ts
@@ -1,8 +1,9 @@
-import type { Clock, Refusal, ServerId, ServiceId } from "@arbutusdoor/common";
+import type { Clock, Refusal, ServerId, ServiceId, ShutdownSchedule } from "@arbutusdoor/common";
 import type { Route } from "@arbutusdoor/ownership";
 import type { CallerRequest } from "../entry/callerRequest.js";
 import type { Answer } from "../serving/answer.js";
 import { refuse } from "../serving/refuse.js";
+import { refuseStopping } from "../serving/refuseStopping.js";
 import type { ServingPort } from "../serving/servingPort.js";
 import { Attempts } from "./attempts.js";
 import { GrantorSelector } from "./grantorSelector.js";
@@ -23,6 +24,7 @@
     private readonly relay: RelayPort;
     private readonly ownerWait: OwnerWait;
     private readonly retryRules: RetryRules;
+    private readonly shutdown: ShutdownSchedule;
 
     constructor(
         clock: Clock,
@@ -30,6 +32,7 @@
         relay: RelayPort,
         ownerWait: OwnerWait,
         retryRules: RetryRules,
+        shutdown: ShutdownSchedule,
     ) {
         super();
         this.clock = clock;
@@ -37,6 +40,7 @@
         this.relay = relay;
         this.ownerWait = ownerWait;
         this.retryRules = retryRules;
+        this.shutdown = shutdown;
     }
 
     override async route(request: CallerRequest): Promise<Answer> {
@@ -51,6 +55,9 @@
             }
             const { refusal } = answer;
             attempts.recordRefusal(refusal);
+            if (!this.shutdown.canServe(request.deadlineAt)) {
+                return { kind: "refusal", refusal: attempts.getRefusal(refusal) };
+            }
             if (await this.mayContinue(request, refusal, selector, beganAt)) {
                 continue;
             }
@@ -85,6 +92,9 @@
         if (this.clock.now() >= request.deadlineAt) {
             return refuse("deadlineBeforeStart", "the deadline passed before the key had a reachable owner");
         }
+        if (!this.shutdown.canServe(request.deadlineAt)) {
+            return refuseStopping();
+        }
         const route = this.serving.getRoute(request.service.name, request.key);
         return route.kind === "refusal" ? route : this.send(request, route, selector);
     }
--- a/packages/daemon/src/routing/poolDispatcher.ts
+++ b/packages/daemon/src/routing/poolDispatcher.ts
@@ -1,9 +1,10 @@
-import type { Clock, ServerId } from "@arbutusdoor/common";
+import type { Clock, ServerId, ShutdownSchedule } from "@arbutusdoor/common";
 import type { Server } from "@arbutusdoor/configuration";
 import { getHostLimit, type PoolCandidate, type PoolPicker } from "@arbutusdoor/policy";
 import type { CallerRequest } from "../entry/callerRequest.js";
 import type { Answer } from "../serving/answer.js";
 import { refuse } from "../serving/refuse.js";
+import { refuseStopping } from "../serving/refuseStopping.js";
 import type { ServerSender } from "../serving/serverSender.js";
 import { Attempts } from "./attempts.js";
 import { listPoolServers } from "./listPoolServers.js";
@@ -20,6 +21,7 @@
     readonly picker: PoolPicker;
     readonly sender: ServerSender;
     readonly retryRules: RetryRules;
+    readonly shutdown: ShutdownSchedule;
     readonly view: PoolView;
 };
 
@@ -57,8 +59,9 @@
         request: CallerRequest,
         tried: ReadonlySet<ServerId>,
     ): Promise<Server | undefined> {
-        const { clock, view } = this.dependencies;
-        while (!request.signal.aborted && clock.now() < request.deadlineAt) {
+        const { clock, shutdown, view } = this.dependencies;
+        const { deadlineAt, signal } = request;
+        while (!signal.aborted && clock.now() < deadlineAt && shutdown.canServe(deadlineAt)) {
             const servers = listPoolServers(view, request.service.name, request.requestClass);
             const picked = this.pick(request, servers, tried);
             if (picked || servers.every(server => tried.has(server.name as ServerId))) {
@@ -143,9 +146,13 @@
     }
 
     private createRefusal(request: CallerRequest, tried: ReadonlySet<ServerId>): Answer {
-        if (this.dependencies.clock.now() >= request.deadlineAt) {
+        const { clock, shutdown } = this.dependencies;
+        if (clock.now() >= request.deadlineAt) {
             return refuse("deadlineBeforeStart", "the deadline passed before a backend server had room");
         }
+        if (!shutdown.canServe(request.deadlineAt)) {
+            return refuseStopping();
+        }
         return refuse(
             "noServer",
             tried.size > 0
--- a/packages/daemon/src/routing/pooledRouter.ts
+++ b/packages/daemon/src/routing/pooledRouter.ts
@@ -1,4 +1,4 @@
-import type { ClassId, Clock, Metrics, RandomSource } from "@arbutusdoor/common";
+import type { ClassId, Clock, Metrics, RandomSource, ShutdownSchedule } from "@arbutusdoor/common";
 import {
     createPoolPicker,
     getHostLimit,
@@ -28,6 +28,7 @@
     readonly pickerSettings: PoolPickerSettings;
     readonly queueSettings: ServerQueueSettings;
     readonly stalls: StallMeter;
+    readonly shutdown: ShutdownSchedule;
 };
 
 /** This host's queue of one pooled service, and the dispatcher that sends what leaves the queue. */
@@ -111,13 +112,23 @@
     }
 
     private createPool({ service, tenant }: CallerRequest): Pool {
-        const { clock, metrics, pickerSettings, queueSettings, random, retryRules, sender, stalls, view } =
-            this.dependencies;
+        const {
+            clock,
+            metrics,
+            pickerSettings,
+            queueSettings,
+            random,
+            retryRules,
+            sender,
+            shutdown,
+            stalls,
+            view,
+        } = this.dependencies;
         const picker = createPoolPicker(pickerSettings, random);
         const labels = { tenant, service: service.name };
         return {
             queue: new ServerQueue({ clock, metrics, slots: 1, settings: queueSettings, stalls, labels }),
-            dispatcher: new PoolDispatcher({ clock, picker, sender, retryRules, view }),
+            dispatcher: new PoolDispatcher({ clock, picker, sender, retryRules, shutdown, view }),
         };
     }
 }
--- a/packages/daemon/src/serving/serverDispatcher.ts
+++ b/packages/daemon/src/serving/serverDispatcher.ts
@@ -1,8 +1,9 @@
-import type { ClassId, Clock, Metrics, ServerId } from "@arbutusdoor/common";
+import type { ClassId, Clock, Metrics, ServerId, ShutdownSchedule } from "@arbutusdoor/common";
 import { ServerQueue, type ServerQueueSettings, type StallMeter } from "@arbutusdoor/policy";
 import type { LoadTracker } from "../balance/loadTracker.js";
 import type { Answer } from "./answer.js";
 import { Deferred } from "./deferred.js";
+import { refuseStopping } from "./refuseStopping.js";
 import type { ServerSender } from "./serverSender.js";
 import type { ServingPort } from "./servingPort.js";
 import type { ServingRequest } from "./servingRequest.js";
@@ -22,6 +23,7 @@
     readonly queueSettings: ServerQueueSettings;
     readonly stalls: StallMeter;
     readonly loadTracker: LoadTracker;
+    readonly shutdown: ShutdownSchedule;
     /** Requests beyond a server's slots that may be in transit to it. */
     readonly requestsOverSlots: number;
 };
@@ -102,6 +104,9 @@
     }
 
     private getRefusal(request: ServingRequest): Answer | undefined {
+        if (!this.dependencies.shutdown.canServe(request.deadlineAt)) {
+            return refuseStopping();
+        }
         const refusal = request.slice && this.dependencies.serving.mayServe(request.server, request.slice);
         return refusal && { kind: "refusal", refusal };
     }
--- a/packages/daemon/src/serving/servingPlugin.ts
+++ b/packages/daemon/src/serving/servingPlugin.ts
@@ -30,7 +30,7 @@
     private pooled!: PooledRouter;
 
     override install(kernel: Kernel): void {
-        const { clock, metrics, random, settings } = kernel;
+        const { clock, metrics, random, settings, shutdown } = kernel;
         const { groups } = settings;
         const peers = kernel.get(PEERS);
         const ownership = kernel.get(OWNERSHIP);
@@ -56,9 +56,10 @@
             stalls,
             loadTracker: kernel.get(LOAD_TRACKER),
             requestsOverSlots: settings.requestsOverSlots,
+            shutdown,
         });
         this.relay = new LocalRelay(clock, peers, this.dispatcher, getDeclaration);
-        const keyed = new KeyedRouter(clock, ownership, this.relay, ownerWait, retryRules);
+        const keyed = new KeyedRouter(clock, ownership, this.relay, ownerWait, retryRules, shutdown);
         this.pooled = new PooledRouter({
             clock,
             metrics,
@@ -74,6 +75,7 @@
             pickerSettings: groups.pool,
             queueSettings: groups.queue,
             stalls,
+            shutdown,
         });
         kernel.provide(ROUTER, new ServiceRouter(keyed, this.pooled));
     }
--- a/packages/daemon/tests/keyedRouter.test.ts
+++ b/packages/daemon/tests/keyedRouter.test.ts
@@ -6,6 +6,7 @@
     type RefusalReason,
     type ServerId,
     type ServerIncarnation,
+    ShutdownSchedule,
     type SliceId,
 } from "@arbutusdoor/common";
 import type { HostIdentity, Route } from "@arbutusdoor/ownership";
@@ -20,6 +21,8 @@
 import { ServingPort } from "../src/serving/servingPort.js";
 import { createCallerRequest } from "./helpers/createCallerRequest.js";
 
+/** Less than the deadline of the requests. */
+const STOP_MS = 300;
 const ROUTE: Route = {
     kind: "route",
     slice: "range-0" as SliceId,
@@ -50,6 +53,7 @@
 
 class ScriptedRelay extends RelayPort {
     readonly hosts: HostId[] = [];
+    onForward: () => void = () => undefined;
     private readonly refusals: (RefusalReason | undefined)[];
 
     constructor(refusals: (RefusalReason | undefined)[]) {
@@ -59,6 +63,7 @@
 
     override async forward(host: HostId): Promise<Answer> {
         this.hosts.push(host);
+        this.onForward();
         const reason = this.refusals[this.hosts.length - 1];
         return reason === undefined
             ? { kind: "answered", status: 200, headers: {}, body: Readable.from([]) }
@@ -67,16 +72,32 @@
 }
 
 async function route(...refusals: (RefusalReason | undefined)[]) {
+    return routeAround(undefined, refusals);
+}
+
+/** Routes a request. `stopsAt` says when the process begins a stop that ends before the request's deadline. */
+async function routeAround(
+    stopsAt: "before" | "firstAttempt" | undefined,
+    refusals: (RefusalReason | undefined)[],
+) {
     const clock = new ManualClock();
     const serving = new StaticPort(clock);
     const relay = new ScriptedRelay(refusals);
     const rules = new RetryRules(clock, RetryBudgetSettings.parse({}));
+    const shutdown = new ShutdownSchedule(clock);
+    if (stopsAt === "before") {
+        shutdown.begin(0, STOP_MS);
+    }
+    else if (stopsAt === "firstAttempt") {
+        relay.onForward = () => shutdown.begin(0, STOP_MS);
+    }
     const router = new KeyedRouter(
         clock,
         serving,
         relay,
         new OwnerWait(clock, new Metrics(), serving, 10, 400),
         rules,
+        shutdown,
     );
     const answer = await router.route(createCallerRequest("board", "read"));
     const outcome = answer.kind === "answered"
@@ -104,3 +125,24 @@
     expect((await route("relayLost", ...Array<RefusalReason>(1_000).fill("ownerUnreachable"))).outcome)
         .toBe("unknown earlierAttemptUnknown");
 });
+
+// Guards against requests that were passed on when the process could not wait for their answers (LOST around SIGTERM).
+test.each<[string, "before" | "firstAttempt", string, number]>([
+    ["is not sent at all if the process ends before its deadline", "before", "notRun stopping", 0],
+    [
+        "is not sent again if the process ends before its deadline",
+        "firstAttempt",
+        "notRun ownerUnreachable",
+        1,
+    ],
+    [
+        "does not wait for an owner if the process ends before its deadline",
+        "firstAttempt",
+        "notRun noOwner",
+        1,
+    ],
+])("a request %s", async (_, stopsAt, expected, attempts) => {
+    const reason = expected.split(" ")[1] as RefusalReason;
+    const { outcome, hosts, time } = await routeAround(stopsAt, [reason, undefined]);
+    expect({ outcome, time, attempts: hosts.length }).toEqual({ outcome: expected, time: 0, attempts });
+});
--- a/packages/daemon/tests/plannedStop.test.ts
+++ b/packages/daemon/tests/plannedStop.test.ts
@@ -133,6 +133,25 @@
     expect([caller.statuses, caller.closings]).toEqual([["200"], 1]);
 });
 
+// Guards against requests that were passed on just before the process ended, and cut off (LOST around SIGTERM).
+test.each([
+    ["a request", ""],
+    ["once-only work", "Idempotency-Key: work-1\r\n"],
+])("%s whose head ends too late to be served is refused as not run", async (_, headers) => {
+    const head = getHead("/permits/late", headers);
+    const late = await call();
+    late.send(head.slice(0, 40));
+    await clock.sleep(SETTLE_MS);
+    callerPort.announceClose(SETTLE_MS, DEADLINE_MS);
+    await clock.sleep(2 * SETTLE_MS);
+    late.send(head.slice(40));
+    await clock.sleep(SETTLE_MS);
+    expect(router.requests).toEqual([]);
+    expect([late.statuses, late.closings]).toEqual([["503"], 1]);
+    expect(late.received).toMatch(/arbutusdoor-outcome: not-run\r\narbutusdoor-reason: stopping/i);
+    expect(late.received).toMatch(/retry-after: 1\r\n/i);
+});
+
 test("requests that the end of the process cuts off are named in the log", async () => {
     const caller = await call();
     caller.send(getHead("/permits/work"));
--- a/packages/daemon/tests/pooledRouter.test.ts
+++ b/packages/daemon/tests/pooledRouter.test.ts
@@ -1,5 +1,5 @@
 import { type BackendAnswer } from "@arbutusdoor/clients";
-import { ManualClock, Metrics, RandomSource } from "@arbutusdoor/common";
+import { ManualClock, Metrics, RandomSource, ShutdownSchedule } from "@arbutusdoor/common";
 import {
     PoolPickerSettings,
     RetryBudgetSettings,
@@ -18,6 +18,8 @@
 import { createDeclaration } from "./helpers/createDeclaration.js";
 import { ScriptedTraffic } from "./helpers/scriptedTraffic.js";
 
+/** Less than the deadline of the requests. */
+const STOP_MS = 300;
 const SHED: BackendAnswer = { kind: "notRun", cause: "shed", detail: "busy" };
 const LOST: BackendAnswer = { kind: "unknown", cause: "connectionLost", detail: "reset" };
 
@@ -36,6 +38,7 @@
     const clock = new ManualClock();
     const metrics = new Metrics();
     const traffic = new ScriptedTraffic(script);
+    const shutdown = new ShutdownSchedule(clock);
     const router = new PooledRouter({
         clock,
         metrics,
@@ -46,8 +49,9 @@
         pickerSettings: PoolPickerSettings.parse({}),
         queueSettings: ServerQueueSettings.parse({}),
         stalls: new StallMeter(clock),
+        shutdown,
     });
-    return { clock, metrics, router, traffic };
+    return { clock, metrics, router, shutdown, traffic };
 }
 
 function createRouter(...answers: BackendAnswer[]) {
@@ -125,3 +129,19 @@
     expect(await getOutcome(router, "once", RequestBody.arriving(stream))).toBe("notRun serverRefused");
     expect(traffic.sent.length).toBe(1);
 });
+
+// Guards against requests that were passed on when the process could not wait for their answers (LOST around SIGTERM).
+test.each([
+    ["is not sent at all", 0, "notRun stopping"],
+    ["is not sent again", 1, "notRun stopping"],
+])("a request %s if the process ends before its deadline", async (_, attempts, expected) => {
+    const { router, shutdown, traffic } = createScriptedRouter(() => {
+        shutdown.begin(0, STOP_MS);
+        return SHED;
+    });
+    if (attempts === 0) {
+        shutdown.begin(0, STOP_MS);
+    }
+    expect(await getOutcome(router, "once", RequestBody.whole(Buffer.from("x")))).toBe(expected);
+    expect(traffic.sent.length).toBe(attempts);
+});
