The operators' port answers every call that it has read before it closes

Operators could see, at a planned stop of an entry host: - a connection that was opened ahead and never used: the port never closed, and the process went on until SIGKILL; - an answer that was still being read broken off: 3,919,661 of 24,000,096 bytes came; - two submissions sent together: both took effect, the second had no answer.

Cause: as in the callers' port, the HTTP library's close and closeIdleConnections, and an answer that announces the close regardless of what was read behind it. The port uses PortDrain and CallerConnection now; CallerConnections keeps the latter by socket for both ports.

Three tests of operatorServer.test.ts; all failed before.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./hashing/keyHash.js";
 export * from "./http/acceptPendingConnections.js";
 export * from "./http/callerConnection.js";
+export * from "./http/callerConnections.js";
 export * from "./http/headerFields.js";
 export * from "./http/hopByHopHeaders.js";
 export * from "./http/openRequests.js";
--- a/packages/daemon/src/entry/callerPort.ts
+++ b/packages/daemon/src/entry/callerPort.ts
@@ -1,6 +1,6 @@
 import {
     ArbutusdoorError,
-    CallerConnection,
+    CallerConnections,
     type Clock,
     createRefusal,
     type LogFields,
@@ -65,7 +65,7 @@
 export class CallerPort {
     private readonly options: CallerPortOptions;
     private readonly server: Server;
-    private readonly connections = new WeakMap<Socket, CallerConnection>();
+    private readonly connections = new CallerConnections();
     private readonly open: OpenRequests;
     private readonly drain: PortDrain;
 
@@ -130,7 +130,7 @@
         const id = ids.next();
         const beganAt = clock.now();
         const disconnected = new AbortController();
-        const connection = this.getConnection(message.socket);
+        const connection = this.connections.get(message.socket);
         const open = this.open.add(id);
         const end = () => {
             if (!response.writableFinished) {
@@ -166,15 +166,6 @@
         this.answer(message, response, id, answer);
     }
 
-    private getConnection(socket: Socket): CallerConnection {
-        let connection = this.connections.get(socket);
-        if (!connection) {
-            connection = new CallerConnection(socket);
-            this.connections.set(socket, connection);
-        }
-        return connection;
-    }
-
     private answer(
         message: IncomingMessage,
         response: ServerResponse,
@@ -253,7 +244,7 @@
     /** A request that arrived whole still gets its answer; one whose body is broken gets none, as its outcome is unclear. */
     private endMalformed(error: Error, socket: Socket): void {
         this.options.metrics.count("arbutusdoor_malformed_requests_total");
-        const { isWhole, size } = this.getConnection(socket);
+        const { isWhole, size } = this.connections.get(socket);
         if (size === 0) {
             refuseMalformed(socket, error);
         }
--- a/packages/daemon/src/operator/operatorServer.ts
+++ b/packages/daemon/src/operator/operatorServer.ts
@@ -1,4 +1,11 @@
-import { type Clock, InputError, type Logger, type Metrics } from "@arbutusdoor/common";
+import {
+    CallerConnections,
+    type Clock,
+    InputError,
+    type Logger,
+    type Metrics,
+    PortDrain,
+} from "@arbutusdoor/common";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import polka from "polka";
@@ -29,6 +36,8 @@
     private readonly tokenCheck: TokenCheck;
     private readonly watchers = new Map<WatchStream, () => void>();
     private readonly server: Server;
+    private readonly connections = new CallerConnections();
+    private readonly drain: PortDrain;
     private isClosing = false;
 
     /** Throws InputError when the token is shorter than 16 characters. */
@@ -43,6 +52,7 @@
         this.metrics = options.metrics;
         this.tokenCheck = new TokenCheck(options.token);
         this.server = createServer({ requestTimeout: options.settings.bodyTimeoutMs });
+        this.drain = new PortDrain(this.server, options.clock);
         this.metrics.gauge("arbutusdoor_operator_watchers", () => this.watchers.size);
     }
 
@@ -67,16 +77,13 @@
         });
     }
 
-    /** Ends watch streams with a last event, stops accepting calls and resolves when those in flight are answered. */
-    close(): Promise<void> {
+    /** Ends watch streams with a last event, stops accepting calls and resolves when those in flight are answered and all connections closed. */
+    async close(): Promise<void> {
         this.isClosing = true;
         for (const watcher of [...this.watchers.keys()]) {
             watcher.end("hostStopping");
         }
-        return new Promise(resolve => {
-            this.server.close(() => resolve());
-            this.server.closeIdleConnections();
-        });
+        await this.drain.close();
     }
 
     private authorize(request: IncomingMessage, response: ServerResponse, next: Next): void {
@@ -97,11 +104,22 @@
         request: IncomingMessage,
         response: ServerResponse,
     ): Promise<void> {
+        const connection = this.connections.get(request.socket);
+        const call = connection.add(request, () => undefined);
+        if (!await call.turn) {
+            return;
+        }
+        response.once("close", () => connection.remove(call));
         const reply = await this.getReply(action, request);
         const result = reply.kind === "answer" ? "ok" : String(reply.status);
         this.metrics.count("arbutusdoor_operator_calls_total", { action: action.name, result });
-        if (!request.complete || this.isClosing) {
+        if (this.isClosing) {
+            // The reply may announce the close only once it is next to be sent: calls that come until then are answered as well.
+            await connection.waitForTurn(call);
+        }
+        if (!request.complete || this.isClosing && connection.isLast(call)) {
             response.setHeader("connection", "close");
+            connection.end();
         }
         sendReply(response, reply);
     }
--- a/packages/daemon/tests/operator/operatorServer.test.ts
+++ b/packages/daemon/tests/operator/operatorServer.test.ts
@@ -1,10 +1,13 @@
 import { Logger, ManualClock, Metrics } from "@arbutusdoor/common";
 import { createConfigurationVersion, printDeclaration } from "@arbutusdoor/configuration";
+import { once } from "node:events";
 import { get, type IncomingMessage } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
 import { afterEach, expect, test, vi } from "vitest";
 import { createTestDeclaration } from "../../../configuration/tests/createTestDeclaration.js";
 import { LogRecorder } from "../../../configuration/tests/logRecorder.js";
+import { ConnectedCaller } from "../../../gateway/tests/support/connectedCaller.js";
 import { OperatorServer } from "../../src/operator/operatorServer.js";
 import { OperatorSettings } from "../../src/operator/operatorSettings.js";
 import { FakeOperatorContext } from "./fakeOperatorContext.js";
@@ -12,6 +15,11 @@
 const TOKEN = "a-token-of-the-operators";
 const EVENT_BYTES = 65_536;
 const MAX_EVENTS = 2_000;
+const SETTLE_MS = 60;
+/** Longer than a new connection is given for its first call. */
+const OLD_MS = 600;
+/** More than the sockets of one connection buffer. */
+const LONG_BYTES = 12_000_000;
 
 const closers: (() => Promise<void>)[] = [];
 
@@ -190,6 +198,62 @@
     await closing;
 });
 
+// Guards against a stop that never ends, since the HTTP server waits for a connection that was never used.
+test("a connection that was opened ahead and never used does not hold up the close", async () => {
+    const { clock, url } = await start();
+    const unused = await connectTo(url);
+    clock.advance(OLD_MS);
+    await closers.pop()!();
+    await sleep(SETTLE_MS);
+    expect(unused.hasEnded).toBe(true);
+});
+
+// Guards against an answer that the HTTP server broke off when the port closed, since it was written but not yet sent.
+test("an answer that a slow operator is still reading when the port closes arrives whole", async () => {
+    const { context, url } = await start();
+    context.onSubmit = async () => ({ kind: "notRun", reason: "x".repeat(LONG_BYTES) });
+    const slow = await connectTo(url);
+    slow.socket.pause();
+    slow.send(getSubmitCall());
+    await sleep(10 * SETTLE_MS);
+    const closing = closers.pop()!();
+    await sleep(SETTLE_MS);
+    slow.socket.resume();
+    await Promise.all([closing, once(slow.socket, "close")]);
+    const [head, body] = slow.received.split("\r\n\r\n");
+    expect(body!.length).toBe(Number(/content-length: (\d+)/.exec(head!)![1]));
+});
+
+// Guards against a submission that took effect and whose operator was told nothing, since an earlier answer closed the connection.
+test("calls that were sent together are all answered when the port closes, and the last answer closes the connection", async () => {
+    const { context, url } = await start();
+    const answers: (() => void)[] = [];
+    context.onSubmit = () =>
+        new Promise(resolve => {
+            answers.push(() => resolve({ kind: "notRun", reason: "stopping" }));
+        });
+    const operator = await connectTo(url);
+    operator.send(getSubmitCall() + getSubmitCall());
+    await vi.waitUntil(() => answers.length === 2);
+    const closing = closers.pop()!();
+    answers.forEach(answer => answer());
+    await closing;
+    await sleep(SETTLE_MS);
+    expect([operator.statuses.length, operator.closings, operator.hasEnded]).toEqual([2, 1, true]);
+});
+
+async function connectTo(url: string): Promise<ConnectedCaller> {
+    const operator = new ConnectedCaller(Number(new URL(url).port));
+    await sleep(SETTLE_MS);
+    return operator;
+}
+
+function getSubmitCall(): string {
+    const body = JSON.stringify({ base: 0, operationId: "o", declaration: {} });
+    return `POST /v1/configuration HTTP/1.1\r\nHost: operator\r\nAuthorization: Bearer ${TOKEN}\r\n`
+        + `Content-Length: ${body.length}\r\n\r\n${body}`;
+}
+
 function watch(url: string): Promise<IncomingMessage> {
     return new Promise((resolve, reject) => {
         const headers = { authorization: `Bearer ${TOKEN}` };
