A step of the daemon's stop that fails or never ends does not end the process under its requests

Callers could see: all requests of a stopping entry host cut off at once, when one plug-in's step of the stop rejected: nobody handled that, which ends the process. Or the process outlived `stopLimitMs`, its longest stop, until SIGKILL: the limit held for the first half of the stop only, and the second half waited for operators, the table, peers and servers without a limit.

Each step's failure is logged (`stopStepFailed`), and the other steps go on. `stopLimitMs` holds for the whole stop; its last twelfth, 2 s at most, is kept for closing ports and links, and the requests that it would cut off are refused. `processStopped` says what ended the stop and what was open, and each request that was cut off is named (`requestCutOff`).

--- a/packages/common/src/logging/logEvent.ts
+++ b/packages/common/src/logging/logEvent.ts
@@ -21,6 +21,11 @@
         level: "error",
         text: "a host that stops could not give up the coordinator lease, which expires by itself",
     },
+    stopStepFailed: {
+        number: 110,
+        level: "error",
+        text: "a step of the shutdown failed; the other steps go on",
+    },
     loopLagged: { number: 107, level: "warn", text: "timers ran late: the process had no processor time" },
     processStarting: {
         number: 106,
--- a/packages/daemon/src/entry/entryPlugin.ts
+++ b/packages/daemon/src/entry/entryPlugin.ts
@@ -1,5 +1,7 @@
+import type { LogFields } from "@arbutusdoor/common";
 import { CONFIGURATION } from "../configuration/configurationService.js";
 import { CALLER_ROUTER } from "../intents/callerRouterService.js";
+import { getStopTimes } from "../kernel/getStopTimes.js";
 import type { Kernel } from "../kernel/kernel.js";
 import { Plugin } from "../kernel/plugin.js";
 import { plugins } from "../kernel/plugins.js";
@@ -37,11 +39,14 @@
     /** Keeps serving until the load balancer has had time to see that this host is not ready, then drains the port. */
     override async drain(): Promise<void> {
         const { readyDelayMs, stopLimitMs } = this.kernel.settings;
-        const listenMs = Math.min(readyDelayMs, stopLimitMs);
-        this.port.announceClose(listenMs, stopLimitMs - listenMs);
-        await this.kernel.clock.sleep(listenMs);
+        await this.kernel.clock.sleep(getStopTimes(readyDelayMs, stopLimitMs).listenMs);
         await this.port.close();
     }
+
+    override describeEnd(): LogFields {
+        this.port.logCutOff();
+        return this.port.describe();
+    }
 }
 
 plugins.register({ name: "entry", createPlugin: () => new EntryPlugin() });
--- a/packages/daemon/src/kernel/plugin.ts
+++ b/packages/daemon/src/kernel/plugin.ts
@@ -1,3 +1,4 @@
+import type { LogFields } from "@arbutusdoor/common";
 import type { Kernel } from "./kernel.js";
 
 /** A part of the daemon. Plug-ins register themselves in `plugins` and get each other's services from the kernel. */
@@ -16,4 +17,9 @@
 
     /** Second half of a graceful stop, in reverse order of registration, when the drain has ended or timed out. */
     async stop(): Promise<void> {}
+
+    /** Called before the process ends: logs what its end cuts off, and returns fields for the log. */
+    describeEnd(): LogFields {
+        return {};
+    }
 }
