A further signal does not end the daemon under its requests

Callers saw, in a test: SIGTERM and, 0.3 s later, SIGTERM and SIGINT to an entry host with four uploads under way; all four were cut off.

Cause: the handlers were removed after the first signal, so that a second one of the same kind ended the process by default; one of the other kind found the stop begun, had nothing to wait for and exited.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -47,19 +47,27 @@
     }
     const clock = new SystemClock();
     const daemon = createDaemon(readSettings(flags, process.env), clock);
-    const stop = async () => {
+    const stop = () => {
+        if (daemon.isStopping) {
+            return;
+        }
         daemon.logger.log("processStopping");
-        await daemon.stop();
-        daemon.logger.log("processStopped");
-        process.exit(0);
+        void daemon.stop().then(outcome => {
+            daemon.logger.log("processStopped", outcome);
+            process.exit(0);
+        });
     };
-    process.once("SIGTERM", () => void stop());
-    process.once("SIGINT", () => void stop());
+    // Without a handler a further signal would end the process under its requests.
+    process.on("SIGTERM", stop);
+    process.on("SIGINT", stop);
     process.on("uncaughtException", error => {
         daemon.logger.log("invariantBroken", { error: error.message, stack: error.stack });
         process.exit(EXIT_FAILURE);
     });
     await daemon.start();
+    if (daemon.isStopping) {
+        return;
+    }
     const { host, dataCentre, callerPort, operatorPort, peerPort, monitorPort } = daemon.settings;
     daemon.logger.log("processStarted", {
         host,
--- a/packages/daemon/tests/process/plannedStops.test.ts
+++ b/packages/daemon/tests/process/plannedStops.test.ts
@@ -30,6 +30,23 @@
     expect((await run.judge()).findings).toEqual([]);
 });
 
+// Guards against a process that a second signal ends under its requests.
+test("further signals during a planned stop interrupt no request", async () => {
+    const { callers, name } = run.listLiveHosts()[0]!;
+    const { program } = run.system.daemons.get(name)!;
+    const uploads = startUploads(callers, "signals");
+    await run.clock.sleep(500);
+    program.signal("SIGTERM");
+    await run.clock.sleep(300);
+    program.signal("SIGTERM");
+    program.signal("SIGINT");
+    expect(await uploads).toEqual(Array(SLOW_UPLOADS).fill("answered"));
+    await program.waitForEnd();
+    expect(program.exitCode).toBe(0);
+    await run.restartHost(name);
+    await run.waitUntilServed();
+});
+
 test("a keyed backend server that stops gets no new work after 2 s, and its keys always have an owner", async () => {
     const load = run.startLoad();
     const { server = "" } = (await run.explain("gustboard", "key-0"))!;
