A host that stops finishes the requests that its peers relayed to it

Callers of other entry hosts could see: a request that was relayed to a stopping host and was still at a server when the links closed ended as `relayLost`, outcome unknown, although the stop had time left: the links waited 30 s (`meshCloseTimeoutMs`) for what was in progress, a stop may take 120 s. The requests that came until then were accepted all the same.

Cause: nothing asked for relayed work before the links were closed. Once the host has given up its grants, as far as others can take them over, it refuses relayed requests as not run, which lets the peer try another grantor, and waits for those in progress as for its own, up to the limit of the stop.

relayedRequests.test.ts (two hosts over sockets): before, the early request ended as relayLost and one that came during the stop as relayUnreachable; now answered and `stopping`.

--- a/packages/daemon/src/ownership/ownershipPlugin.ts
+++ b/packages/daemon/src/ownership/ownershipPlugin.ts
@@ -46,7 +46,10 @@
         }
     }
 
-    /** Leaves the grantor lists, as far as other hosts can take over within the longest wait of a request for an owner. */
+    /**
+     * Leaves the grantor lists, as far as other hosts can take over within the longest wait of a request for an owner. Only then are the
+     * requests of other hosts refused; those under way are finished.
+     */
     override async drain(): Promise<void> {
         const { clock, settings } = this.kernel;
         this.driver.dispatch({ kind: "resign" });
@@ -54,6 +57,7 @@
         while (clock.now() < until && !isResigned(this.driver.state)) {
             await clock.sleep(RESIGN_CHECK_MS);
         }
+        await this.kernel.get(PEERS).drain();
     }
 
     override async stop(): Promise<void> {
--- a/packages/daemon/src/peers/peers.ts
+++ b/packages/daemon/src/peers/peers.ts
@@ -79,9 +79,9 @@
         return this.mesh.relay(host, request, body, signal);
     }
 
-    /** Refuses new relayed requests; those under way continue. */
-    stopAccepting(): void {
-        this.mesh.stopAccepting();
+    /** Refuses new relayed requests, and resolves once those under way have ended. */
+    async drain(): Promise<void> {
+        await this.mesh.drain();
     }
 
     /** Waits for the relayed requests under way, then closes all links. */
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -118,6 +118,14 @@
         this.server.stopAccepting();
     }
 
+    /** Refuses new relayed requests as not run, and resolves once those in progress in both directions have ended. */
+    async drain(): Promise<void> {
+        this.stopAccepting();
+        while (this.client.size + this.server.size > 0) {
+            await this.options.clock.sleep(CLOSE_POLL_MS);
+        }
+    }
+
     /** Waits up to `closeTimeoutMs` for requests in progress in both directions, then closes all links. */
     async close(): Promise<void> {
         this.stopAccepting();
