A host sends out what it has queued for its peers before it closes the links

Callers of other entry hosts could see: a request that a stopping host had refused as not run ended as `relayLost`, outcome unknown, when the refusal waited in the link's queue behind other messages: a refused request counts as ended once it is queued, and the queue is dropped with the link. For once-only work that is the difference between repeating and asking.

Cause: Mesh.close asked which requests were in progress, not what was still to be sent. It waits for both now, within the same time (`closeTimeoutMs`). Narrow: the link has to be backed up by more than its socket's buffer (128 KB) without counting as lost (400 ms).

--- a/packages/mesh/src/link/link.ts
+++ b/packages/mesh/src/link/link.ts
@@ -66,6 +66,11 @@
         return this.hello.identity;
     }
 
+    /** Whether everything that was queued has been sent out. */
+    get isFlushed(): boolean {
+        return this.queue.isEmpty && this.options.connection.bufferedBytes === 0;
+    }
+
     /** Starts to receive from the connection and to send heartbeats. */
     open(): void {
         this.options.connection.listen({
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -126,11 +126,11 @@
         }
     }
 
-    /** Waits up to `closeTimeoutMs` for requests in progress in both directions, then closes all links. */
+    /** Waits up to `closeTimeoutMs` for requests in progress in both directions and for what is queued, then closes all links. */
     async close(): Promise<void> {
         this.stopAccepting();
         this.dialler.close();
-        await this.awaitStreams();
+        await this.awaitOpenWork();
         this.isClosed = true;
         this.links.stop();
         this.handshakes.forEach(handshake => handshake.stop());
@@ -280,14 +280,18 @@
         });
     }
 
-    private async awaitStreams(): Promise<void> {
+    private async awaitOpenWork(): Promise<void> {
         const { clock, settings } = this.options;
         const end = clock.now() + settings.closeTimeoutMs;
-        while (this.client.size + this.server.size > 0 && clock.now() < end) {
+        while (this.hasOpenWork() && clock.now() < end) {
             await clock.sleep(CLOSE_POLL_MS);
         }
     }
 
+    private hasOpenWork(): boolean {
+        return this.client.size + this.server.size > 0 || this.links.list().some(link => !link.isFlushed);
+    }
+
     private async closeLinks(): Promise<void> {
         const { clock, settings } = this.options;
         const open = this.links.list();
--- a/packages/mesh/tests/relay.test.ts
+++ b/packages/mesh/tests/relay.test.ts
@@ -232,6 +232,21 @@
     await expect(simulation.trace).toMatchFileSnapshot("golden/gracefulClose.txt");
 });
 
+// Guards against refusals that were queued behind other messages and dropped with the link, so that their requests counted as possibly run.
+test("a graceful shutdown sends what it has answered before it closes the links", async () => {
+    const { simulation, a, b } = await startPair({ socketBufferBytes: 1_024 });
+    simulation.network.hold("b", "a");
+    b.mesh.send("a" as HostId, "x".repeat(2_048));
+    await simulation.advance(5);
+    void simulation.relay(a, "b", "a1-1", { path: "/refuse" });
+    await simulation.advance(5);
+    void b.mesh.close();
+    await simulation.advance(50);
+    simulation.network.release("b", "a");
+    await simulation.advance(50);
+    expect(simulation.trace).toContain("caller of a1-1: notRun queueFull");
+});
+
 test("the host that decides on a link loses it before the other end sees it open: still certainly not received", async () => {
     const simulation = new MeshSimulation();
     const a = await simulation.start("a", { seeds: ["b:1"] });
