--- a/packages/daemon/tests/process/plannedStops.test.ts
+++ b/packages/daemon/tests/process/plannedStops.test.ts
@@ -1,6 +1,7 @@
 import type { ServerJournal } from "@arbutusdoor/standins";
 import { afterAll, beforeAll, expect, test } from "vitest";
 import { FailureRun } from "../../../../scripts/failureRun.js";
+import { ConnectedCaller } from "../../../gateway/tests/support/connectedCaller.js";
 import { listInterrupted } from "./support/listInterrupted.js";
 import { uploadSlowly } from "./support/uploadSlowly.js";
 
@@ -47,6 +48,31 @@
     await run.waitUntilServed();
 });
 
+// Guards against once-only requests that were read and got no answer, and connections that stay usable until the process ends (LOST around SIGTERM).
+test("a host that stops answers requests that were sent together, and closes connections that were never used", async () => {
+    const { callers, name } = run.listLiveHosts()[0]!;
+    const { program } = run.system.daemons.get(name)!;
+    const port = Number(callers.split(":")[1]);
+    const uploads = startUploads(callers, "connections");
+    const [together, unused] = [new ConnectedCaller(port), new ConnectedCaller(port)];
+    await run.clock.sleep(700);
+    program.signal("SIGTERM");
+    await run.clock.sleep(100);
+    together.send("GET /gustboard/key-0/read HTTP/1.1\r\nHost: gustboard.example\r\n\r\n".repeat(3));
+    await run.clock.sleep(1_000);
+    expect([together.statuses, together.closings, together.hasEnded]).toEqual([
+        ["200", "200", "200"],
+        1,
+        true,
+    ]);
+    expect([unused.hasEnded, program.hasEnded]).toEqual([true, false]);
+    expect(await uploads).toEqual(Array(SLOW_UPLOADS).fill("answered"));
+    await program.waitForEnd();
+    expect(program.exitCode).toBe(0);
+    await run.restartHost(name);
+    await run.waitUntilServed();
+});
+
 test("a keyed backend server that stops gets no new work after 2 s, and its keys always have an owner", async () => {
     const load = run.startLoad();
     const { server = "" } = (await run.explain("gustboard", "key-0"))!;
