--- a/packages/common/src/logging/logEvent.ts
+++ b/packages/common/src/logging/logEvent.ts
@@ -185,7 +185,8 @@
     requestCutOff: {
         number: 510,
         level: "error",
-        text: "a request had no complete reply when the process ended; it may have run",
+        text:
+            "a request had no complete reply when the process ended; from the stage routed on it may have run",
     },
     linesLeftOut: { number: 504, level: "warn", text: "log lines were dropped" },
     tableHistoryLost: {
