The last answer of a connection is not lost in a reset

Callers could see: an answer that closes its connection breaks off, when they send something more before they have read it all.

Cause: with the last answer the library closes both sides of the connection. The kernel answers what still comes with a reset and drops what it has not sent. More answers close their connections in a shutdown than at any other time.

The port now ends its own side and reads on until the caller ends the other, for half a second at most. A request that is dropped behind the last answer is read to its end, too.

--- a/packages/common/src/http/portDrain.ts
+++ b/packages/common/src/http/portDrain.ts
@@ -4,6 +4,7 @@
 import type { Milliseconds } from "../time/milliseconds.js";
 import { waitForSocketReads } from "../time/waitForSocketReads.js";
 import { acceptPendingConnections } from "./acceptPendingConnections.js";
+import { closeAfterCaller } from "./closeAfterCaller.js";
 
 /** A caller normally sends its first request within a round trip of its connection being accepted. */
 const FIRST_REQUEST_MS = 500;
@@ -70,6 +71,7 @@
     }
 
     private addConnection(socket: Socket): void {
+        closeAfterCaller(socket, this.clock);
         this.connections.set(socket, { acceptedAt: this.clock.now(), requests: 0, bytesAtRest: 0 });
         socket.once("close", () => {
             this.connections.delete(socket);
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./hashing/digest.js";
 export * from "./hashing/keyHash.js";
 export * from "./http/acceptPendingConnections.js";
+export * from "./http/closeAfterCaller.js";
 export * from "./http/headerFields.js";
 export * from "./http/hopByHopHeaders.js";
 export * from "./http/portDrain.js";
--- a/packages/common/tests/portDrain.test.ts
+++ b/packages/common/tests/portDrain.test.ts
@@ -11,7 +11,10 @@
 const OLD_MS = 600;
 /** More than the sockets of one connection buffer. */
 const LONG_BYTES = 12_000_000;
+/** What the kernel takes at once, but a caller who does not read does not. */
+const LAST_BYTES = 1_500_000;
 const HEAD = "GET /work HTTP/1.1\r\nHost: board.example\r\n\r\n";
+const LAST_HEAD = HEAD.replace("/work", "/last");
 const LONG_HEAD = HEAD.replace("/work", "/long");
 const POST_HEAD = "POST /work HTTP/1.1\r\nHost: board.example\r\nContent-Length: 6\r\n\r\n";
 
@@ -43,8 +46,12 @@
     await clock.sleep(SETTLE_MS);
 });
 
-afterEach(() => {
-    caller.destroy();
+afterEach(async () => {
+    if (!caller.closed) {
+        const closed = once(caller, "close");
+        caller.destroy();
+        await closed;
+    }
     server.close();
 });
 
@@ -111,6 +118,35 @@
     expect(hasEnded).toBe(true);
 });
 
+// Guards against answers that the kernel dropped with a reset, since the caller sent more while its connection was being closed.
+test("the last answer of a connection arrives whole, though more comes from a caller who has not read it yet", async () => {
+    caller.pause();
+    caller.write(LAST_HEAD);
+    await clock.sleep(SETTLE_MS);
+    caller.write(HEAD);
+    await clock.sleep(SETTLE_MS);
+    caller.resume();
+    await once(caller, "close");
+    expect(received).toBeGreaterThan(LAST_BYTES);
+    await clock.sleep(SETTLE_MS);
+    expect(drain.size).toBe(0);
+});
+
+test("a caller who does not close its side after the last answer is disconnected soon", async () => {
+    const idle = connect({
+        port: (server.address() as AddressInfo).port,
+        host: LOOPBACK,
+        allowHalfOpen: true,
+    });
+    idle.on("error", () => undefined);
+    idle.resume();
+    idle.write(LAST_HEAD);
+    await once(idle, "end");
+    await clock.sleep(OLD_MS);
+    expect(drain.size).toBe(1);
+    idle.destroy();
+});
+
 test("a connection that was accepted just now and sends nothing is closed soon", async () => {
     const closed = drain.close();
     await clock.sleep(SETTLE_MS);
@@ -125,5 +161,11 @@
         response.end(Buffer.alloc(LONG_BYTES, "x"));
         return;
     }
+    if (message.url === "/last") {
+        response.setHeader("connection", "close");
+        response.setHeader("content-length", LAST_BYTES);
+        response.end(Buffer.alloc(LAST_BYTES, "x"));
+        return;
+    }
     answers.push(() => response.end("answered"));
 }
--- a/packages/gateway/src/requests/callerPort.ts
+++ b/packages/gateway/src/requests/callerPort.ts
@@ -145,6 +145,7 @@
         message.on("error", () => callerGone.abort(CALLER_GONE));
         const request = connection.add(message, end);
         if (!await request.turn) {
+            message.resume();
             this.open.remove(open);
             return;
         }
