The daemon's ports read a request that they drop behind a last answer to its end

As in the gateway: what is left unread on a connection that its last answer closes keeps the caller's end of the connection from being seen, and a reset can drop that answer. Both ports close their connections by PortDrain, which has the fix itself. Unit tests of packages/daemon, common, mesh and tool pass (160) with it; none shows this line alone.

--- a/packages/daemon/src/entry/callerPort.ts
+++ b/packages/daemon/src/entry/callerPort.ts
@@ -140,6 +140,7 @@
         };
         const request = connection.add(message, end);
         if (!await request.turn) {
+            message.resume();
             this.open.remove(open);
             return;
         }
--- a/packages/daemon/src/operator/operatorServer.ts
+++ b/packages/daemon/src/operator/operatorServer.ts
@@ -107,6 +107,7 @@
         const connection = this.connections.get(request.socket);
         const call = connection.add(request, () => undefined);
         if (!await call.turn) {
+            request.resume();
             return;
         }
         response.once("close", () => connection.remove(call));
