A resignation that the store did not take is not logged as given up

Seen by the reviewer, by reading: resignationFailed was followed by 'resigned'. The lease manager, which knows, logs either; a host without the lease logs neither. coordinatorLogs: two cases, which failed before. The catalogue of events is in the order of its numbers again.

--- a/packages/common/src/logging/logEvent.ts
+++ b/packages/common/src/logging/logEvent.ts
@@ -11,11 +11,8 @@
         level: "error",
         text: "an internal invariant is violated; the process stops",
     },
-    resigned: {
-        number: 108,
-        level: "info",
-        text: "a host that stops has given up its leases and links, if it had any",
-    },
+    loopLagged: { number: 107, level: "warn", text: "timers ran late: the process had no processor time" },
+    resigned: { number: 108, level: "info", text: "a host that stops has given up the coordinator lease" },
     resignationFailed: {
         number: 109,
         level: "error",
@@ -26,7 +23,6 @@
         level: "error",
         text: "a step of the shutdown failed; the other steps go on",
     },
-    loopLagged: { number: 107, level: "warn", text: "timers ran late: the process had no processor time" },
     processStarting: {
         number: 106,
         level: "info",
--- a/packages/gateway/src/coordination/leaseManager.ts
+++ b/packages/gateway/src/coordination/leaseManager.ts
@@ -127,10 +127,15 @@
         const { own } = this;
         if (own) {
             this.own = undefined;
-            const { logger, table } = this.parts;
-            const outcome = await table.write(LEASE_KEY, own.version, this.createLease(own.term, 0));
-            if (outcome.kind !== "committed") {
-                logger.log("resignationFailed", { term: own.term, error: outcome.kind });
+            const { clock, logger, table } = this.parts;
+            const startedAt = clock.now();
+            const { kind } = await table.write(LEASE_KEY, own.version, this.createLease(own.term, 0));
+            const durationMs = Math.round(clock.now() - startedAt);
+            if (kind === "committed") {
+                logger.log("resigned", { term: own.term, durationMs });
+            }
+            else {
+                logger.log("resignationFailed", { term: own.term, durationMs, error: kind });
             }
         }
     }
--- a/packages/gateway/tests/coordinatorLogs.test.ts
+++ b/packages/gateway/tests/coordinatorLogs.test.ts
@@ -176,6 +176,7 @@
             predecessors: "none",
             cause: "noLease",
         },
+        { event: "resigned", term: 1, durationMs: 20 },
         {
             event: "coordinatorElected",
             term: 2,
@@ -185,6 +186,15 @@
     ]);
 });
 
+test("a host whose resignation the store does not take logs it", async () => {
+    const { clock, lines, start, table } = createLeaseSession();
+    const first = start("a", 1);
+    await run(clock, 1_000, () => undefined);
+    table.write = () => Promise.resolve({ kind: "notRun", reason: "busy" });
+    await Promise.all([first.resign(), run(clock, 200, () => undefined)]);
+    expect(lines.slice(1)).toEqual([{ event: "resignationFailed", term: 1, durationMs: 0, error: "notRun" }]);
+});
+
 test("the host that takes an expired lease logs all coordinators that may still renew grants", async () => {
     const { clock, lines, start, table } = createLeaseSession();
     const [p, q] = ["p", "q"].map(host => ({
