While its port closes, a connection is neither reset nor does it hold the stop up

Replies to unreadable bytes close in two steps, too; a begun head has one second from the closing of the port on. - The timer for unused connections ran before the sockets were read: on a process that was held up a whole first request was reset.

A case for a connection whose answer does not announce its end passed before.

--- a/packages/common/src/http/callerConnection.ts
+++ b/packages/common/src/http/callerConnection.ts
@@ -5,9 +5,9 @@
 const MAX_ROUTED = 8;
 
 /** A request that was read from the connection and has no complete reply yet. */
-type OpenRequest = {
+type QueuedRequest = {
     readonly message: IncomingMessage;
-    /** Resolves to whether the request may be routed. One behind a reply that closes the connection never may: it counts as not read. */
+    /** Resolves to whether the request may be routed. One behind a reply that closes the connection never may. */
     readonly turn: Promise<boolean>;
     isRouted: boolean;
     readonly start: (mayRoute: boolean) => void;
@@ -24,7 +24,7 @@
  */
 export class CallerConnection {
     private readonly socket: Socket;
-    private readonly requests: OpenRequest[] = [];
+    private readonly requests: QueuedRequest[] = [];
     private isEnding = false;
     private isReadingEnded = false;
 
@@ -54,16 +54,16 @@
     }
 
     /** Adds a request that was read. It has to be removed once it has its reply, unless the connection closes before. */
-    add(message: IncomingMessage, notifyClosed: () => void): OpenRequest {
-        let start: OpenRequest["start"] = () => undefined;
+    add(message: IncomingMessage, notifyClosed: () => void): QueuedRequest {
+        let start: QueuedRequest["start"] = () => undefined;
         const turn = new Promise<boolean>(resolve => {
             start = resolve;
         });
-        let notifyRemoved: OpenRequest["notifyRemoved"] = () => undefined;
+        let notifyRemoved: QueuedRequest["notifyRemoved"] = () => undefined;
         const removed = new Promise<void>(resolve => {
             notifyRemoved = resolve;
         });
-        const request: OpenRequest = {
+        const request: QueuedRequest = {
             message,
             turn,
             start,
@@ -72,7 +72,8 @@
             isRouted: false,
             notifyClosed,
         };
-        if (this.isReadingEnded) {
+        // Once this side of the connection has ended, no reply can be sent.
+        if (this.isReadingEnded || this.socket.writableEnded) {
             start(false);
             return request;
         }
@@ -82,7 +83,7 @@
     }
 
     /** Removes a request that has its reply. */
-    remove(request: OpenRequest): void {
+    remove(request: QueuedRequest): void {
         const index = this.requests.indexOf(request);
         if (index >= 0) {
             this.requests.splice(index, 1);
@@ -95,12 +96,12 @@
     }
 
     /** Whether no request was read behind this one. */
-    isLast(request: OpenRequest): boolean {
+    isLast(request: QueuedRequest): boolean {
         return this.requests.at(-1) === request;
     }
 
     /** Resolves once the replies to all requests before this one are complete, or the connection has closed. */
-    async waitForTurn(request: OpenRequest): Promise<void> {
+    async waitForTurn(request: QueuedRequest): Promise<void> {
         while (this.requests.includes(request) && this.requests[0] !== request) {
             await this.requests[0]!.removed;
         }
--- a/packages/common/src/http/portDrain.ts
+++ b/packages/common/src/http/portDrain.ts
@@ -8,13 +8,15 @@
 
 /** A caller normally sends its first request within a round trip of its connection being accepted. */
 const FIRST_REQUEST_MS = 500;
+/** Time for the rest of a head that has begun; a lost packet is normally sent again within it. */
+const HEAD_MS = 1_000;
 
 /** What is known of an open connection. */
 type ConnectionState = {
     readonly acceptedAt: Milliseconds;
     /** Requests that were read and have no complete answer. */
     requests: number;
-    /** Bytes that had been read when the connection last carried no request; more mean that a further head has begun. */
+    /** Bytes that had been read when the connection last carried no request. More mean that a head has begun since. */
     bytesAtRest: number;
 };
 
@@ -27,7 +29,7 @@
     private readonly clock: Clock;
     private readonly connections = new Map<Socket, ConnectionState>();
     private isClosing = false;
-    private notifyEmpty: (() => void) | undefined;
+    private readonly waiters: (() => void)[] = [];
 
     /** @param server a server that does not listen yet */
     constructor(server: Server, clock: Clock) {
@@ -46,27 +48,19 @@
     }
 
     /**
-     * Stops accepting connections and closes those that carry no request; one that was accepted just now has a little time for its first.
-     * Resolves once all are closed. Answers have to announce the end of their connections meanwhile; a connection whose answer does not is
-     * closed after it.
+     * Stops accepting connections and closes those that carry no request; one that was accepted just now, or on which a head has begun, has
+     * a little time for it. Resolves once all are closed. Answers should announce the end of their connections meanwhile; a connection whose
+     * answer does not is closed after it.
      */
     async close(): Promise<void> {
         await acceptPendingConnections(this.server);
         this.isClosing = true;
         NetServer.prototype.close.call(this.server);
         for (const [socket, state] of this.connections) {
-            const left = state.acceptedAt + FIRST_REQUEST_MS - this.clock.now();
-            if (socket.bytesRead === 0 && left > 0) {
-                this.clock.schedule(left, () => this.closeUnused(socket, state));
-            }
-            else {
-                this.closeUnused(socket, state);
-            }
+            this.closeUnused(socket, state);
         }
         while (this.connections.size > 0) {
-            await new Promise<void>(resolve => {
-                this.notifyEmpty = resolve;
-            });
+            await new Promise<void>(resolve => this.waiters.push(resolve));
         }
     }
 
@@ -76,7 +70,7 @@
         socket.once("close", () => {
             this.connections.delete(socket);
             if (this.connections.size === 0) {
-                this.notifyEmpty?.();
+                this.waiters.splice(0).forEach(notify => notify());
             }
         });
     }
@@ -91,14 +85,43 @@
             state.requests--;
             state.bytesAtRest = socket.bytesRead;
             if (this.isClosing) {
+                // Its caller may have sent the next request already.
                 void waitForSocketReads().then(() => this.closeUnused(socket, state));
             }
         });
     }
 
-    private closeUnused(socket: Socket, { bytesAtRest, requests }: ConnectionState): void {
-        if (requests === 0 && socket.bytesRead === bytesAtRest) {
-            socket.destroy();
+    private closeUnused(socket: Socket, state: ConnectionState): void {
+        const { acceptedAt, bytesAtRest, requests } = state;
+        if (requests > 0) {
+            return;
+        }
+        const hasBegunHead = socket.bytesRead > bytesAtRest;
+        const isUnused = socket.bytesRead === 0;
+        const timeLeft = isUnused ? acceptedAt + FIRST_REQUEST_MS - this.clock.now() : HEAD_MS;
+        if (hasBegunHead || isUnused && timeLeft > 0) {
+            this.clock.schedule(timeLeft, () => void this.closeOverdue(socket, state));
+        }
+        else {
+            close(socket);
+        }
+    }
+
+    /** Closes a connection whose time for a request is over, unless it has come meanwhile. */
+    private async closeOverdue(socket: Socket, state: ConnectionState): Promise<void> {
+        // A process without processor time runs its timers before it reads what has arrived.
+        await waitForSocketReads();
+        if (state.requests === 0) {
+            close(socket);
         }
     }
 }
+
+function close(socket: Socket): void {
+    if (socket.bytesRead === 0) {
+        socket.destroy();
+    }
+    else if (!socket.writableEnded) {
+        socket.destroySoon();
+    }
+}
--- a/packages/common/tests/portDrain.test.ts
+++ b/packages/common/tests/portDrain.test.ts
@@ -13,7 +13,10 @@
 const LONG_BYTES = 12_000_000;
 /** What the kernel takes at once, but a caller who does not read does not. */
 const LAST_BYTES = 1_500_000;
+/** A second for the head, half a second for the caller to close its side, and some time for a busy machine. */
+const HEAD_LIMIT_MS = 2_500;
 const HEAD = "GET /work HTTP/1.1\r\nHost: board.example\r\n\r\n";
+const KEPT_HEAD = HEAD.replace("/work", "/kept");
 const LAST_HEAD = HEAD.replace("/work", "/last");
 const LONG_HEAD = HEAD.replace("/work", "/long");
 const POST_HEAD = "POST /work HTTP/1.1\r\nHost: board.example\r\nContent-Length: 6\r\n\r\n";
@@ -119,18 +122,28 @@
 });
 
 // Guards against answers that the kernel dropped with a reset, since the caller sent more while its connection was being closed.
-test("the last answer of a connection arrives whole, though more comes from a caller who has not read it yet", async () => {
-    caller.pause();
-    caller.write(LAST_HEAD);
-    await clock.sleep(SETTLE_MS);
-    caller.write(HEAD);
-    await clock.sleep(SETTLE_MS);
-    caller.resume();
-    await once(caller, "close");
-    expect(received).toBeGreaterThan(LAST_BYTES);
-    await clock.sleep(SETTLE_MS);
-    expect(drain.size).toBe(0);
-});
+test.each([
+    ["whose answer announces its end", LAST_HEAD, false],
+    ["whose answer announces its end, while the port closes", LAST_HEAD, true],
+    ["that the port closes when it is idle", KEPT_HEAD, true],
+])(
+    "the last answer of a connection %s arrives whole, though more comes from a caller who has not read it yet",
+    async (_, head, isClosing) => {
+        caller.pause();
+        caller.write(head);
+        await clock.sleep(SETTLE_MS);
+        const closed = isClosing ? drain.close() : undefined;
+        await clock.sleep(SETTLE_MS);
+        caller.write(HEAD);
+        await clock.sleep(SETTLE_MS);
+        caller.resume();
+        await once(caller, "close");
+        expect(received).toBeGreaterThan(LAST_BYTES);
+        await closed;
+        await clock.sleep(SETTLE_MS);
+        expect(drain.size).toBe(0);
+    },
+);
 
 test("a caller who does not close its side after the last answer is disconnected soon", async () => {
     const idle = connect({
@@ -147,6 +160,39 @@
     idle.destroy();
 });
 
+// Guards against a first request that had arrived and was reset, since the process had no time to read it before its timers ran.
+test("a request that arrives while the process is held up counts, though the time for it is over", async () => {
+    const closed = drain.close();
+    await clock.sleep(SETTLE_MS);
+    // The caller is in this process, too: its bytes are sent before the process is held up.
+    caller.write(HEAD);
+    holdUp(OLD_MS);
+    await clock.sleep(SETTLE_MS);
+    expect(answers).toHaveLength(1);
+    answers.pop()!();
+    await closed;
+    expect(received).toBeGreaterThan(0);
+});
+
+test("a head that has begun and is not finished holds the close up for a limited time only", async () => {
+    caller.write(HEAD.slice(0, 20));
+    await clock.sleep(SETTLE_MS);
+    const closed = drain.close().then(() => clock.now());
+    const startedAt = clock.now();
+    expect(await closed - startedAt).toBeLessThan(HEAD_LIMIT_MS);
+});
+
+test("an answer that does not announce the end of its connection is followed by it while the port closes", async () => {
+    caller.write(HEAD);
+    await clock.sleep(SETTLE_MS);
+    const closed = drain.close();
+    await clock.sleep(SETTLE_MS);
+    answers.pop()!();
+    await clock.sleep(SETTLE_MS);
+    expect(hasEnded).toBe(true);
+    await closed;
+});
+
 test("a connection that was accepted just now and sends nothing is closed soon", async () => {
     const closed = drain.close();
     await clock.sleep(SETTLE_MS);
@@ -161,11 +207,19 @@
         response.end(Buffer.alloc(LONG_BYTES, "x"));
         return;
     }
-    if (message.url === "/last") {
-        response.setHeader("connection", "close");
+    if (message.url === "/last" || message.url === "/kept") {
+        if (message.url === "/last") {
+            response.setHeader("connection", "close");
+        }
         response.setHeader("content-length", LAST_BYTES);
         response.end(Buffer.alloc(LAST_BYTES, "x"));
         return;
     }
     answers.push(() => response.end("answered"));
 }
+
+function holdUp(duration: number): void {
+    for (const until = clock.now() + duration; clock.now() < until;) {
+        // Nothing else runs meanwhile.
+    }
+}
--- a/packages/daemon/src/entry/refuseMalformed.ts
+++ b/packages/daemon/src/entry/refuseMalformed.ts
@@ -1,10 +1,10 @@
-import type { Duplex } from "node:stream";
+import type { Socket } from "node:net";
 import { OUTCOME_HEADERS } from "./outcomeHeaders.js";
 
 const HEADER_OVERFLOW = "HPE_HEADER_OVERFLOW";
 
 /** Answers bytes that are not an HTTP request, on a connection without open requests, and closes it. */
-export function refuseMalformed(socket: Duplex, error: NodeJS.ErrnoException): void {
+export function refuseMalformed(socket: Socket, error: NodeJS.ErrnoException): void {
     if (!socket.writable) {
         socket.destroy();
         return;
@@ -21,7 +21,7 @@
         detail,
         outcome: "not-run",
     });
-    socket.end([
+    socket.write([
         `HTTP/1.1 ${status}`,
         "connection: close",
         "content-type: application/problem+json",
@@ -31,4 +31,5 @@
         "",
         problem,
     ].join("\r\n"));
+    socket.destroySoon();
 }
--- a/packages/gateway/src/requests/endUnreadable.ts
+++ b/packages/gateway/src/requests/endUnreadable.ts
@@ -41,7 +41,7 @@
     logger.log("callerUnreadable", { reason, result, openRequests: size });
     if (result === "refused") {
         const body = JSON.stringify({ title: "unreadable", detail: reason, outcome: "not-run" });
-        socket.end([
+        socket.write([
             `HTTP/1.1 ${STATUS_LINES.get(reason) ?? BAD_REQUEST}`,
             "connection: close",
             "content-type: application/problem+json",
@@ -49,6 +49,7 @@
             "",
             body,
         ].join("\r\n"));
+        socket.destroySoon();
     }
     else if (result === "closed") {
         socket.destroy();
