A long answer does not announce the end of its connection

After SIGTERM an answer that is passed on as it arrives no longer announces it; the next answer does, or the port closes the connection once it is idle. The end of a shutdown waits until what has arrived was read.

--- a/packages/gateway/src/host/gracefulShutdown.ts
+++ b/packages/gateway/src/host/gracefulShutdown.ts
@@ -1,4 +1,10 @@
-import type { Clock, LogFields, Logger, Milliseconds } from "@arbutusdoor/common";
+import {
+    type Clock,
+    type LogFields,
+    type Logger,
+    type Milliseconds,
+    waitForSocketReads,
+} from "@arbutusdoor/common";
 import type { CallerPort } from "../requests/callerPort.js";
 import { getStopTimes } from "./getStopTimes.js";
 
@@ -32,20 +38,19 @@
             Promise.all([callerPort.close(), resignation]).then(() => "drained"),
             clock.sleep(endsAt - clock.now()).then(() => "timeLimit"),
         ]);
+        // Answers that have arrived are passed on before the process ends.
+        await waitForSocketReads();
         callerPort.logCutOff();
         return { cause, stopMs: Math.round(clock.now() - startedAt), ...callerPort.describe() };
     }
 
-    /** Resigns and logs how that ended. Never rejects: the shutdown goes on, and the lease expires by itself. */
+    /** Resigns. Never rejects: the shutdown goes on, and the lease expires by itself. */
     private async resign(): Promise<void> {
-        const { clock, logger } = this.parts;
-        const startedAt = clock.now();
         try {
             await this.parts.resign();
-            logger.log("resigned", { durationMs: Math.round(clock.now() - startedAt) });
         }
         catch (error) {
-            logger.log("resignationFailed", { error: (error as Error).message });
+            this.parts.logger.log("resignationFailed", { error: (error as Error).message });
         }
     }
 }
--- a/packages/gateway/src/requests/callerPort.ts
+++ b/packages/gateway/src/requests/callerPort.ts
@@ -14,6 +14,7 @@
 } from "@arbutusdoor/common";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { Readable } from "node:stream";
 import polka from "polka";
 import type { RouteTable } from "../configuration/routeTable.js";
 import type { TargetRotation } from "../configuration/targetRotation.js";
@@ -54,13 +55,13 @@
     private readonly server: Server;
     private readonly reader: RequestReader;
     private readonly connections = new WeakMap<Socket, CallerConnection>();
-    private readonly open: OpenRequests;
+    private readonly openRequests: OpenRequests;
     private readonly drain: PortDrain;
 
     constructor(parts: CallerPortParts) {
         this.parts = parts;
         this.reader = new RequestReader(parts);
-        this.open = new OpenRequests(parts.clock);
+        this.openRequests = new OpenRequests(parts.clock);
         this.server = createServer({
             maxHeaderSize: PARSER_HEADER_BYTES,
             requestTimeout: 0,
@@ -68,7 +69,7 @@
         });
         this.drain = new PortDrain(this.server, parts.clock);
         const { logger, metrics } = parts;
-        metrics.gauge("arbutusdoor_requests_in_flight", () => this.open.size);
+        metrics.gauge("arbutusdoor_requests_in_flight", () => this.openRequests.size);
         metrics.gauge("arbutusdoor_caller_connections", () => this.drain.size);
         this.server.on(
             "connection",
@@ -120,12 +121,12 @@
 
     /** Number of open connections, and of requests at each stage, for the log. */
     describe(): LogFields {
-        return { connections: this.drain.size, ...this.open.countStages() };
+        return { connections: this.drain.size, ...this.openRequests.countStages() };
     }
 
     /** Logs the requests that the end of the process cuts off. */
     logCutOff(): void {
-        this.open.describe(MAX_CUT_OFF_LINES).forEach(fields =>
+        this.openRequests.describe(MAX_CUT_OFF_LINES).forEach(fields =>
             this.parts.logger.log("requestCutOff", fields)
         );
     }
@@ -135,27 +136,29 @@
         const arrivedAt = clock.now();
         const callerGone = new AbortController();
         const connection = this.getConnection(message.socket);
-        const open = this.open.add(dialect.readRequestHeaders(message.headers as HeaderFields).id);
+        const openRequest = this.openRequests.add(
+            dialect.readRequestHeaders(message.headers as HeaderFields).id,
+        );
         const end = () => {
             if (!response.writableFinished) {
                 callerGone.abort(CALLER_GONE);
             }
-            this.open.remove(open);
+            this.openRequests.remove(openRequest);
         };
         message.on("error", () => callerGone.abort(CALLER_GONE));
         const request = connection.add(message, end);
         if (!await request.turn) {
             message.resume();
-            this.open.remove(open);
+            this.openRequests.remove(openRequest);
             return;
         }
-        open.stage = "arriving";
+        openRequest.stage = "arriving";
         response.once("close", () => {
             end();
             connection.remove(request);
         });
         const parsed = await this.reader.read(message, arrivedAt, callerGone.signal);
-        open.stage = "routed";
+        openRequest.stage = "routed";
         // When the process lags behind, a request and its caller's disconnection may both be waiting to be read.
         await waitForSocketReads();
         if (message.socket.readableEnded || message.socket.destroyed) {
@@ -166,7 +169,7 @@
         if (parsed.kind === "reply" && reply.kind === "refusal") {
             this.logRefusal(message, reply);
         }
-        open.stage = "answering";
+        openRequest.stage = "answering";
         const result = reply.kind === "gone" ? "gone" : String(reply.status);
         metrics.record(
             "arbutusdoor_request_us",
@@ -178,7 +181,9 @@
             // The reply may announce the close only once it is next to be sent: requests that come until then are read as well.
             await connection.waitForTurn(request);
         }
-        const isEnding = shutdown.isStopping || connection.hasEndedReading;
+        // A long answer does not announce the close: requests may come until it has ended.
+        const isLong = reply.kind === "answer" && reply.body instanceof Readable;
+        const isEnding = shutdown.isStopping && !isLong || connection.hasEndedReading;
         const isCloseDue = isEnding && connection.isLast(request) || !message.complete;
         if (isCloseDue && !response.destroyed) {
             response.setHeader("connection", "close");
--- a/packages/gateway/tests/plannedStop.test.ts
+++ b/packages/gateway/tests/plannedStop.test.ts
@@ -1,5 +1,7 @@
 import { type LogEvent, type LogFields, type Logger, SystemClock } from "@arbutusdoor/common";
 import { once } from "node:events";
+import { connect } from "node:net";
+import { Readable } from "node:stream";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { GracefulShutdown } from "../src/host/gracefulShutdown.js";
 import type { CallerPort } from "../src/requests/callerPort.js";
@@ -12,6 +14,8 @@
 const TIMEOUT_MS = 600;
 const LONG_TIMEOUT_MS = 5_000;
 const GRACE_MS = 2_400;
+/** Leaves 2 s from the closing of the port to the end. */
+const LONG_GRACE_MS = 4_800;
 /** Half of the grace time. */
 const LISTEN_MS = 1_200;
 /** Eleven twelfths of the grace time. */
@@ -69,6 +73,7 @@
     await clock.sleep(SETTLE_MS);
     expect(backends.sent).toEqual([]);
     expect([late.statuses, late.closings]).toEqual([["503"], 1]);
+    expect(late.received).toContain("\"title\":\"stopping\"");
     expect(await stopped).toMatchObject({ cause: "drained" });
 });
 
@@ -159,12 +164,53 @@
     backends.answer("/long", "x".repeat(LONG_BYTES), { "content-length": String(LONG_BYTES) });
     const stopped = stop();
     await clock.sleep(LISTEN_MS + SETTLE_MS);
+    const closed = once(slow.socket, "close");
     slow.socket.resume();
+    await closed;
     expect(await stopped).toMatchObject({ cause: "drained" });
-    await once(slow.socket, "close");
     expect(slow.received.split("\r\n\r\n")[1]).toHaveLength(LONG_BYTES);
 });
 
+// Guards against a request that was read behind a long answer whose head had already announced the end of the connection.
+test("a request that comes while a long answer is being sent is answered", async () => {
+    const caller = await call();
+    const body = new Readable({ read: () => undefined });
+    caller.send(getHead("/long", 0, LONG_TIMEOUT_MS));
+    await clock.sleep(SETTLE_MS);
+    const stopped = stop();
+    backends.answer("/long", body, { "content-length": String(LONG_BYTES) });
+    body.push("x".repeat(LONG_BYTES / 2));
+    await clock.sleep(SETTLE_MS);
+    caller.send(getHead("/next"));
+    await clock.sleep(SETTLE_MS);
+    body.push("x".repeat(LONG_BYTES / 2));
+    body.push(null);
+    backends.answer("/next");
+    await clock.sleep(2 * SETTLE_MS);
+    expect([caller.statuses, caller.closings, caller.hasEnded]).toEqual([["200", "200"], 1, true]);
+    expect(await stopped).toMatchObject({ cause: "drained" });
+});
+
+// Guards against a stop that waits until its limit for connections that carry no request.
+test.each([
+    ["that was refused and whose caller keeps its side open", "no request\r\n\r\n"],
+    ["whose caller sent an empty line behind its request", `${getHead("/work")}`],
+])("a connection %s does not hold the stop up", async (_, text) => {
+    const socket = connect({ port, host: "127.0.0.1", allowHalfOpen: true });
+    socket.on("error", () => undefined);
+    socket.resume();
+    socket.write(text);
+    await clock.sleep(SETTLE_MS);
+    if (backends.sent.length > 0) {
+        backends.answer("/work");
+        await clock.sleep(SETTLE_MS);
+        socket.write("\r\n");
+        await clock.sleep(SETTLE_MS);
+    }
+    expect(await stop(undefined, LONG_GRACE_MS)).toMatchObject({ cause: "drained" });
+    socket.destroy();
+});
+
 test("requests that were sent together before the stop and after it are all answered, and the last answer closes the connection", async () => {
     const caller = await call();
     caller.send(getHead("/1") + getHead("/2"));
@@ -201,8 +247,8 @@
     return caller;
 }
 
-function stop(resign: () => Promise<void> = async () => undefined): Promise<LogFields> {
-    return new GracefulShutdown({ clock, logger, callerPort, resign }).run(GRACE_MS);
+function stop(resign: () => Promise<void> = async () => undefined, graceMs = GRACE_MS): Promise<LogFields> {
+    return new GracefulShutdown({ clock, logger, callerPort, resign }).run(graceMs);
 }
 
 function getHead(path: string, bodyBytes = 0, timeoutMs = TIMEOUT_MS): string {
