SIGHUP stops the daemon gracefully

Callers saw, in a test: SIGHUP to an entry host during a planned stop cut off four of four uploads. Cause: the daemon had no handler for it, so that it ended the process by default, in a stop or not. It begins a stop now, as SIGTERM does, and is ignored in one.

'further signals during a planned stop interrupt no request' sends SIGHUP, too; it failed before and passes.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -57,9 +57,10 @@
             process.exit(0);
         });
     };
-    // Without a handler a further signal would end the process under its requests.
+    // A signal without a handler would end the process under its requests, also during a stop.
     process.on("SIGTERM", stop);
     process.on("SIGINT", stop);
+    process.on("SIGHUP", stop);
     process.on("uncaughtException", error => {
         daemon.logger.log("invariantBroken", { error: error.message, stack: error.stack });
         process.exit(EXIT_FAILURE);
--- a/packages/daemon/tests/process/plannedStops.test.ts
+++ b/packages/daemon/tests/process/plannedStops.test.ts
@@ -41,6 +41,7 @@
     await run.clock.sleep(300);
     program.signal("SIGTERM");
     program.signal("SIGINT");
+    program.signal("SIGHUP");
     expect(await uploads).toEqual(Array(SLOW_UPLOADS).fill("answered"));
     await program.waitForEnd();
     expect(program.exitCode).toBe(0);
