A stand-in server that stops closes connections on which nothing arrived

Their other ends were the soak's proxy, which had been silent when hosts opened them and so lost their end; no host had a connection to the proxy left.

Cause: the stand-in closed with the library's close and closeIdleConnections. These keep a connection on which nothing has arrived, and end the check that would close it. Not a fault of the hosts.

The listener closes with PortDrain now; the rest of a head or a body that does not arrive holds it for 2 s at most, and answers announce the end of their connections while it closes.

listener.test.ts: all six cases fail on the code before (an answer of 12 MB that was not sent out when the port closed was cut after 3.9 MB).

--- a/packages/standins/src/common/listener.ts
+++ b/packages/standins/src/common/listener.ts
@@ -1,14 +1,22 @@
-import { createServer, type RequestListener, type Server } from "node:http";
+import { PortDrain, SystemClock } from "@arbutusdoor/common";
+import { createServer, type RequestListener, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 
 const KEEP_ALIVE_MS = 30_000;
+/** Longest time in ms that a request may take to arrive once the port is closing; the rest of a longer one was lost on its way. */
+const CLOSING_READ_MS = 2_000;
+const READ_CHECK_MS = 500;
+
+/** An HTTP server that listens, and what closes it gracefully. */
+type OpenPort = { readonly server: Server; readonly drain: PortDrain; };
 
 /** A port that can be closed and opened again at the same number. */
 export class Listener {
     private readonly host: string;
     private readonly handler: RequestListener;
     private readonly sockets = new Set<Socket>();
-    private server: Server | undefined;
+    private readonly responses = new Set<ServerResponse>();
+    private current: OpenPort | undefined;
     private port: number;
 
     constructor(host: string, port: number, handler: RequestListener) {
@@ -24,14 +32,17 @@
 
     /** Listens; port 0 is replaced by a free one at the first opening. Rejects when the port is taken. */
     async open(): Promise<void> {
-        if (this.server) {
+        if (this.current) {
             return;
         }
-        const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, (request, response) => {
-            response.once("close", () => setImmediate(() => this.closeUnused(server)));
-            this.handler(request, response);
-        });
-        this.server = server;
+        const server = createServer(
+            { keepAliveTimeout: KEEP_ALIVE_MS, connectionsCheckingInterval: READ_CHECK_MS },
+            (request, response) => {
+                this.follow(server, response);
+                this.handler(request, response);
+            },
+        );
+        this.current = { server, drain: new PortDrain(server, new SystemClock()) };
         server.on("connection", socket => this.track(socket));
         await new Promise<void>((resolve, reject) => {
             server.once("error", reject);
@@ -42,31 +53,42 @@
 
     /** Refuses connections from now on and breaks those that are open. */
     async cut(): Promise<void> {
-        const closed = this.close();
+        const closed = this.take()?.server;
+        const ended = closed && new Promise(resolve => closed.close(resolve));
         for (const socket of this.sockets) {
             socket.destroy();
         }
-        await closed;
+        await ended;
     }
 
-    /** Refuses connections from now on; resolves once requests under way have been answered. */
+    /**
+     * Refuses connections from now on; resolves once requests under way have been answered. Connections without a request are closed,
+     * also those that were never used.
+     */
     async close(): Promise<void> {
-        const server = this.server;
-        this.server = undefined;
-        if (!server) {
+        const closing = this.take();
+        if (!closing) {
             return;
         }
-        await new Promise(resolve => {
-            server.close(resolve);
-            server.closeIdleConnections();
-        });
+        closing.server.headersTimeout = CLOSING_READ_MS;
+        closing.server.requestTimeout = CLOSING_READ_MS;
+        for (const response of this.responses) {
+            response.shouldKeepAlive = false;
+        }
+        await closing.drain.close();
     }
 
-    /** Once the port is closed, a connection closes with its last answer. */
-    private closeUnused(server: Server): void {
-        if (this.server !== server) {
-            server.closeIdleConnections();
-        }
+    private take(): OpenPort | undefined {
+        const taken = this.current;
+        this.current = undefined;
+        return taken;
+    }
+
+    /** Answers announce the end of their connections once the port is closing. */
+    private follow(server: Server, response: ServerResponse): void {
+        response.shouldKeepAlive &&= this.current?.server === server;
+        this.responses.add(response);
+        response.once("close", () => this.responses.delete(response));
     }
 
     private track(socket: Socket): void {
