A stand-in server does not wait for a body longer than its request's deadline

A server that leaves waits for its work. The stand-in of the daemon's servers cancelled such work at its deadline and went on waiting for the body.

Work ends at the deadline now while its body is still arriving.

--- a/packages/standins/src/backendServer/backendStandIn.ts
+++ b/packages/standins/src/backendServer/backendStandIn.ts
@@ -201,7 +201,7 @@
         const timer = overdue === undefined
             ? undefined
             : this.clock.schedule(overdue - this.clock.now(), cancel);
-        const body = await readBodyDigest(request);
+        const body = await readBodyDigest(request, work.cancellation.signal);
         if (body.isWhole) {
             await this.waitFor(this.getServiceTime() + service.delay, work.cancellation.signal);
         }
--- a/packages/standins/src/backendServer/readBodyDigest.ts
+++ b/packages/standins/src/backendServer/readBodyDigest.ts
@@ -8,10 +8,12 @@
     readonly sha256: string;
 };
 
-/** Reads a request's body without keeping it. Never rejects. */
-export async function readBodyDigest(request: IncomingMessage): Promise<BodyDigest> {
+/** Reads a request's body without keeping it, until the signal ends the wait and the connection. Never rejects. */
+export async function readBodyDigest(request: IncomingMessage, signal: AbortSignal): Promise<BodyDigest> {
     const hash = createHash("sha256");
     let bytes = 0;
+    const end = () => request.destroy();
+    signal.addEventListener("abort", end, { once: true });
     try {
         for await (const chunk of request as AsyncIterable<Buffer>) {
             hash.update(chunk);
@@ -21,5 +23,8 @@
     catch {
         return { isWhole: false, bytes, sha256: "" };
     }
+    finally {
+        signal.removeEventListener("abort", end);
+    }
     return { isWhole: request.complete, bytes, sha256: hash.digest("hex") };
 }
--- a/packages/standins/src/rangeServer/rangeServerStandIn.ts
+++ b/packages/standins/src/rangeServer/rangeServerStandIn.ts
@@ -177,7 +177,7 @@
         const service = {
             ...getServiceRequest(request),
             requestId: String(headers["x-request-id"] ?? ""),
-            deadline: Number(headers["x-deadline-ms"] ?? Number.NaN),
+            deadline: Number(headers["x-deadline-ms"]) || undefined,
         };
         const { requestId } = service;
         const pauseMs = Math.max(0, this.pausedUntil - this.clock.now());
@@ -244,7 +244,10 @@
         const work = this.work.begin({ requestId, idempotencyKey, slice, generation, method, path });
         const cancel = () => work.cancellation.abort();
         response.once("close", cancel);
-        const body = await readBodyDigest(request);
+        // Nobody waits for the answer beyond it, and the rest of the body may have been lost on its way.
+        const timer = this.clock.schedule(service.deadline ?? Infinity, cancel);
+        const body = await readBodyDigest(request, work.cancellation.signal);
+        timer.cancel();
         if (body.isWhole) {
             await this.waitFor(this.settings.serviceMs + service.delay, work);
         }
