The hosts of a test get a port that is free on both of their addresses

staleCoordinator.test.ts once ended with EADDRINUSE on 127.0.0.2: the port had been tried on 127.0.0.1 only.

--- a/packages/gateway/tests/support/hostPair.ts
+++ b/packages/gateway/tests/support/hostPair.ts
@@ -152,8 +152,9 @@
     return { version, routes: [], services: [], limits: LIMITS };
 }
 
+/** Returns a port that is free on the addresses of both hosts. */
 async function findFreePort(): Promise<number> {
-    const server = createServer().listen(0, "127.0.0.1");
+    const server = createServer().listen(0, "0.0.0.0");
     await once(server, "listening");
     const { port } = server.address() as AddressInfo;
     server.close();
