A host opens its share of the connections to the servers of a pool

Callers saw requests end as 504 at their deadlines while other servers, and the queues of the chosen ones, had room: with 120 callers on one host and six servers 579 of 1,169 requests (finding of the users' engineers).

Cause: the choice of a server allows a host as many requests as its share of max-conns (PoolRouting.getConnectionLimit, 85 in 100 of max-conns over the hosts: 42 of 100 for two hosts), but nothing tells that number to the client, whose pools open 4 connections. The rest waited in the host, and the wait counted as the server's latency and, at the deadline, as its failure: servers that were not at fault were ejected, and what was left got more (s0 got 12 of the requests that died, s1 147).

Change: each attempt at a pool says how many connections the host may open, by the same rule as the choice (at least 4, as before). A pool of connections with another limit is replaced only once all of its connections are in use, or when it has opened too many, since new connections are dear.

--- a/packages/clients/src/http/httpPools.ts
+++ b/packages/clients/src/http/httpPools.ts
@@ -12,10 +12,16 @@
     readonly addressLimit: number;
 };
 
+/** A pool with its number of connections. */
+type SizedPool = {
+    readonly pool: Pool;
+    readonly connections: number;
+};
+
 /** One pool of connections per address: one request at a time on a connection, no pipelining. */
 export class HttpPools {
     private readonly settings: PoolSettings;
-    private readonly pools = new Map<string, Pool>();
+    private readonly pools = new Map<string, SizedPool>();
     private readonly limits = new Map<string, number>();
     private readonly retired = new Map<Pool, string>();
 
@@ -23,9 +29,19 @@
         this.settings = settings;
     }
 
-    /** Returns the pool of an address (IP address and port). */
-    get(address: string): Pool {
-        return this.pools.get(address) ?? this.open(address);
+    /**
+     * Returns the pool of an address (IP address and port).
+     *
+     * @param connections limit of the connections to an address without a limit of its own
+     */
+    get(address: string, connections = this.settings.connections): Pool {
+        const limit = this.limits.get(address) ?? connections;
+        const known = this.pools.get(address);
+        if (known && isUsable(known, limit)) {
+            return known.pool;
+        }
+        this.retire(address);
+        return this.open(address, limit);
     }
 
     /** Limits the connections to an address. Requests in progress keep their connections. */
@@ -42,7 +58,7 @@
     /** Returns the number of open connections to each address. */
     countConnections(): ReadonlyMap<string, number> {
         const counts = new Map<string, number>();
-        for (const [address, pool] of this.pools) {
+        for (const [address, { pool }] of this.pools) {
             counts.set(address, pool.stats.connected);
         }
         for (const [pool, address] of this.retired) {
@@ -59,16 +75,15 @@
         await Promise.all([...this.retired.keys()].map(pool => pool.close()));
     }
 
-    private open(address: string): Pool {
-        const connections = this.limits.get(address) ?? this.settings.connections;
+    private open(address: string, connections: number): Pool {
         const pool = createHttpPool(`http://${address}`, { ...this.settings, connections });
-        this.pools.set(address, pool);
+        this.pools.set(address, { pool, connections });
         this.retireUnused();
         return pool;
     }
 
     private retireUnused(): void {
-        for (const [address, pool] of this.pools) {
+        for (const [address, { pool }] of this.pools) {
             if (this.pools.size <= this.settings.addressLimit) {
                 return;
             }
@@ -79,7 +94,7 @@
     }
 
     private retire(address: string): void {
-        const pool = this.pools.get(address);
+        const pool = this.pools.get(address)?.pool;
         if (!pool) {
             return;
         }
@@ -90,6 +105,17 @@
     }
 }
 
+/**
+ * Whether a pool can be kept under a limit. New connections cost a busy server the most, so a pool with another limit is replaced only when
+ * that makes a difference: all its connections are in use and it may have more, or it has opened too many.
+ */
+function isUsable({ connections, pool }: SizedPool, limit: number): boolean {
+    if (connections === limit) {
+        return true;
+    }
+    return connections < limit ? pool.stats.size < connections : pool.stats.connected <= limit;
+}
+
 function dropOldest<Value>(map: Map<string, Value>, limit: number): void {
     for (const key of map.keys()) {
         if (map.size <= limit) {
--- a/packages/gateway/src/backends/backendAttempt.ts
+++ b/packages/gateway/src/backends/backendAttempt.ts
@@ -6,6 +6,8 @@
 export type BackendAttempt = {
     readonly id: RequestId;
     readonly server: RegisteredServer;
+    /** Connections that this host may open to the server; a few by default. */
+    readonly connections?: number;
     readonly method: string;
     /** Path and query as the caller sent them. */
     readonly path: string;
--- a/packages/gateway/src/requests/attemptRecorder.ts
+++ b/packages/gateway/src/requests/attemptRecorder.ts
@@ -4,6 +4,7 @@
 import type { PoolRouting } from "../routing/poolRouting.js";
 import type { ForwardableAnswer } from "./forwardableAnswer.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
+import { isForOwner } from "./isForOwner.js";
 import type { UnusableAnswer } from "./unusableAnswer.js";
 
 /** Records how attempts at servers of pools ended; attempts at the owners of keys are not recorded. */
@@ -44,7 +45,3 @@
         }
     }
 }
-
-function isForOwner({ key, service }: GatewayRequest): boolean {
-    return service.isKeyed && key !== undefined;
-}
--- a/packages/gateway/src/requests/requestRouter.ts
+++ b/packages/gateway/src/requests/requestRouter.ts
@@ -15,6 +15,7 @@
 import type { GatewayReply } from "./gatewayReply.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
 import { getSentBody } from "./getSentBody.js";
+import { isForOwner } from "./isForOwner.js";
 import { readAnswer } from "./readAnswer.js";
 import { RequestLog } from "./requestLog.js";
 import type { RequestState } from "./requestState.js";
@@ -159,7 +160,7 @@
         timeLeft: Milliseconds,
         controller: AbortController,
     ): Promise<GatewayReply | undefined> {
-        const { admission, backends, clock, loads, metrics, shutdown } = this.parts;
+        const { admission, backends, clock, loads, metrics, pools, shutdown } = this.parts;
         const { request } = state;
         const sentAt = clock.now();
         const limit = this.getAttemptLimit(request, timeLeft);
@@ -172,6 +173,7 @@
         const outcome = await backends.send({
             id: request.id,
             server,
+            connections: isForOwner(request) ? undefined : pools.getConnectionLimit(request.service),
             method: request.method,
             path: request.path,
             headers: request.headers,
