Servers are told the time that a request has left when it gets its connection

X-Deadline-Ms stated what was left when a request began to wait for a connection, so that a server worked on requests whose callers had left.

Cause: header fields were fixed when the request was given to the pool of connections, where it may wait (requests for keys have 4 connections to the owner).

Evidence: with the four connections to an owner in use for 500 ms, the fifth request stated 9,999 of 10,000 ms (the test, before the change).

Change: fields that depend on the time are asked for by the connection that the request is assigned to.

--- a/packages/clients/src/http/httpExchange.ts
+++ b/packages/clients/src/http/httpExchange.ts
@@ -114,7 +114,7 @@
     }
 
     private begin(pool: Dispatcher): void {
-        const { method, path, headers, body, headTimeout, signal } = this.request;
+        const { method, path, headers, body, getLateHeaders, headTimeout, signal } = this.request;
         if (body instanceof Readable) {
             body.on("error", ignore);
         }
@@ -131,7 +131,10 @@
             const options = {
                 method,
                 path,
-                headers: headers as Record<string, string | string[]>,
+                // Read by the connection that the request is assigned to.
+                get headers() {
+                    return { ...headers, ...getLateHeaders?.() } as Record<string, string | string[]>;
+                },
                 body,
                 progress: this.progress,
                 assigned: this.assigned,
--- a/packages/clients/src/http/httpRequest.ts
+++ b/packages/clients/src/http/httpRequest.ts
@@ -6,6 +6,8 @@
     readonly method: string;
     readonly path: string;
     readonly headers: HeaderFields;
+    /** Returns further header fields; asked when the request gets its connection. */
+    readonly getLateHeaders?: () => HeaderFields;
     readonly body: Readable | Uint8Array | undefined;
     /** Longest wait for the head of the answer, counted from the call. */
     readonly headTimeout: Milliseconds;
