--- a/packages/gateway/src/requests/callerConnection.ts
+++ b/packages/common/src/http/callerConnection.ts
@@ -5,12 +5,15 @@
 const MAX_ROUTED = 8;
 
 /** A request that was read from the connection and has no complete reply yet. */
-type OpenRequest = {
+type QueuedRequest = {
     readonly message: IncomingMessage;
-    /** Resolves to whether the request may be routed. One behind a reply that closes the connection never may: it counts as not read. */
+    /** Resolves to whether the request may be routed. One behind a reply that closes the connection never may. */
     readonly turn: Promise<boolean>;
     isRouted: boolean;
     readonly start: (mayRoute: boolean) => void;
+    /** Resolves once the request has its reply, or the connection has closed. */
+    readonly removed: Promise<void>;
+    readonly notifyRemoved: () => void;
     /** Called when the connection has closed before the reply. */
     readonly notifyClosed: () => void;
 };
@@ -21,15 +24,12 @@
  */
 export class CallerConnection {
     private readonly socket: Socket;
-    private readonly requests: OpenRequest[] = [];
-    private readonly isClosing: () => boolean;
+    private readonly requests: QueuedRequest[] = [];
     private isEnding = false;
     private isReadingEnded = false;
 
-    /** @param isClosing whether replies are to close the connection, so that nothing more is routed beside what is */
-    constructor(socket: Socket, isClosing: () => boolean) {
+    constructor(socket: Socket) {
         this.socket = socket;
-        this.isClosing = isClosing;
         socket.once("close", () => this.abandon());
     }
 
@@ -54,13 +54,26 @@
     }
 
     /** Adds a request that was read. It has to be removed once it has its reply, unless the connection closes before. */
-    add(message: IncomingMessage, notifyClosed: () => void): OpenRequest {
-        let start: OpenRequest["start"] = () => undefined;
+    add(message: IncomingMessage, notifyClosed: () => void): QueuedRequest {
+        let start: QueuedRequest["start"] = () => undefined;
         const turn = new Promise<boolean>(resolve => {
             start = resolve;
         });
-        const request: OpenRequest = { message, turn, start, isRouted: false, notifyClosed };
-        if (this.isReadingEnded) {
+        let notifyRemoved: QueuedRequest["notifyRemoved"] = () => undefined;
+        const removed = new Promise<void>(resolve => {
+            notifyRemoved = resolve;
+        });
+        const request: QueuedRequest = {
+            message,
+            turn,
+            start,
+            removed,
+            notifyRemoved,
+            isRouted: false,
+            notifyClosed,
+        };
+        // Once this side of the connection has ended, no reply can be sent.
+        if (this.isReadingEnded || this.socket.writableEnded) {
             start(false);
             return request;
         }
@@ -70,10 +83,11 @@
     }
 
     /** Removes a request that has its reply. */
-    remove(request: OpenRequest): void {
+    remove(request: QueuedRequest): void {
         const index = this.requests.indexOf(request);
         if (index >= 0) {
             this.requests.splice(index, 1);
+            request.notifyRemoved();
             this.startWaiting();
         }
         if (this.isReadingEnded && this.requests.length === 0) {
@@ -81,10 +95,16 @@
         }
     }
 
-    /** Whether no request behind this one is or will be routed, so that its reply may close the connection. */
-    isLast(request: OpenRequest): boolean {
-        const behind = this.requests.slice(this.requests.indexOf(request) + 1);
-        return this.isClosing() ? !behind.some(({ isRouted }) => isRouted) : behind.length === 0;
+    /** Whether no request was read behind this one. */
+    isLast(request: QueuedRequest): boolean {
+        return this.requests.at(-1) === request;
+    }
+
+    /** Resolves once the replies to all requests before this one are complete, or the connection has closed. */
+    async waitForTurn(request: QueuedRequest): Promise<void> {
+        while (this.requests.includes(request) && this.requests[0] !== request) {
+            await this.requests[0]!.removed;
+        }
     }
 
     /** Routes no further request, since a reply closes the connection. */
@@ -100,8 +120,7 @@
             waiting.forEach(({ start }) => start(false));
             return;
         }
-        const limit = this.isClosing() ? 1 : MAX_ROUTED;
-        const starting = waiting.slice(0, Math.max(0, limit - routed));
+        const starting = waiting.slice(0, Math.max(0, MAX_ROUTED - routed));
         for (const request of starting) {
             request.isRouted = true;
             request.start(true);
@@ -116,9 +135,10 @@
 
     private abandon(): void {
         this.isEnding = true;
-        this.requests.splice(0).forEach(({ notifyClosed, start }) => {
+        this.requests.splice(0).forEach(({ notifyClosed, notifyRemoved, start }) => {
             start(false);
             notifyClosed();
+            notifyRemoved();
         });
     }
 }
--- a/packages/common/src/logging/logEvent.ts
+++ b/packages/common/src/logging/logEvent.ts
@@ -12,6 +12,17 @@
         text: "an internal invariant is violated; the process stops",
     },
     loopLagged: { number: 107, level: "warn", text: "timers ran late: the process had no processor time" },
+    resigned: { number: 108, level: "info", text: "a host that stops has given up the coordinator lease" },
+    resignationFailed: {
+        number: 109,
+        level: "error",
+        text: "a host that stops could not give up the coordinator lease, which expires by itself",
+    },
+    stopStepFailed: {
+        number: 110,
+        level: "error",
+        text: "a step of the shutdown failed; the other steps go on",
+    },
     processStarting: {
         number: 106,
         level: "info",
@@ -175,7 +186,8 @@
     requestCutOff: {
         number: 510,
         level: "error",
-        text: "a request had no complete reply when the process ended; it may have run",
+        text:
+            "a request had no complete reply when the process ended; from the stage routed on it may have run",
     },
     linesLeftOut: { number: 504, level: "warn", text: "log lines were dropped" },
     tableHistoryLost: {
--- a/packages/daemon/src/entry/entryPlugin.ts
+++ b/packages/daemon/src/entry/entryPlugin.ts
@@ -1,5 +1,7 @@
+import type { LogFields } from "@arbutusdoor/common";
 import { CONFIGURATION } from "../configuration/configurationService.js";
 import { CALLER_ROUTER } from "../intents/callerRouterService.js";
+import { getStopTimes } from "../kernel/getStopTimes.js";
 import type { Kernel } from "../kernel/kernel.js";
 import { Plugin } from "../kernel/plugin.js";
 import { plugins } from "../kernel/plugins.js";
@@ -14,14 +16,16 @@
     private port!: CallerPort;
 
     override install(kernel: Kernel): void {
-        const { clock, metrics, settings } = kernel;
+        const { clock, logger, metrics, settings, shutdown } = kernel;
         const configuration = kernel.get(CONFIGURATION);
         this.kernel = kernel;
         this.port = new CallerPort({
             clock,
+            logger,
             metrics,
             ids: new RequestIds(kernel.get(PEERS).self.incarnation),
             router: kernel.get(CALLER_ROUTER),
+            shutdown,
             limits: settings,
             getDeclaration: () => configuration.current()?.declaration,
         });
@@ -34,10 +38,15 @@
 
     /** Keeps serving until the load balancer has had time to see that this host is not ready, then drains the port. */
     override async drain(): Promise<void> {
-        this.port.announceClose();
-        await this.kernel.clock.sleep(this.kernel.settings.readyDelayMs);
+        const { readyDelayMs, stopLimitMs } = this.kernel.settings;
+        await this.kernel.clock.sleep(getStopTimes(readyDelayMs, stopLimitMs).listenMs);
         await this.port.close();
     }
+
+    override describeEnd(): LogFields {
+        this.port.logCutOff();
+        return this.port.describe();
+    }
 }
 
 plugins.register({ name: "entry", createPlugin: () => new EntryPlugin() });
--- a/packages/gateway/src/coordination/leaseManager.ts
+++ b/packages/gateway/src/coordination/leaseManager.ts
@@ -127,7 +127,16 @@
         const { own } = this;
         if (own) {
             this.own = undefined;
-            await this.parts.table.write(LEASE_KEY, own.version, this.createLease(own.term, 0));
+            const { clock, logger, table } = this.parts;
+            const startedAt = clock.now();
+            const { kind } = await table.write(LEASE_KEY, own.version, this.createLease(own.term, 0));
+            const durationMs = Math.round(clock.now() - startedAt);
+            if (kind === "committed") {
+                logger.log("resigned", { term: own.term, durationMs });
+            }
+            else {
+                logger.log("resignationFailed", { term: own.term, durationMs, error: kind });
+            }
         }
     }
 
--- a/packages/gateway/src/requests/callerPort.ts
+++ b/packages/gateway/src/requests/callerPort.ts
@@ -1,28 +1,29 @@
 import {
-    acceptPendingConnections,
     ArbutusdoorError,
+    CallerConnection,
     type Clock,
     type HeaderFields,
     type LogFields,
     type Logger,
     type Metrics,
     type Milliseconds,
+    OpenRequests,
+    PortDrain,
+    type ShutdownSchedule,
     waitForSocketReads,
 } from "@arbutusdoor/common";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { Readable } from "node:stream";
 import polka from "polka";
 import type { RouteTable } from "../configuration/routeTable.js";
 import type { TargetRotation } from "../configuration/targetRotation.js";
-import { CallerConnection } from "./callerConnection.js";
 import type { CallerHeaderCodec } from "./callerHeaderCodec.js";
 import { endUnreadable } from "./endUnreadable.js";
 import type { GatewayReply } from "./gatewayReply.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
-import { OpenRequests } from "./openRequests.js";
 import { RequestReader } from "./requestReader.js";
 import type { RequestRouter } from "./requestRouter.js";
-import type { ShutdownSchedule } from "./shutdownSchedule.js";
 import { writeAnswer } from "./writeAnswer.js";
 
 /** Shared by all requests: creating an error with its stack trace costs more than routing a request. */
@@ -54,23 +55,26 @@
     private readonly server: Server;
     private readonly reader: RequestReader;
     private readonly connections = new WeakMap<Socket, CallerConnection>();
-    private readonly open: OpenRequests;
-    private openConnections = 0;
-    private notifyIdle: (() => void) | undefined;
+    private readonly openRequests: OpenRequests;
+    private readonly drain: PortDrain;
 
     constructor(parts: CallerPortParts) {
         this.parts = parts;
         this.reader = new RequestReader(parts);
-        this.open = new OpenRequests(parts.clock);
+        this.openRequests = new OpenRequests(parts.clock);
         this.server = createServer({
             maxHeaderSize: PARSER_HEADER_BYTES,
             requestTimeout: 0,
             connectionsCheckingInterval: TIMEOUT_CHECK_MS,
         });
+        this.drain = new PortDrain(this.server, parts.clock);
         const { logger, metrics } = parts;
-        metrics.gauge("arbutusdoor_requests_in_flight", () => this.open.size);
-        metrics.gauge("arbutusdoor_caller_connections", () => this.openConnections);
-        this.server.on("connection", (socket: Socket) => this.countConnection(socket));
+        metrics.gauge("arbutusdoor_requests_in_flight", () => this.openRequests.size);
+        metrics.gauge("arbutusdoor_caller_connections", () => this.drain.size);
+        this.server.on(
+            "connection",
+            () => metrics.count("arbutusdoor_caller_connections_accepted_total"),
+        );
         this.server.on(
             "clientError",
             (error, socket) =>
@@ -106,31 +110,23 @@
         this.parts.shutdown.begin(listenMs, finishMs);
     }
 
-    /** Stops accepting connections; resolves once every request that was read has its complete reply. */
+    /** Stops accepting connections; resolves once every request that was read has its complete reply and all connections are closed. */
     async close(): Promise<void> {
         if (!this.parts.shutdown.isStopping) {
             this.announceClose(0, Infinity);
         }
-        await acceptPendingConnections(this.server);
         this.parts.logger.log("callerPortClosing", this.describe());
-        this.server.close();
-        this.server.closeIdleConnections();
-        while (this.open.size > 0) {
-            await new Promise<void>(resolve => {
-                this.notifyIdle = resolve;
-            });
-        }
-        this.server.closeIdleConnections();
+        await this.drain.close();
     }
 
     /** Number of open connections, and of requests at each stage, for the log. */
     describe(): LogFields {
-        return { connections: this.openConnections, ...this.open.countStages() };
+        return { connections: this.drain.size, ...this.openRequests.countStages() };
     }
 
     /** Logs the requests that the end of the process cuts off. */
     logCutOff(): void {
-        this.open.describe(MAX_CUT_OFF_LINES).forEach(fields =>
+        this.openRequests.describe(MAX_CUT_OFF_LINES).forEach(fields =>
             this.parts.logger.log("requestCutOff", fields)
         );
     }
@@ -140,26 +136,29 @@
         const arrivedAt = clock.now();
         const callerGone = new AbortController();
         const connection = this.getConnection(message.socket);
-        const open = this.open.add(dialect.readRequestHeaders(message.headers as HeaderFields).id);
+        const openRequest = this.openRequests.add(
+            dialect.readRequestHeaders(message.headers as HeaderFields).id,
+        );
         const end = () => {
             if (!response.writableFinished) {
                 callerGone.abort(CALLER_GONE);
             }
-            this.endRequest(open);
+            this.openRequests.remove(openRequest);
         };
         message.on("error", () => callerGone.abort(CALLER_GONE));
         const request = connection.add(message, end);
         if (!await request.turn) {
-            this.endRequest(open);
+            message.resume();
+            this.openRequests.remove(openRequest);
             return;
         }
-        open.stage = "arriving";
+        openRequest.stage = "arriving";
         response.once("close", () => {
             end();
             connection.remove(request);
         });
         const parsed = await this.reader.read(message, arrivedAt, callerGone.signal);
-        open.stage = "routed";
+        openRequest.stage = "routed";
         // When the process lags behind, a request and its caller's disconnection may both be waiting to be read.
         await waitForSocketReads();
         if (message.socket.readableEnded || message.socket.destroyed) {
@@ -170,14 +169,21 @@
         if (parsed.kind === "reply" && reply.kind === "refusal") {
             this.logRefusal(message, reply);
         }
-        open.stage = "answering";
+        openRequest.stage = "answering";
         const result = reply.kind === "gone" ? "gone" : String(reply.status);
         metrics.record(
             "arbutusdoor_request_us",
             { route, result },
             (clock.now() - arrivedAt) * MICROSECONDS_PER_MS,
         );
-        const isEnding = this.parts.shutdown.isStopping || connection.hasEndedReading;
+        const { shutdown } = this.parts;
+        if (shutdown.isStopping) {
+            // The reply may announce the close only once it is next to be sent: requests that come until then are read as well.
+            await connection.waitForTurn(request);
+        }
+        // A long answer does not announce the close: requests may come until it has ended.
+        const isLong = reply.kind === "answer" && reply.body instanceof Readable;
+        const isEnding = shutdown.isStopping && !isLong || connection.hasEndedReading;
         const isCloseDue = isEnding && connection.isLast(request) || !message.complete;
         if (isCloseDue && !response.destroyed) {
             response.setHeader("connection", "close");
@@ -199,16 +205,10 @@
         this.write(message, response, { kind: "refusal", status: BAD_GATEWAY, reason: "internalError" });
     }
 
-    private countConnection(socket: Socket): void {
-        this.parts.metrics.count("arbutusdoor_caller_connections_accepted_total");
-        this.openConnections++;
-        socket.once("close", () => this.openConnections--);
-    }
-
     private getConnection(socket: Socket): CallerConnection {
         let connection = this.connections.get(socket);
         if (!connection) {
-            connection = new CallerConnection(socket, () => this.parts.shutdown.isStopping);
+            connection = new CallerConnection(socket);
             this.connections.set(socket, connection);
         }
         return connection;
@@ -259,11 +259,4 @@
             configuration: this.parts.getRoutes()?.configuration.version,
         });
     }
-
-    private endRequest(request: ReturnType<OpenRequests["add"]>): void {
-        this.open.remove(request);
-        if (this.open.size === 0) {
-            this.notifyIdle?.();
-        }
-    }
 }
