The soak's proxy keeps the order of bytes when a delay ends

Bytes sent after the end of a delay overtook those sent in it, which no network does: a long answer or an upload that was under way then comes whole and wrong (platform/tests/loopbackProxy.test.ts got 0356124 for 0123456).

--- a/scripts/loopbackProxy.ts
+++ b/scripts/loopbackProxy.ts
@@ -94,16 +94,18 @@
     }
 
     private pass(from: Socket, to: Socket, isLost: () => boolean): void {
+        const held: (() => void)[] = [];
         const later = (action: () => void) => {
             if (isLost()) {
                 return;
             }
-            if (this.mode === "delay") {
-                setTimeout(action, this.delayMs);
-            }
-            else {
+            if (this.mode !== "delay" && held.length === 0) {
                 action();
+                return;
             }
+            held.push(action);
+            // Each timer passes the oldest on: what comes after a delay never overtakes what came in it.
+            setTimeout(() => held.shift()!(), this.mode === "delay" ? this.delayMs : 0);
         };
         from.on("data", bytes => later(() => to.write(bytes)));
         from.once("end", () => later(() => to.end()));
