--- a/packages/gateway/src/host/gracefulShutdown.ts
+++ b/packages/gateway/src/host/gracefulShutdown.ts
@@ -1,10 +1,17 @@
-import type { Clock, LogFields, Milliseconds } from "@arbutusdoor/common";
+import {
+    type Clock,
+    type LogFields,
+    type Logger,
+    type Milliseconds,
+    waitForSocketReads,
+} from "@arbutusdoor/common";
 import type { CallerPort } from "../requests/callerPort.js";
 import { getStopTimes } from "./getStopTimes.js";
 
 /** Dependencies of a shutdown. */
 type ShutdownParts = {
     readonly clock: Clock;
+    readonly logger: Logger;
     readonly callerPort: CallerPort;
     /** Gives up the coordinator lease and all links. */
     readonly resign: () => Promise<void>;
@@ -22,19 +29,28 @@
     async run(graceMs: Milliseconds): Promise<LogFields> {
         const { callerPort, clock } = this.parts;
         const startedAt = clock.now();
-        const getElapsed = () => Math.round(clock.now() - startedAt);
         const { finishMs, listenMs } = getStopTimes(graceMs);
         callerPort.announceClose(listenMs, finishMs);
-        let resignationMs: number | undefined;
-        const resigned = this.parts.resign().then(() => {
-            resignationMs = getElapsed();
-        });
+        const resignation = this.resign();
         await clock.sleep(listenMs);
+        const endsAt = startedAt + listenMs + finishMs;
         const cause = await Promise.race([
-            Promise.all([callerPort.close(), resigned]).then(() => "drained"),
-            clock.sleep(finishMs).then(() => "timeLimit"),
+            Promise.all([callerPort.close(), resignation]).then(() => "drained"),
+            clock.sleep(endsAt - clock.now()).then(() => "timeLimit"),
         ]);
+        // Answers that have arrived are passed on before the process ends.
+        await waitForSocketReads();
         callerPort.logCutOff();
-        return { cause, stopMs: getElapsed(), resignationMs, ...callerPort.describe() };
+        return { cause, stopMs: Math.round(clock.now() - startedAt), ...callerPort.describe() };
+    }
+
+    /** Resigns. Never rejects: the shutdown goes on, and the lease expires by itself. */
+    private async resign(): Promise<void> {
+        try {
+            await this.parts.resign();
+        }
+        catch (error) {
+            this.parts.logger.log("resignationFailed", { error: (error as Error).message });
+        }
     }
 }
--- a/packages/gateway/src/requests/endUnreadable.ts
+++ b/packages/gateway/src/requests/endUnreadable.ts
@@ -1,6 +1,5 @@
-import type { Logger, Metrics } from "@arbutusdoor/common";
+import type { CallerConnection, Logger, Metrics } from "@arbutusdoor/common";
 import type { Socket } from "node:net";
-import type { CallerConnection } from "./callerConnection.js";
 
 /** Replies to a caller whose bytes are no request, by the code of the error. */
 const STATUS_LINES: ReadonlyMap<string, string> = new Map([
@@ -42,7 +41,7 @@
     logger.log("callerUnreadable", { reason, result, openRequests: size });
     if (result === "refused") {
         const body = JSON.stringify({ title: "unreadable", detail: reason, outcome: "not-run" });
-        socket.end([
+        socket.write([
             `HTTP/1.1 ${STATUS_LINES.get(reason) ?? BAD_REQUEST}`,
             "connection: close",
             "content-type: application/problem+json",
@@ -50,6 +49,7 @@
             "",
             body,
         ].join("\r\n"));
+        socket.destroySoon();
     }
     else if (result === "closed") {
         socket.destroy();
--- a/packages/gateway/src/requests/requestRouter.ts
+++ b/packages/gateway/src/requests/requestRouter.ts
@@ -1,4 +1,4 @@
-import type { Clock, Logger, Metrics, Milliseconds } from "@arbutusdoor/common";
+import type { Clock, Logger, Metrics, Milliseconds, ShutdownSchedule } from "@arbutusdoor/common";
 import type { BackendClient } from "../backends/backendClient.js";
 import type { BackendOutcome } from "../backends/backendOutcome.js";
 import type { RegisteredServer } from "../discovery/registeredServer.js";
@@ -15,11 +15,11 @@
 import type { GatewayReply } from "./gatewayReply.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
 import { getSentBody } from "./getSentBody.js";
+import { isForOwner } from "./isForOwner.js";
 import { readAnswer } from "./readAnswer.js";
 import { RequestLog } from "./requestLog.js";
 import type { RequestState } from "./requestState.js";
 import { ServerSelector } from "./serverSelector.js";
-import type { ShutdownSchedule } from "./shutdownSchedule.js";
 import type { UnusableAnswer } from "./unusableAnswer.js";
 
 /** A request with less time left is not sent. */
@@ -159,7 +159,7 @@
         timeLeft: Milliseconds,
         controller: AbortController,
     ): Promise<GatewayReply | undefined> {
-        const { admission, backends, clock, loads, metrics, shutdown } = this.parts;
+        const { admission, backends, clock, loads, metrics, pools, shutdown } = this.parts;
         const { request } = state;
         const sentAt = clock.now();
         const limit = this.getAttemptLimit(request, timeLeft);
@@ -172,6 +172,7 @@
         const outcome = await backends.send({
             id: request.id,
             server,
+            connections: isForOwner(request) ? undefined : pools.getConnectionLimit(request.service),
             method: request.method,
             path: request.path,
             headers: request.headers,
