--- a/scripts/platformRun.ts
+++ b/scripts/platformRun.ts
@@ -110,12 +110,13 @@
         };
     }
 
-    /** Describes the hosts that do not run; after all faults have ended these have ended by themselves. */
-    listEndedHosts(): readonly string[] {
-        return [...this.system.hosts].filter(([, { program }]) => program.hasEnded).map(
-            ([name, { program }]) =>
-                `${name} ended by itself: ${program.lines.at(-1) ?? "it printed nothing"}`,
-        );
+    /** Describes the hosts and servers that do not run; after all faults have ended these have ended by themselves. */
+    listEnded(): readonly string[] {
+        return [...this.system.hosts, ...this.system.servers].filter(([, { program }]) => program.hasEnded)
+            .map(
+                ([name, { program }]) =>
+                    `${name} ended by itself: ${program.lines.at(-1) ?? "it printed nothing"}`,
+            );
     }
 
     /** Whether a server gets no faults. */
--- a/scripts/serverRecords.ts
+++ b/scripts/serverRecords.ts
@@ -26,10 +26,24 @@
         this.clock = clock;
     }
 
-    /** What a server that runs has recorded so far. */
-    async read({ control }: RecordedServer): Promise<ServerJournal> {
-        const response = await fetch(`http://${control}/journal`);
-        return ServerJournal.parse(await response.json());
+    /** What a server that runs has recorded so far. Rejects with what is known of a server that does not say. */
+    async read({ control, program }: RecordedServer): Promise<ServerJournal> {
+        try {
+            const response = await fetch(`http://${control}/journal`);
+            return ServerJournal.parse(await response.json());
+        }
+        catch (error) {
+            // The end of a process is noticed after that of its connections.
+            await this.clock.sleep(POLL_MS);
+            const { cause, message } = error as Error;
+            const reason = cause instanceof Error ? cause.message : message;
+            const state = program.hasEnded ? "it has ended" : "it runs";
+            const last = program.lines.at(-1) ?? "nothing";
+            throw new Error(
+                `the journal of ${program.name} could not be read (${reason}); ${state}, and printed last: ${last}`,
+                { cause: error },
+            );
+        }
     }
 
     /** Kills a server; its journal up to then is kept, and what it did in its last moment is lost. */
--- a/scripts/soakPlatform.ts
+++ b/scripts/soakPlatform.ts
@@ -44,7 +44,7 @@
         errors.push(
             ...outcomes.flatMap(outcome => outcome.status === "rejected" ? [String(outcome.reason)] : []),
         );
-        errors.push(...run.listEndedHosts());
+        errors.push(...run.listEnded());
         await run.waitUntilServed().catch((reason: unknown) => errors.push(String(reason)));
         await stopLoad();
     }
