The observer finds requests that a host lost around its SIGTERM

Not counted: the caller's time was over, or it was sent early and at work in the last sixth of the grace time.

--- a/packages/standins/src/caller/callerEntry.ts
+++ b/packages/standins/src/caller/callerEntry.ts
@@ -1,4 +1,5 @@
 import * as z from "zod";
+import { Delivery } from "./delivery.js";
 
 /** One attempt of a caller, as the caller saw it. Times are wall-clock times in ms. */
 const CallerEntry = z.strictObject({
@@ -18,6 +19,8 @@
     requestId: z.string().optional(),
     /** Whether an answer that arrived whole is the one to this request, and about the bytes that were sent. */
     isOwn: z.boolean(),
+    /** How the request went out, when the caller has a connection of its own. */
+    delivery: Delivery.optional(),
 });
 
 type CallerEntry = z.infer<typeof CallerEntry>;
--- a/packages/standins/src/observer/finding.ts
+++ b/packages/standins/src/observer/finding.ts
@@ -10,7 +10,8 @@
         | "answeredButNotRun"
         | "wrongAnswer"
         | "sentAfterLeaving"
-        | "sentWhilePaused";
+        | "sentWhilePaused"
+        | "lost";
     /** What it is about: a slice, a request or a server. */
     readonly subject: string;
     readonly detail: string;
--- a/packages/standins/src/observer/observe.ts
+++ b/packages/standins/src/observer/observe.ts
@@ -1,12 +1,14 @@
 import type { CallerEntry } from "../caller/callerEntry.js";
 import { findCallFaults } from "./findCallFaults.js";
 import type { Finding } from "./finding.js";
+import { findLostRequests } from "./findLostRequests.js";
 import { findNoticeFaults } from "./findNoticeFaults.js";
 import { findOwnershipFaults } from "./findOwnershipFaults.js";
 import { findRunFaults } from "./findRunFaults.js";
 import { newEvidence } from "./newEvidence.js";
 import type { NoticeJudgement } from "./noticeJudgement.js";
 import type { ServerJournal } from "./serverJournal.js";
+import type { StopJudgement } from "./stopJudgement.js";
 import type { Verdict } from "./verdict.js";
 
 /** How the evidence is judged. */
@@ -17,6 +19,8 @@
     readonly lostServers: readonly string[];
     /** How hosts' obedience to what servers say of themselves is judged; not judged when left out. */
     readonly notices?: NoticeJudgement;
+    /** Graceful shutdowns of hosts, at which no request may be lost; not judged when left out. */
+    readonly stops?: StopJudgement;
 };
 
 /**
@@ -29,7 +33,7 @@
     calls: readonly CallerEntry[],
     judgement: Judgement,
 ): Verdict {
-    const { toleranceMs, lostServers, notices } = judgement;
+    const { toleranceMs, lostServers, notices, stops } = judgement;
     const evidence = newEvidence(journals, calls);
     const isComplete = lostServers.length + evidence.truncated.length === 0;
     const findings = [
@@ -37,6 +41,7 @@
         ...findRunFaults(evidence, toleranceMs),
         ...findCallFaults(evidence),
         ...notices ? findNoticeFaults(journals, calls, notices) : [],
+        ...stops ? findLostRequests(evidence, stops, toleranceMs) : [],
     ].filter(finding => isComplete || !needsAllJournals(finding));
     const gaps = getGaps(evidence.truncated, lostServers);
     const counts = {
