Soak: hosts are stopped while callers of many habits use them (--stops)

--stops stops hosts in series, with no other faults of their own: connections opened ahead and used late, kept ones, heads and bodies in pieces, bytes behind a request, several requests at once, long answers read slowly, new connections until the port closes.

--- a/scripts/platformFaults.ts
+++ b/scripts/platformFaults.ts
@@ -1,5 +1,7 @@
 import type { PlatformRun } from "./platformRun.js";
 import type { SoakKinds } from "./soakKinds.js";
+import { stopGracefully } from "./stopGracefully.js";
+import { stopUnderCallers } from "./stopUnderCallers.js";
 
 /** Brings a fault about at a target, and ends it after a time in ms. */
 type Fault = (run: PlatformRun, target: string, lengthMs: number) => Promise<void>;
@@ -14,7 +16,6 @@
 const ANNOUNCED_MS = 8_000;
 const LOST_ANSWERS = 10;
 const LATE_WRITES = 3;
-const GRACE_LIMIT_MS = 7_500;
 /** A fifth of the answers: far more than any server sends twice, so that a short soak meets each place. */
 const REPEATED_EVERY = 5;
 const FULL_MS = 4_000;
@@ -149,6 +150,11 @@
     }],
 };
 
+/** Stops of a host while callers use it in many ways. Its other faults are left out, so that nothing else excuses a lost request. */
+const HOST_STOPS: Readonly<Record<string, readonly [longestMs: number, fault: Fault]>> = {
+    hostStoppedUnderCallers: [SHORT_MS, stopUnderCallers],
+};
+
 const STORE_DISRUPTIONS: Readonly<Record<string, readonly [longestMs: number, fault: Fault]>> = {
     foreignEntries: [OUTAGE_MS, async (run, _, lengthMs) => {
         await run.system.addForeignEntries();
@@ -216,6 +222,7 @@
     ...STORE_FAULTS,
     ...SERVER_DISRUPTIONS,
     ...HOST_DISRUPTIONS,
+    ...HOST_STOPS,
     ...STORE_DISRUPTIONS,
     ...ANSWER_FAULTS,
     ...LEAVING_FAULTS,
@@ -240,7 +247,7 @@
      */
     list(
         run: PlatformRun,
-        { hasDisruptions, hasNotices, hasSecondAnswers }: SoakKinds,
+        { hasDisruptions, hasNotices, hasSecondAnswers, hasStops }: SoakKinds,
     ): Readonly<Record<string, Readonly<Record<string, number>>>> {
         const serverFaults = {
             ...SERVER_FAULTS,
@@ -249,7 +256,7 @@
             ...hasSecondAnswers ? { ...ANSWER_FAULTS, ...LEAVING_FAULTS } : {},
         };
         const hostFaults = {
-            ...HOST_FAULTS,
+            ...hasStops ? HOST_STOPS : HOST_FAULTS,
             ...hasDisruptions ? HOST_DISRUPTIONS : {},
             ...hasSecondAnswers ? CALLER_FAULTS : {},
         };
@@ -277,17 +284,6 @@
     },
 };
 
-async function stopGracefully(run: PlatformRun, name: string): Promise<void> {
-    const { program } = run.system.hosts.get(name)!;
-    const signalledAt = run.clock.now();
-    program.signal("SIGTERM");
-    await program.waitForEnd();
-    const took = run.clock.now() - signalledAt;
-    if (program.exitCode !== 0 || took > GRACE_LIMIT_MS) {
-        throw new Error(`${name} ended with ${program.exitCode} after ${Math.round(took)} ms`);
-    }
-}
-
 async function pause(
     run: PlatformRun,
     program: { signal(name: NodeJS.Signals): void; },
--- a/scripts/platformRun.ts
+++ b/scripts/platformRun.ts
@@ -1,8 +1,9 @@
-import { SystemClock } from "@arbutusdoor/common";
+import { RandomSource, SystemClock } from "@arbutusdoor/common";
 import {
     type CallerEntry,
     CallerSettings,
     type Disruption,
+    type HostStop,
     PlatformProtocol,
     runCallers,
     sendCall,
@@ -14,6 +15,7 @@
 import { sendWithUnfinishedHead } from "./sendWithUnfinishedHead.js";
 import { ServerRecords } from "./serverRecords.js";
 import type { SoakKinds } from "./soakKinds.js";
+import { useThroughStop } from "./useThroughStop.js";
 
 const SERVICES = [
     { name: "gustboard", isKeyed: true, kind: "safe", dataCentres: ["north", "north", "south"] },
@@ -28,6 +30,14 @@
     kind: "safe",
     dataCentres: ["north", "south"],
 } as const;
+/** A pool like it, for requests that may run once. */
+const SPARED_SERVICE = {
+    name: "ferryticket",
+    isKeyed: false,
+    kind: "unsafe",
+    dataCentres: ["north", "north", "south", "south"],
+    slots: 24,
+} as const;
 /** The service to which callers send a request and the beginning of another. */
 const BEGUN_SERVICE = "shorepermit";
 const HOSTS = { "north-1": "north", "north-2": "north", "south-1": "south" };
@@ -41,6 +51,7 @@
 /** A host that has come back follows the store, and keys of a dead server wait for their grants to lapse (9 s) at worst. */
 const SERVED_LIMIT_MS = 20_000;
 const CALL_TIMEOUT_MS = 5_000;
+const STOP_TIMEOUT_MS = 1_200;
 const PROBE_TIMEOUT_MS = 1_500;
 const LOAD_RATE = 120;
 const LOAD_COUNT = 1_000_000;
@@ -52,6 +63,9 @@
 /** After the end of a fault, what it held up arrives within a request's time. */
 const SETTLE_MS = CALL_TIMEOUT_MS;
 
+/** What a run may be given. */
+type RunChoices = { readonly seed?: number; readonly hostProgram?: string | undefined; };
+
 /** Hosts on the platform under load, whose servers and callers are judged by the observer at the end. */
 export class PlatformRun {
     readonly clock = new SystemClock();
@@ -61,17 +75,27 @@
     private readonly protocol: PlatformProtocol;
     private readonly agent = new Agent({ connections: IN_FLIGHT });
     private readonly disruptions: Disruption[] = [];
+    private readonly stops: HostStop[] = [];
     private readonly services: readonly { readonly name: string; }[];
     private readonly kinds: SoakKinds;
+    private readonly seed: number;
     private probes = 0;
 
-    /** @param kinds further kinds of faults, for which there are services, limits or requests of their own */
-    constructor(kinds: SoakKinds = {}) {
-        const services = kinds.hasDisruptions ? [...SERVICES, LONG_SERVICE] : SERVICES;
+    /**
+     * @param kinds further kinds of faults, for which there are services, limits or requests of their own
+     * @param choices the seed of what callers do, and the program of the hosts
+     */
+    constructor(kinds: SoakKinds = {}, { seed = 1, hostProgram }: RunChoices = {}) {
+        const services = [
+            ...SERVICES,
+            ...kinds.hasDisruptions || kinds.hasStops ? [LONG_SERVICE] : [],
+            ...kinds.hasStops ? [SPARED_SERVICE] : [],
+        ];
+        this.seed = seed;
         this.kinds = kinds;
         this.services = services;
         const headerTimeoutMs = kinds.hasSecondAnswers ? SHORT_HEADER_TIMEOUT_MS : undefined;
-        this.system = new PlatformSystem(services, undefined, headerTimeoutMs);
+        this.system = new PlatformSystem(services, hostProgram, headerTimeoutMs);
         this.protocol = new PlatformProtocol(this.system.authority);
     }
 
@@ -120,7 +144,34 @@
 
     /** Whether a server gets no faults. */
     isSpared(server: string): boolean {
-        return server.startsWith(LONG_SERVICE.name);
+        return server.startsWith(LONG_SERVICE.name) || server.startsWith(SPARED_SERVICE.name);
+    }
+
+    /** Random numbers of their own for a fault of this run's plan. */
+    newRandom(target: string, lengthMs: number): RandomSource {
+        return new RandomSource(this.seed + [...this.system.hosts.keys()].indexOf(target) + lengthMs);
+    }
+
+    /** Records that a host gets SIGTERM now. */
+    recordStop(host: string): void {
+        const { callers: entryHost } = this.system.hosts.get(host)!;
+        this.stops.push({ entryHost, at: this.clock.wallTime() });
+    }
+
+    /** Uses a host in many ways from now, `aheadMs` before its SIGTERM, until its process is gone; resolves once all requests have ended. */
+    async sendThroughStop(host: string, random: RandomSource, aheadMs: number): Promise<void> {
+        const { clock, protocol } = this;
+        const entries = await useThroughStop({
+            clock,
+            protocol,
+            random,
+            entryHost: this.system.hosts.get(host)!.callers,
+            timeoutMs: STOP_TIMEOUT_MS,
+            stopAt: clock.now() + aheadMs,
+            services: { read: LONG_SERVICE.name, once: SPARED_SERVICE.name },
+            prefix: `stop-${this.probes++}`,
+        });
+        this.calls.push(...entries);
     }
 
     /** Sends requests to one host whose work takes `workMs` at a server of a pool; resolves once all have ended. */
@@ -206,7 +257,8 @@
     /** The observer's verdict. The load must have been stopped. */
     judge(): Promise<Verdict> {
         const notices = { drainMs: this.system.drainMs, disruptions: this.disruptions };
-        return this.records.judge(this.system.servers.values(), this.calls, notices);
+        const stops = { graceMs: this.system.graceMs, timeoutMs: STOP_TIMEOUT_MS, stops: this.stops };
+        return this.records.judge(this.system.servers.values(), this.calls, { notices, stops });
     }
 
     /** Records a fault of a host or a server from its beginning to some time after its end, when what it held up has arrived. */
--- a/scripts/platformSystem.ts
+++ b/scripts/platformSystem.ts
@@ -10,9 +10,10 @@
 const LOOPBACK = "127.0.0.1";
 const PORTS_PER_HOST = 4;
 const DRAIN_MS = 2_500;
+const GRACE_MS = 6_000;
 const BOUNDS = {
     "drain": `${DRAIN_MS}ms`,
-    "grace": "6s",
+    "grace": `${GRACE_MS}ms`,
     "hold-max": "10000ms",
     "retry-budget-ratio": 0.2,
     "budget-window": "10s",
@@ -23,6 +24,8 @@
 type PlatformService = ConfiguredService & {
     /** Data centre of each of its servers. */
     readonly dataCentres: readonly string[];
+    /** Requests that each of its servers runs at a time. */
+    readonly slots?: number;
 };
 
 /** A program with its control interface, behind a proxy that callers of it use. */
@@ -49,6 +52,8 @@
     readonly authority = "soak.example";
     /** Time in ms within which hosts have to stop using a leaving server. */
     readonly drainMs = DRAIN_MS;
+    /** Time in ms from SIGTERM within which a host has to end. */
+    readonly graceMs = GRACE_MS;
     readonly hosts = new Map<string, PlatformHost>();
     readonly servers = new Map<string, PlatformProgram>();
     private readonly services: readonly PlatformService[];
@@ -81,11 +86,12 @@
         this.storeAddress = address;
         this.storeControl = controlAddress;
         await this.configure();
-        for (const { dataCentres, isKeyed, name } of this.services) {
+        for (const { dataCentres, isKeyed, name, slots } of this.services) {
             for (const [index, dataCentre] of dataCentres.entries()) {
                 const flags = [
                     ...["--service", name, "--data-centre", dataCentre, "--store", controlAddress],
                     ...isKeyed ? ["--keyed"] : [],
+                    ...slots === undefined ? [] : ["--slots", String(slots)],
                 ];
                 await this.startServer(`${name}-${index + 1}`, flags);
             }
--- a/scripts/serverRecords.ts
+++ b/scripts/serverRecords.ts
@@ -1,11 +1,5 @@
 import type { Clock } from "@arbutusdoor/common";
-import {
-    type CallerEntry,
-    type Disruption,
-    observe,
-    ServerJournal,
-    type Verdict,
-} from "@arbutusdoor/standins";
+import { type CallerEntry, observe, ServerJournal, type Verdict } from "@arbutusdoor/standins";
 import type { ChildProgram } from "./childProgram.js";
 import { endJournalAt } from "./endJournalAt.js";
 
@@ -58,14 +52,14 @@
     async judge(
         servers: Iterable<RecordedServer>,
         calls: readonly CallerEntry[],
-        notices?: { readonly drainMs: number; readonly disruptions: readonly Disruption[]; },
+        rules: Pick<Parameters<typeof observe>[2], "notices" | "stops"> = {},
     ): Promise<Verdict> {
         const live = [...servers].filter(({ program }) => !program.hasEnded);
         const journals = await Promise.all(live.map(server => this.read(server)));
         return observe([...this.journals, ...journals], calls, {
             toleranceMs: TOLERANCE_MS,
             lostServers: this.lost,
-            notices,
+            ...rules,
         });
     }
 }
--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -16,6 +16,8 @@
     "--answers",
     "servers also send answers a second time, or have no room, and callers begin a head behind a request at work",
 );
+cli.option("--stops", "hosts are stopped while callers of many habits use them, and have no other faults");
+cli.option("--program <file>", "program of the hosts; that of this build when left out");
 cli.help();
 const { options } = cli.parse();
 if (!options.help) {
@@ -28,7 +30,9 @@
                 hasNotices: Boolean(options.notices),
                 hasDisruptions: Boolean(options.disruptions),
                 hasSecondAnswers: Boolean(options.answers),
+                hasStops: Boolean(options.stops),
             },
+            options.program === undefined ? undefined : String(options.program),
         );
         process.stdout.write(`${JSON.stringify(result)}\n`);
         process.exitCode = result.isClean ? process.exitCode : 1;
--- a/scripts/soakKinds.ts
+++ b/scripts/soakKinds.ts
@@ -12,4 +12,6 @@
      * behind a request at work.
      */
     readonly hasSecondAnswers?: boolean;
+    /** Whether hosts are stopped, with no other faults, while callers of many habits use them until their processes are gone. */
+    readonly hasStops?: boolean;
 };
--- a/scripts/soakPlatform.ts
+++ b/scripts/soakPlatform.ts
@@ -15,13 +15,18 @@
     readonly errors: readonly string[];
 };
 
-/** Plays the faults of a seed against the platform's program under load, and judges the whole. */
+/**
+ * Plays the faults of a seed against the platform's program under load, and judges the whole.
+ *
+ * @param hostProgram the program of the hosts; that of this build when left out
+ */
 export async function soakPlatform(
     seed: number,
     durationMs: number,
     kinds: SoakKinds = {},
+    hostProgram?: string,
 ): Promise<SoakResult> {
-    const run = new PlatformRun(kinds);
+    const run = new PlatformRun(kinds, { seed, hostProgram });
     const errors: string[] = [];
     let steps = 0;
     try {
