--- a/packages/standins/src/caller/callerConnection.ts
+++ b/packages/standins/src/caller/callerSocket.ts
@@ -40,7 +40,7 @@
 };
 
 /** One connection of a caller, over which requests can be sent in pieces, late, or several at once; notes when what was sent and seen. */
-export class CallerConnection {
+export class CallerSocket {
     private readonly settings: ConnectionSettings;
     private readonly socket: Socket;
     private readonly reader = new AnswerReader();
--- a/scripts/useThroughStop.ts
+++ b/scripts/useThroughStop.ts
@@ -1,5 +1,5 @@
 import { type Clock, RandomSource } from "@arbutusdoor/common";
-import { type Call, CallerConnection, type CallerEntry, type CallerProtocol } from "@arbutusdoor/standins";
+import { type Call, type CallerEntry, type CallerProtocol, CallerSocket } from "@arbutusdoor/standins";
 
 const CONNECTIONS = 60;
 /** Time after SIGTERM up to which callers send, and up to which they open connections. */
@@ -70,7 +70,7 @@
     const trailer = random.nextFraction() < HABIT_SHARE ? EMPTY_LINE : "";
     const getCuts = random.pick([() => [], () => [], () => drawCuts(0), () => drawCuts(HEAD_BYTES)]);
     await clock.sleep(Math.max(0, openAt - clock.now()));
-    const connection = new CallerConnection({ ...callers, readPauseMs: isLong ? READ_PAUSE_MS : 0 });
+    const connection = new CallerSocket({ ...callers, readPauseMs: isLong ? READ_PAUSE_MS : 0 });
     await clock.sleep(Math.max(0, useAt - clock.now()));
     const entries: CallerEntry[] = [];
     while (connection.isUsable && clock.now() < stopAt + SENDING_MS) {
