A grant counts from its outcome when that is learned late

Cause: an owner counts as expired 800 ms (the time limit of an order), the hold and the margins after its grant was sent. The 800 ms hold only while the timers of the coordinator are on time. Where its event loop stands still, a grant that waits for a connection is written, and one without an answer is given up, later than that.

Change: PendingGrants knows the grants without an outcome. Such an owner never counts as expired; an outcome that is learned late counts from then, for all parts of the range; and a map that is proposed meanwhile states its own time for the owner.

--- a/packages/gateway/src/ownership/findStopProof.ts
+++ b/packages/gateway/src/ownership/findStopProof.ts
@@ -13,6 +13,8 @@
     readonly holder: KeyHolder;
     /** Whether it is the owner in the map. An earlier owner is listed only because of a grant, until it answers a release. */
     readonly isOwner: boolean;
+    /** Whether the outcome of a grant of the range to the holder is not known yet. */
+    readonly isPending: boolean;
     readonly state: HolderState;
     /** Grants of the range that may still be held, by holder name; `undefined` when nothing is known about the range. */
     readonly lastGrants: ReadonlyMap<string, LastGrant> | undefined;
@@ -24,7 +26,7 @@
  * @param inheritedUntil time until which predecessors may have sent grants
  */
 export function findStopProof(
-    { holder, isOwner, lastGrants, state }: KnownHolder,
+    { holder, isOwner, isPending, lastGrants, state }: KnownHolder,
     inheritedUntil: Milliseconds,
     now: Milliseconds,
     settings: OwnershipSettings,
@@ -41,7 +43,7 @@
         return { ...untimed, cause: isOwner ? "unsent" : "released" };
     }
     const last = getLastGrantTime(grant, inheritedUntil);
-    if (now < getGrantExpiry(last, settings)) {
+    if (isPending || now < getGrantExpiry(last, settings)) {
         return undefined;
     }
     return last === -Infinity
--- a/packages/gateway/src/ownership/orderScheduler.ts
+++ b/packages/gateway/src/ownership/orderScheduler.ts
@@ -2,6 +2,8 @@
 import type { OrderOutcome } from "../orders/orderOutcome.js";
 import { applyChanges } from "./applyChanges.js";
 import { createInheritedProgress } from "./createInheritedProgress.js";
+import { createProbes } from "./createProbes.js";
+import { delayLastGrants } from "./delayLastGrants.js";
 import { findRange } from "./findRange.js";
 import { findStopProof } from "./findStopProof.js";
 import { getHolderName } from "./getHolderName.js";
@@ -18,10 +20,11 @@
 import { OrderQuota } from "./orderQuota.js";
 import type { OwnedRange } from "./ownedRange.js";
 import type { OwnershipSettings } from "./ownershipSettings.js";
+import { PendingGrants } from "./pendingGrants.js";
 import { pickLongestWaiting } from "./pickLongestWaiting.js";
 import type { RangeChange } from "./rangeChange.js";
 import type { RangeProgress } from "./rangeProgress.js";
-import { restoreLastGrant } from "./restoreLastGrant.js";
+import { recordOutcome } from "./recordOutcome.js";
 import type { StopProof } from "./stopProof.js";
 import type { StoreTimeScale } from "./storeTimeScale.js";
 import { updateProgress } from "./updateProgress.js";
@@ -50,6 +53,7 @@
     /** First keys of ranges that callers ask for and whose owners do not hold them: these are granted first. */
     private readonly requested = new Set<number>();
     private readonly window = new GrantWindow();
+    private readonly pending = new PendingGrants();
     private readonly reachability: HolderReachability;
     /** Until then a predecessor may have sent grants to the holders in its map. */
     private inheritedUntil: Milliseconds;
@@ -135,7 +139,7 @@
             term,
             changes,
             (holder, range) => this.hasStopped(holder, range, now),
-            (holder, range) => this.getGrantLimit(holder, range),
+            (holder, range) => this.getGrantLimit(holder, range, now),
             fence,
         );
     }
@@ -200,6 +204,7 @@
         this.reachability.recordOutcome(order.holder, outcome, now);
         if (order.kind === "grant") {
             this.window.remove(order.holder);
+            this.recordArrival(order, outcome, now);
         }
         const range = findRange(this.committed.ranges, order.first);
         const progress = range && this.progress.get(range.first);
@@ -213,24 +218,8 @@
             progress.dueAt = Infinity;
             return undefined;
         }
-        if (outcome.kind === "unsent" || outcome.kind === "notConnected") {
-            restoreLastGrant(progress, order);
-        }
-        if (outcome.kind !== "done") {
-            progress.dueAt = now + this.settings.retryMs;
-            return undefined;
-        }
-        if (order.kind === "release") {
-            progress.lastGrants.delete(getHolderName(order.holder));
-            progress.handover = outcome.handover ?? progress.handover;
-            progress.dueAt = now;
-            return undefined;
-        }
-        const isFirst = !progress.isHeld;
-        progress.isHeld = true;
-        progress.answeredAt = now;
-        progress.handover = undefined;
-        return isFirst ? { first: range.first, fence: range.fence } : undefined;
+        const isFirstGrant = recordOutcome(progress, order, outcome, now, this.settings.retryMs);
+        return isFirstGrant ? { first: range.first, fence: range.fence } : undefined;
     }
 
     /**
@@ -274,24 +263,17 @@
      * each has the current fencing token of a range of which the holder has nothing.
      */
     takeProbes(now: Milliseconds): readonly KeyOrder[] {
-        const [range] = this.committed.ranges;
-        if (!range) {
-            return [];
-        }
-        const { first, fence, last } = range;
-        const addressed = new Set(
-            this.committed.ranges.flatMap(each => [each.owner, ...this.listPossibleHolders(each, now)]).map(
-                getHolderName,
-            ),
-        );
-        return this.reachability.takeProbes(
+        const owners = this.committed.ranges.flatMap(range => [
+            range.owner,
+            ...this.listPossibleHolders(range, now),
+        ]);
+        const addressed = new Set(owners.map(getHolderName));
+        const holders = this.reachability.takeProbes(
             now,
             this.getState,
             holder => addressed.has(getHolderName(holder)),
-        )
-            .map(
-                holder => ({ kind: "release", first, last, fence, holder, handover: undefined }),
-            );
+        );
+        return createProbes(this.committed, holders);
     }
 
     /** Records the outcome of a probe. */
@@ -318,12 +300,27 @@
     }
 
     /** Returns the store time after which a holder gets no grants of a range; `undefined` when it may get more. */
-    private getGrantLimit(holder: KeyHolder, range: OwnedRange): Milliseconds | undefined {
+    private getGrantLimit(
+        holder: KeyHolder,
+        range: OwnedRange,
+        now: Milliseconds,
+    ): Milliseconds | undefined {
         const grant = this.progress.get(range.first)?.lastGrants.get(getHolderName(holder));
         const mayGetMore = isSameHolder(holder, range.owner) && !this.frozen.has(range.first);
-        return grant && !mayGetMore
-            ? this.scale.toStoreTime(getLastGrantTime(grant, this.inheritedUntil))
-            : undefined;
+        if (!grant || mayGetMore) {
+            return undefined;
+        }
+        const last = getLastGrantTime(grant, this.inheritedUntil);
+        return this.scale.toStoreTime(this.pending.includes(holder, range) ? Math.max(last, now) : last);
+    }
+
+    /** Counts a grant whose outcome was learned late from then: it may have arrived until now. */
+    private recordArrival(order: KeyOrder, { kind }: OrderOutcome, now: Milliseconds): void {
+        const sentAt = this.pending.remove(order) ?? now;
+        const at = now - this.settings.orderTimeoutMs;
+        if (at > sentAt && kind !== "unsent" && kind !== "notConnected") {
+            delayLastGrants(this.committed, this.progress, order, at);
+        }
     }
 
     /** Whether an owner or earlier owner of a range is proved to have stopped serving it. */
@@ -335,7 +332,13 @@
         const state = this.getState(holder);
         const lastGrants = this.progress.get(range.first)?.lastGrants;
         const isOwner = isSameHolder(holder, range.owner);
-        return findStopProof({ holder, isOwner, state, lastGrants }, this.inheritedUntil, now, this.settings);
+        const isPending = this.pending.includes(holder, range);
+        return findStopProof(
+            { holder, isOwner, isPending, state, lastGrants },
+            this.inheritedUntil,
+            now,
+            this.settings,
+        );
     }
 
     /**
@@ -370,6 +373,7 @@
         const fields = { first, last, fence, holder: owner, handover };
         const order: KeyOrder = { kind: "grant", ...fields, ...(stopProofs && { stopProofs }) };
         progress.lastOrder = { order, grantBefore };
+        this.pending.add(order, now);
         return order;
     }
 
