A call is not sent after its time limit

Cause: after the event loop has stood still, connections that have opened and answers that have arrived are handled before overdue timers. A grant that waited for its connection was written then, although its 800 ms were over: its holder held the keys that much longer than the coordinator assumed, beside the next owner.

Change: the client asks for the time when a call gets its connection, and ends it as not run after its limit.

--- a/packages/clients/src/http/httpClient.ts
+++ b/packages/clients/src/http/httpClient.ts
@@ -1,4 +1,4 @@
-import type { Clock, HeaderFields, Metrics } from "@arbutusdoor/common";
+import type { Clock, HeaderFields, Metrics, Milliseconds } from "@arbutusdoor/common";
 import PQueue from "p-queue";
 import type { Pool } from "undici";
 import { bufferBody } from "./bufferBody.js";
@@ -93,17 +93,18 @@
         const timeoutMs = call.timeoutMs ?? limits.timeoutMs;
         const timer = clock.schedule(timeoutMs, () => timeout.abort(new Error(ANSWER_TIMEOUT)));
         const signal = call.signal ? AbortSignal.any([timeout.signal, call.signal]) : timeout.signal;
-        const answer = await this.runQueued(call, signal);
+        const endsAt = clock.now() + timeoutMs;
+        const answer = await this.runQueued(call, signal, endsAt);
         timer.cancel();
         return answer;
     }
 
-    private async runQueued(call: HttpCall, signal: AbortSignal): Promise<HttpAnswer> {
+    private async runQueued(call: HttpCall, signal: AbortSignal, endsAt: Milliseconds): Promise<HttpAnswer> {
         let exchange: Promise<HttpAnswer> | undefined;
         try {
             await this.queue.add(
                 () => {
-                    exchange = this.exchange(call, signal);
+                    exchange = this.exchange(call, signal, endsAt);
                     return exchange;
                 },
                 { signal },
@@ -115,7 +116,7 @@
         return await (exchange ?? QUEUE_TIMEOUT);
     }
 
-    private async exchange(call: HttpCall, signal: AbortSignal): Promise<HttpAnswer> {
+    private async exchange(call: HttpCall, signal: AbortSignal, endsAt: Milliseconds): Promise<HttpAnswer> {
         const { clock, limits } = this.options;
         const request = {
             method: call.method,
@@ -126,6 +127,8 @@
             isMatchingAnswer: call.isMatchingAnswer,
             isLastAnswer: call.isLastAnswer,
             closesConnection: call.closesConnection,
+            // In a blocked event loop the timer runs after the connections that have opened meanwhile.
+            maySend: () => clock.now() < endsAt,
             signal,
         };
         const outcome = await HttpExchange.send(this.pool, request, clock);
