A coordinator that stops gives up its orders in progress

Cause: a successor of a coordinator that has resigned, or that follows it, counts from then: "sends nothing more". But its grants went on for up to 800 ms (longer in a busy process) and its releases for 3 s: they waited for connections, and the kernel repeated what it had written.

Change: the end of a coordination, and a new term of the same host, abandon all orders in progress: waiting ones are never sent, the connections of others are reset.

--- a/packages/gateway/src/ownership/keyCoordinator.ts
+++ b/packages/gateway/src/ownership/keyCoordinator.ts
@@ -98,6 +98,7 @@
      */
     start(term: number, predecessors: readonly Predecessor[]): void {
         const wasActive = this.isActive;
+        this.abandonOrders();
         this.services.clear();
         this.coordinations++;
         this.term = term;
@@ -122,8 +123,9 @@
         this.services.forEach(service => service.resume(term));
     }
 
-    /** Stops coordinating; no more orders are sent. */
+    /** Stops coordinating: no more orders are sent, and none that has not arrived yet ever will. */
     stop(): void {
+        this.abandonOrders();
         this.term = undefined;
         this.services.clear();
     }
@@ -162,6 +164,13 @@
         return predecessor.host === host && (predecessor.incarnation !== incarnation || isFollowing);
     }
 
+    /** Gives up the orders in progress, since a successor counts from the end of this coordination. */
+    private abandonOrders(): void {
+        if (this.isActive) {
+            this.parts.orders.abandon();
+        }
+    }
+
     private schedule(): void {
         this.parts.clock.schedule(TICK_MS, () => {
             if (this.term !== undefined) {
