Table follower: a stopped follower forgets its failed reads

Cause: a follower that was stopped while the store failed kept its count of failed reads. Most hosts are linked again after an outage before their own next read has ended, so the first read after the loss of the coordinator, minutes later, counted as the first after an outage, and the time of the leave was taken from that read. Change: stop() resets the count. A follower is stopped when another source has made the table known within the age limit, so that what happened before says nothing about the reads after the next start.

--- a/packages/gateway/src/store/tableFollower.ts
+++ b/packages/gateway/src/store/tableFollower.ts
@@ -30,6 +30,7 @@
 export class TableFollower<Value> {
     private readonly parts: FollowerParts<Value>;
     private running: AbortController | undefined;
+    /** Reads in a row without an answer since the start. */
     private failures = 0;
 
     constructor(parts: FollowerParts<Value>) {
@@ -49,10 +50,11 @@
         }
     }
 
-    /** Stops following and aborts pending calls. */
+    /** Stops following and aborts pending calls. What happened up to now says nothing about the reads after the next start. */
     stop(): void {
         this.running?.abort(new Error("the table is no longer followed"));
         this.running = undefined;
+        this.failures = 0;
     }
 
     private async run(signal: AbortSignal): Promise<void> {
