Coordinator lease: an answered renewal ends an outage

A coordinator whose later read of a table got no answer would pause it for up to 2 s, so that configurations and leaving servers are known too late at all hosts. Cause: only answered reads of the lease ended the count of failed ones. After a write and a read without an answer, a renewal that the store answers leaves the count as it is for as long as renewals go well, and readers wait for a probe that nobody makes. Change: a committed write counts as an answer.

--- a/packages/gateway/src/coordination/leaseManager.ts
+++ b/packages/gateway/src/coordination/leaseManager.ts
@@ -342,6 +342,7 @@
         if (outcome.kind !== "committed") {
             return false;
         }
+        this.polls.recordAnswer();
         if (!this.era.record(outcome.era) || fencingTokens.getEra(term) < this.era.current) {
             return false;
         }
--- a/packages/gateway/src/coordination/leasePolls.ts
+++ b/packages/gateway/src/coordination/leasePolls.ts
@@ -11,7 +11,7 @@
     readonly shortPause: Milliseconds = SHORT_PAUSE_MS;
     private readonly availability: StoreAvailability;
     private readonly logger: Logger;
-    /** Reads in a row that got no answer. */
+    /** Reads in a row that got no answer, and that no answered write has followed. */
     private failures = 0;
     /** Reads in a row that found the lease held by another host. */
     private readsOfOther = 0;
@@ -40,7 +40,7 @@
         this.availability.recordFailure();
     }
 
-    /** Records an answered read. */
+    /** Records an answered read or write. */
     recordAnswer(): void {
         this.availability.recordAnswer();
         if (this.failures > 0) {
