Coordinator lease: a linked host forgets the failures of its polls

Cause: the polls of the lease end when a host gets a link, also when that happens before the store has answered one. Their count of failures stayed: the first probe after the loss of the coordinator, however late, was followed by the longest pause (up to 1.15 s instead of 0.35 s), readers waited for probes that nobody made, and the later outage had no leaseUnavailable line. Change: the count ends with the polls, and readers wait no longer. Measured: the new test failed before (a reader may not read) and passes.

--- a/packages/gateway/src/coordination/leaseManager.ts
+++ b/packages/gateway/src/coordination/leaseManager.ts
@@ -197,7 +197,7 @@
             table,
         } = this.parts;
         if (!this.own && !needsCoordinator()) {
-            this.polls.reset();
+            this.polls.stop();
             return RETRY_MS;
         }
         const mark = suspendAwareTime.mark(clock);
--- a/packages/gateway/src/coordination/leasePolls.ts
+++ b/packages/gateway/src/coordination/leasePolls.ts
@@ -31,6 +31,13 @@
         this.readsOfOther = 0;
     }
 
+    /** Ends the polls: an outage up to now says nothing about later ones, and nobody waits for the next poll. */
+    stop(): void {
+        this.reset();
+        this.failures = 0;
+        this.availability.stopProbing();
+    }
+
     /** Records a read without an answer. */
     recordFailure(reason: string): void {
         if (this.failures === 0) {
--- a/packages/gateway/src/store/storeAvailability.ts
+++ b/packages/gateway/src/store/storeAvailability.ts
@@ -37,8 +37,12 @@
 
     /** Records an answer of the store. */
     recordAnswer(): void {
-        this.failures = 0;
-        [...this.waiting].forEach(finish => finish());
+        this.reset();
+    }
+
+    /** Records that no probes follow: callers no longer wait for them. */
+    stopProbing(): void {
+        this.reset();
     }
 
     /** Resolves when the last probe was answered, or after a limited time. */
@@ -56,4 +60,9 @@
             this.waiting.add(finish);
         });
     }
+
+    private reset(): void {
+        this.failures = 0;
+        [...this.waiting].forEach(finish => finish());
+    }
 }
--- a/packages/gateway/tests/leasePolls.test.ts
+++ b/packages/gateway/tests/leasePolls.test.ts
@@ -13,6 +13,9 @@
 import { HostRowTable } from "./support/hostRowTable.js";
 import { MemoryRowTable } from "./support/memoryRowTable.js";
 
+/** Longest of the shortest pauses between two probes. */
+const SHORT_PAUSE_MS = 400;
+
 function createHost() {
     const clock = new ManualClock();
     const table = new HostRowTable(new MemoryRowTable<CoordinatorLease>(clock));
@@ -76,3 +79,18 @@
     expect(count("leaseRecovered")).toBe(1);
     expect(await mayRead(availability)).toBe(true);
 });
+
+// Guards against probes of the store that are rare from the first one on, and readers that wait for them, long after an earlier outage.
+test("a host that gets a link during an outage counts later failures of its polls from the start", async () => {
+    const { availability, clock, count, state, table } = createHost();
+    state.isEligible = false;
+    table.isCutOff = true;
+    await run(clock, 5_000);
+    state.isLinked = true;
+    await run(clock, 10_000);
+    expect(await mayRead(availability)).toBe(true);
+    state.isLinked = false;
+    await run(clock, 200);
+    expect(count("leaseUnavailable")).toBe(2);
+    expect(availability.probeDelay).toBeLessThan(SHORT_PAUSE_MS);
+});
