Coordinator lease: a small host forgets when it first found the lease free

A small host could become the coordinator beside larger ones. Cause: the time since when the lease is free, for which a small host leaves it to others, was reset only by a read that found it held. It outlived the host's own lease and its time with a link. Change: it is forgotten with a committed write of the lease and while the host does not look for a coordinator. Measured: the new test failed before ("small-1 takes term 3") and passes.

--- a/packages/gateway/src/coordination/leaseManager.ts
+++ b/packages/gateway/src/coordination/leaseManager.ts
@@ -91,7 +91,7 @@
     /** The poll or renewal in progress, or the last one. */
     private step: Promise<Milliseconds> | undefined;
     private isStopped = false;
-    /** When the lease was first found free; `undefined` while it is held. */
+    /** When the lease was first found free; `undefined` while it is held, also by this host, and while this host does not look for it. */
     private freeSince: Milliseconds | undefined;
     private readonly polls: LeasePolls;
     private lastReading: LeaseReading = "unread";
@@ -198,6 +198,7 @@
         } = this.parts;
         if (!this.own && !needsCoordinator()) {
             this.polls.stop();
+            this.freeSince = undefined;
             return RETRY_MS;
         }
         const mark = suspendAwareTime.mark(clock);
@@ -347,6 +348,7 @@
             return false;
         }
         this.own = { term, version: outcome.version, expiresAt };
+        this.freeSince = undefined;
         this.reference = { storeTime: outcome.storeTime, mark, readAt: this.parts.clock.now() };
         this.lastContact = mark;
         return true;
--- a/packages/gateway/tests/leaseManager.test.ts
+++ b/packages/gateway/tests/leaseManager.test.ts
@@ -266,3 +266,23 @@
     await run(clock, 1_000);
     expect(events.filter(event => event.includes("takes"))).toHaveLength(1);
 });
+
+// Guards against a small host that coordinates beside larger ones, since it found the lease free once, before it held it.
+test("a small host that has held the lease leaves it to larger ones when it is free again", async () => {
+    const { clock, events, links, start, table } = createManagers(["small-1"]);
+    await run(clock, 1_500);
+    expect(events.at(-1)).toBe("small-1 takes term 1 after none");
+    links.get("small-1")!.isCutOff = true;
+    const second = start("b");
+    await run(clock, 3_500);
+    expect(events.at(-1)).toBe("b takes term 2 after small-1");
+    void second.resign();
+    await run(clock, 50);
+    links.get("small-1")!.isCutOff = false;
+    for (const before = table.calls; table.calls === before;) {
+        await run(clock, 5);
+    }
+    start("c");
+    await run(clock, 1_500);
+    expect(events.findLast(event => event.includes("takes"))).toContain("c takes term 3");
+});
