Settings: a changed address of the store is used without a restart

Cause: applySettings took over the bounds only, and the clients of the store were created once, for the address at the start. Change: StoreClients replaces its clients when the address changes, on SIGHUP or by the file alone, and closes those of the earlier address, so that nothing is learned from there any more. The storeAddressChanged line has both addresses. Versions, eras and the clock are not touched: they are the store's own, and the checks of a restored store apply as before.

--- a/packages/common/src/logging/logEvent.ts
+++ b/packages/common/src/logging/logEvent.ts
@@ -267,6 +267,11 @@
         level: "error",
         text: "the settings file is invalid; the previous settings stay in use",
     },
+    storeAddressChanged: {
+        number: 111,
+        level: "info",
+        text: "the store's address in the settings changed; all later calls go to the new one",
+    },
     tableUnavailable: { number: 600, level: "warn", text: "the table service does not answer" },
     tableRecovered: { number: 601, level: "info", text: "the table service answers again" },
     objectStoreUnavailable: { number: 602, level: "warn", text: "the object store does not answer" },
--- a/packages/gateway/src/host/gatewayAdapters.ts
+++ b/packages/gateway/src/host/gatewayAdapters.ts
@@ -17,4 +17,6 @@
     readonly orders: KeyOrders;
     readonly backends: BackendClient;
     readonly callerHeaders: CallerHeaderCodec;
+    /** Makes all later calls of the tables to the store at another address (IP address and port). */
+    readonly moveStore: (address: string) => void;
 };
--- a/packages/gateway/src/host/gatewayHost.ts
+++ b/packages/gateway/src/host/gatewayHost.ts
@@ -35,8 +35,10 @@
 import type { GatewayAdapters } from "./gatewayAdapters.js";
 import type { GatewayOptions } from "./gatewayOptions.js";
 import { getClaimDelay } from "./getClaimDelay.js";
+import { getTableAgeLimit } from "./getTableAgeLimit.js";
 import { GracefulShutdown } from "./gracefulShutdown.js";
 import { listenForStatus } from "./listenForStatus.js";
+import { LiveSettings } from "./liveSettings.js";
 import { REBALANCE } from "./rebalance.js";
 import { repeatTask } from "./repeatTask.js";
 import { ReportSender } from "./reportSender.js";
@@ -48,8 +50,6 @@
 const TICK_MS = 100;
 const REPORT_MS = 200;
 const HEARTBEAT_MS = 300;
-/** Part of the time in which changes have to take effect that is left to a host that has to read the store itself. */
-const FALLBACK_MS = 800;
 /** A coordinator that has just taken over, on a small host, needs more than half a second for a handshake while all hosts link to it. */
 const LINK_TIMEOUT_MS = 2_000;
 /** A host without a key map is ready after this time nevertheless, as it can serve pooled services. */
@@ -70,7 +70,7 @@
 /** One host on the platform: serves callers' requests, and coordinates the keyed services while it holds the lease. */
 export class GatewayHost {
     private readonly parts: GatewayParts;
-    private settings: HostSettings;
+    private readonly settings: LiveSettings;
     private readonly state: ClusterState;
     private readonly following: TableFollowing;
     private readonly lease: LeaseManager;
@@ -92,16 +92,13 @@
 
     constructor(parts: GatewayParts) {
         this.parts = parts;
-        this.settings = parts.settings;
         const { adapters, clock, incarnation, logger, metrics, options, random, settings } = parts;
+        this.settings = new LiveSettings(settings, logger, adapters);
         this.startedAt = clock.now();
         this.hosts = new HostCount(clock);
         this.state = new ClusterState(clock, logger, metrics);
         const { directory } = this.state;
-        const getAgeLimit = () => {
-            const { applyMs, drainMs } = this.settings.bounds;
-            return Math.min(applyMs, drainMs) - FALLBACK_MS;
-        };
+        const getAgeLimit = () => getTableAgeLimit(this.settings.current);
         this.currency = new CoordinatorCurrency(this.state.storeClock, getAgeLimit);
         const claimDelayMs = getClaimDelay(settings.processorCores);
         const availability = new StoreAvailability(clock, random);
@@ -137,7 +134,7 @@
         this.loads = new LoadReporter(settings.host, incarnation);
         const { admission, placement } = createServerAdmission({
             ...parts,
-            getSettings: () => this.settings,
+            getSettings: () => this.settings.current,
             state: this.state,
             hosts: this.hosts,
         });
@@ -206,7 +203,7 @@
         this.reports = new ReportSender(this.loads, this.coordinator, this.link, () => this.createReport());
         this.callerPort = createCallerPort({
             ...parts,
-            getSettings: () => this.settings,
+            getSettings: () => this.settings.current,
             state: this.state,
             keys: this.keys,
             admission,
@@ -240,9 +237,9 @@
         this.repeat(HEARTBEAT_MS, () => this.sendHeartbeat());
     }
 
-    /** Applies changed settings. The addresses and names of this host stay unchanged until it restarts. */
+    /** Applies changed settings. */
     applySettings(settings: HostSettings): void {
-        this.settings = { ...this.settings, bounds: settings.bounds };
+        this.settings.apply(settings);
     }
 
     /** Stops gracefully. Returns what ended the shutdown, for the log. */
@@ -250,7 +247,7 @@
         this.isStopping = true;
         const { callerPort, parts: { clock, logger } } = this;
         return new GracefulShutdown({ clock, logger, callerPort, resign: () => this.resign() })
-            .run(this.settings.bounds.graceMs);
+            .run(this.settings.current.bounds.graceMs);
     }
 
     private async resign(): Promise<void> {
--- a/packages/gateway/tests/support/hostPair.ts
+++ b/packages/gateway/tests/support/hostPair.ts
@@ -2,6 +2,8 @@
     type DataCentreId,
     type HostId,
     type HostIncarnation,
+    type LogEvent,
+    type LogFields,
     Logger,
     ManualClock,
     Metrics,
@@ -19,6 +21,7 @@
 import type { GatewayAdapters } from "../../src/host/gatewayAdapters.js";
 import { GatewayHost } from "../../src/host/gatewayHost.js";
 import type { KeyMap } from "../../src/ownership/keyMap.js";
+import type { HostSettings } from "../../src/settings/hostSettings.js";
 import { HeldBackends } from "./heldBackends.js";
 import { HostRowTable } from "./hostRowTable.js";
 import { MemoryRowTable } from "./memoryRowTable.js";
@@ -38,6 +41,11 @@
 /** One of the hosts, with its own faults on the way to the store. */
 type PairedHost = {
     readonly host: GatewayHost;
+    readonly settings: HostSettings;
+    /** Log lines, by event. */
+    readonly lines: readonly { readonly event: LogEvent; readonly fields: LogFields; }[];
+    /** Addresses of the store in the order in which they were taken over. */
+    readonly storeAddresses: readonly string[];
     readonly configuration: ScriptedRows<OperatorEntry>;
     readonly servers: ScriptedRows<RegisteredServer>;
     readonly leases: HostRowTable<CoordinatorLease>;
@@ -89,7 +97,10 @@
         const { clock } = this;
         const ip = `127.0.0.${number}`;
         const logger = new Logger(clock, `host-${number}`, "silent");
+        const lines: { event: LogEvent; fields: LogFields; }[] = [];
+        const storeAddresses: string[] = [];
         logger.onEvent((event, fields) => {
+            lines.push({ event, fields });
             if (event === "configurationAdopted") {
                 this.adopted.push({ host: number, version: fields["version"] as number, at: clock.now() });
             }
@@ -113,29 +124,31 @@
                 readRequestHeaders: () => ({ id: undefined, timeoutMs: undefined, key: undefined }),
                 createRetryHeaders: () => ({}),
             },
+            moveStore: address => storeAddresses.push(address),
         };
-        const host = new GatewayHost({
-            settings: {
-                host: `host-${number}` as HostId,
-                ip,
-                dataCentre: "north" as DataCentreId,
-                callerAddress: `${ip}:0`,
-                readinessAddress: `${ip}:0`,
-                linkPort,
-                storeAddress: "unused",
-                descriptorLimit: 1_000,
-                memoryBytes: 1e9,
-                processorCores: 1,
-                bounds: {
-                    drainMs: 2_000,
-                    applyMs: 2_000,
-                    graceMs: 6_000,
-                    maxHoldMs: 10_000,
-                    retryShare: 0.2,
-                    retryWindowMs: 10_000,
-                    retryAllowance: 50,
-                },
+        const settings: HostSettings = {
+            host: `host-${number}` as HostId,
+            ip,
+            dataCentre: "north" as DataCentreId,
+            callerAddress: `${ip}:0`,
+            readinessAddress: `${ip}:0`,
+            linkPort,
+            storeAddress: "unused",
+            descriptorLimit: 1_000,
+            memoryBytes: 1e9,
+            processorCores: 1,
+            bounds: {
+                drainMs: 2_000,
+                applyMs: 2_000,
+                graceMs: 6_000,
+                maxHoldMs: 10_000,
+                retryShare: 0.2,
+                retryWindowMs: 10_000,
+                retryAllowance: 50,
             },
+        };
+        const host = new GatewayHost({
+            settings,
             options: { stripeKeys: 128, holdMs: 9_000, admission: "servers", metricsPort: 0, spill: "cost" },
             incarnation: `host-${number}-1` as HostIncarnation,
             clock,
@@ -144,7 +157,7 @@
             metrics: new Metrics(),
             adapters,
         });
-        return { host, configuration, servers, leases };
+        return { host, settings, lines, storeAddresses, configuration, servers, leases };
     }
 }
 
