Settings: changes that need a restart are named in the log

Operators saw: settingsRead after a change that had no effect, such as another zone or a lower hold-max, and no word of it. Cause: names, addresses, ports, the processor's share and the longest grant are read once, when the process starts.

--- a/packages/common/src/logging/logEvent.ts
+++ b/packages/common/src/logging/logEvent.ts
@@ -272,6 +272,11 @@
         level: "info",
         text: "the store's address in the settings changed; all later calls go to the new one",
     },
+    settingsIgnored: {
+        number: 112,
+        level: "warn",
+        text: "the settings file has changed in fields that take effect only when the process starts again",
+    },
     tableUnavailable: { number: 600, level: "warn", text: "the table service does not answer" },
     tableRecovered: { number: 601, level: "info", text: "the table service answers again" },
     objectStoreUnavailable: { number: 602, level: "warn", text: "the object store does not answer" },
--- a/packages/gateway/src/host/gatewayHost.ts
+++ b/packages/gateway/src/host/gatewayHost.ts
@@ -24,6 +24,7 @@
 import { LoadReporter } from "../routing/loadReporter.js";
 import type { OverloadControl } from "../routing/overloadControl.js";
 import type { HostSettings } from "../settings/hostSettings.js";
+import type { PendingSetting } from "../settings/pendingSetting.js";
 import { StoreAvailability } from "../store/storeAvailability.js";
 import { ClusterState } from "./clusterState.js";
 import { createCallerPort } from "./createCallerPort.js";
@@ -237,9 +238,9 @@
         this.repeat(HEARTBEAT_MS, () => this.sendHeartbeat());
     }
 
-    /** Applies changed settings. */
-    applySettings(settings: HostSettings): void {
-        this.settings.apply(settings);
+    /** Applies changed settings. Returns those that have no effect before this host restarts. */
+    applySettings(settings: HostSettings): readonly PendingSetting[] {
+        return this.settings.apply(settings);
     }
 
     /** Stops gracefully. Returns what ended the shutdown, for the log. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -27,6 +27,7 @@
 export * from "./ownership/keyMap.js";
 export * from "./requests/callerHeaderCodec.js";
 export * from "./settings/hostSettings.js";
+export * from "./settings/pendingSetting.js";
 export * from "./store/rowSource.js";
 export * from "./store/rowsReadOutcome.js";
 export * from "./store/rowTable.js";
