--- a/packages/gateway/src/coordination/leaseManager.ts
+++ b/packages/gateway/src/coordination/leaseManager.ts
@@ -91,7 +91,7 @@
     /** The poll or renewal in progress, or the last one. */
     private step: Promise<Milliseconds> | undefined;
     private isStopped = false;
-    /** When the lease was first found free; `undefined` while it is held. */
+    /** When the lease was first found free; `undefined` while it is held, also by this host, and while this host does not look for it. */
     private freeSince: Milliseconds | undefined;
     private readonly polls: LeasePolls;
     private lastReading: LeaseReading = "unread";
@@ -197,7 +197,8 @@
             table,
         } = this.parts;
         if (!this.own && !needsCoordinator()) {
-            this.polls.reset();
+            this.polls.stop();
+            this.freeSince = undefined;
             return RETRY_MS;
         }
         const mark = suspendAwareTime.mark(clock);
@@ -342,10 +343,12 @@
         if (outcome.kind !== "committed") {
             return false;
         }
+        this.polls.recordAnswer();
         if (!this.era.record(outcome.era) || fencingTokens.getEra(term) < this.era.current) {
             return false;
         }
         this.own = { term, version: outcome.version, expiresAt };
+        this.freeSince = undefined;
         this.reference = { storeTime: outcome.storeTime, mark, readAt: this.parts.clock.now() };
         this.lastContact = mark;
         return true;
