--- a/packages/standins/src/rangeServer/registeredEntry.ts
+++ b/packages/standins/src/rangeServer/registeredEntry.ts
@@ -67,7 +67,11 @@
             address: advertised ?? this.getAddress(),
             born: this.startedAt,
             info: { service, zone: dataCentre, slots, "config-version": "1" },
-            status: { state: this.isLeaving ? "draining" : "ready", seq: this.beats },
+            status: {
+                "state": this.isLeaving ? "draining" : "ready",
+                "seq": this.beats,
+                "warmup-left": "0ms",
+            },
         });
     }
 
--- a/packages/standins/src/rowStore/listForeignEntries.ts
+++ b/packages/standins/src/rowStore/listForeignEntries.ts
@@ -6,7 +6,7 @@
  */
 export function listForeignEntries(service: string, dataCentre: string): ReadonlyMap<string, string> {
     const info = { "service": service, "zone": dataCentre, "slots": 4, "config-version": "1" };
-    const status = { state: "ready", seq: 1 };
+    const status = { "state": "ready", "seq": 1, "warmup-left": "0ms" };
     const entry = { address: `127.0.0.1:${PORT}`, born: 1_700_000_000_000, info, status };
     const addresses = [
         "127.1.2.3:70000",
@@ -31,9 +31,14 @@
         { ...entry, info: { ...info, zone: [] } },
         { ...entry, info: { ...info, slots: -1 } },
         { ...entry, info: { ...info, slots: 0.5 } },
+        { ...entry, info: { ...info, "config-version": undefined } },
+        { ...entry, info: { ...info, "config-version": 1 } },
         { ...entry, status: "ready" },
         { ...entry, status: { ...status, state: "resting" } },
         { ...entry, status: { ...status, "warmup-left": "soon" } },
+        { ...entry, status: { ...status, "warmup-left": undefined } },
+        { ...entry, status: { ...status, seq: undefined } },
+        { ...entry, status: { ...status, seq: "1" } },
     ];
     const texts = [...variants.map(variant => JSON.stringify(variant)), "null", "[]", "{", "\u0000"];
     return new Map([
