Keys of a server's earlier incarnation are not freed by the end of a newer one

Cause: the map dropped earlier incarnations of a range's new owner from its earlier owners, and the grants of the earlier incarnation were counted with the newer one's. The end of the newer one was then the stop proof for all of them. Change: earlier incarnations of the owner stay listed until their own stop proof. They do not delay the owner's grant and get no release while it owns the range, since a server runs once under an id; the next owner needs a stop proof of each. The map says so, also for a successor.

--- a/packages/gateway/src/ownership/applyChanges.ts
+++ b/packages/gateway/src/ownership/applyChanges.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "@arbutusdoor/common";
+import { isSameHolder } from "./isSameHolder.js";
 import type { KeyHolder } from "./keyHolder.js";
 import type { KeyMap } from "./keyMap.js";
 import type { OwnedRange } from "./ownedRange.js";
@@ -59,8 +60,8 @@
 ): OwnedRange {
     const isOwnerStopped = hasStopped(range.owner, range);
     const earlier = isOwnerStopped ? range.previous : [...range.previous, range.owner];
-    // Earlier incarnations of the new owner are not listed: its own grants supersede theirs.
-    const previous = earlier.filter(({ id }) => id !== owner.id);
+    // Earlier incarnations of the new owner stay listed: what proves that it has ended says nothing of their grants.
+    const previous = earlier.filter(holder => !isSameHolder(holder, owner));
     const limits = [
         ...(range.previous.length > 0 ? [range.previousUntil] : []),
         ...(isOwnerStopped ? [] : [getGrantLimit(range.owner, range)]),
--- a/packages/gateway/src/ownership/orderScheduler.ts
+++ b/packages/gateway/src/ownership/orderScheduler.ts
@@ -14,6 +14,7 @@
 import type { KeyHolder } from "./keyHolder.js";
 import type { KeyMap } from "./keyMap.js";
 import type { KeyOrder } from "./keyOrder.js";
+import { listHolders } from "./listHolders.js";
 import { listOwners } from "./listOwners.js";
 import { OrderQuota } from "./orderQuota.js";
 import type { OwnedRange } from "./ownedRange.js";
@@ -74,9 +75,7 @@
         this.distinctOwners = listOwners(map);
         this.inheritedUntil = isInherited ? now + settings.renewalAuthorityMs : -Infinity;
         map.ranges.forEach(range => this.progress.set(range.first, createInheritedProgress(range, scale)));
-        const inherited = isInherited
-            ? map.ranges.flatMap(({ owner, previous }) => [owner, ...previous])
-            : [];
+        const inherited = isInherited ? listHolders(map) : [];
         this.reachability = new HolderReachability(inherited, settings.unresponsiveAfterMs);
     }
 
@@ -312,9 +311,14 @@
             : [...ranges.filter(({ first }) => this.requested.has(first)), ...ranges];
     }
 
-    /** Returns the earlier owners of a range that may still hold keys of it. */
+    /**
+     * Returns the earlier owners of a range that may still hold keys of it. Earlier incarnations of the owner are left out: they have ended if it
+     * runs, and it would take a release for them as one for itself.
+     */
     private listPossibleHolders(range: OwnedRange, now: Milliseconds): readonly KeyHolder[] {
-        return range.previous.filter(holder => !this.hasStopped(holder, range, now));
+        return range.previous.filter(holder =>
+            holder.id !== range.owner.id && !this.hasStopped(holder, range, now)
+        );
     }
 
     /** Returns the store time after which a holder gets no grants of a range; `undefined` when it may get more. */
--- a/packages/gateway/src/ownership/ownedRange.ts
+++ b/packages/gateway/src/ownership/ownedRange.ts
@@ -7,7 +7,10 @@
     readonly owner: KeyHolder;
     /** Fencing token of all grants of the range to this owner; higher than that of every earlier owner. */
     readonly fence: number;
-    /** Earlier owners that may still hold keys of the range; the owner gets its grant when none is left. */
+    /**
+     * Earlier owners that may still hold keys of the range; the owner gets its grant when none is left but earlier incarnations of itself,
+     * which have ended if it runs.
+     */
     readonly previous: readonly KeyHolder[];
     /**
      * Store time after which no coordinator sends grants of the range to an earlier owner; `undefined` when one may, and in maps of earlier
