The end of a server is proved by two answers at its own address only

Callers could see two servers hold the same keys for up to the length of a grant.

Cause: one answer of another server (421, another id, 400 to a release) counted as the end of a holder for ever, at whatever address the order had gone to: that of a newer incarnation for a release, that of an entry of another writer, or one that a predecessor never knew. One wrong answer of the server itself would have done, too. Change: the answer counts for the incarnation to whose entry's address the order went. A second order that was sent after the first answer must get it, too, and a plain answer takes both back. An incarnation that was registered at several addresses is never proved to have ended, nor is an owner of an inherited map that has not answered this coordinator while its entry is there: grants may have gone elsewhere; their expiry remains.

--- a/packages/gateway/src/discovery/serverDirectory.ts
+++ b/packages/gateway/src/discovery/serverDirectory.ts
@@ -1,4 +1,5 @@
 import type { Clock, Milliseconds, ServerId, ServiceId } from "@arbutusdoor/common";
+import { getHolderName } from "../ownership/getHolderName.js";
 import type { KeyHolder } from "../ownership/keyHolder.js";
 import type { RowsOrigin } from "../store/rowsOrigin.js";
 import type { TableView } from "../store/tableView.js";
@@ -35,6 +36,8 @@
     private readonly seen = new Map<ServerId, RegisteredServer>();
     /** Departed servers that the snapshot of a restored store lists as ready: they stay departed until their entries change. */
     private readonly restored = new Set<ServerId>();
+    /** Names of the incarnations that were registered at more than one address. */
+    private readonly moved = new Set<string>();
     private readonly announcementListeners = new Set<AnnouncementListener>();
     private services = new Map<ServiceId, RegisteredServer[]>();
 
@@ -78,6 +81,14 @@
         return this.seen.get(id);
     }
 
+    /**
+     * Whether an incarnation of a server was registered at more than one address. It keeps its address while it runs, so that one of its
+     * entries was another writer's.
+     */
+    hasMoved(holder: KeyHolder): boolean {
+        return this.moved.has(getHolderName(holder));
+    }
+
     /** Returns the time since this host learned that the server is leaving or gone; `undefined` while it is neither. */
     getLeavingTime(id: ServerId): Milliseconds | undefined {
         const departure = this.departures.get(id);
@@ -181,6 +192,10 @@
             if (known && server.startedAt > known.startedAt) {
                 this.departures.delete(server.id);
             }
+            if (known?.startedAt === server.startedAt && known.address !== server.address) {
+                this.moved.add(getHolderName(server));
+                forgetOldest(this.moved, () => true);
+            }
             this.seen.delete(server.id);
             this.seen.set(server.id, server);
             this.cold.record(server, server.warmupLeftMs, "entry");
@@ -212,13 +227,20 @@
     }
 }
 
-function forgetOldest<Value>(map: Map<ServerId, Value>, mayForget: (id: ServerId) => boolean): void {
-    for (const id of map.keys()) {
-        if (map.size <= MAX_SERVERS) {
+/** A collection that is bounded. */
+type Bounded<Key> = {
+    readonly size: number;
+    keys(): Iterable<Key>;
+    delete(key: Key): boolean;
+};
+
+function forgetOldest<Key>(entries: Bounded<Key>, mayForget: (key: Key) => boolean): void {
+    for (const key of entries.keys()) {
+        if (entries.size <= MAX_SERVERS) {
             return;
         }
-        if (mayForget(id)) {
-            map.delete(id);
+        if (mayForget(key)) {
+            entries.delete(key);
         }
     }
 }
--- a/packages/gateway/src/ownership/orderDispatch.ts
+++ b/packages/gateway/src/ownership/orderDispatch.ts
@@ -54,7 +54,7 @@
             return undefined;
         }
         metrics.count("arbutusdoor_key_orders_total", { service, order: order.kind, outcome: outcome.kind });
-        liveness.recordOutcome(order.holder, outcome);
+        liveness.recordOutcome(order.holder, outcome, { server, sentAt, now });
         const notice = outcome.kind === "done" || outcome.kind === "fenced" ? outcome.notice : undefined;
         if (server && notice?.isLeaving) {
             directory.recordAnnouncement(server, "answer");
--- a/packages/gateway/src/ownership/serviceCoordinator.ts
+++ b/packages/gateway/src/ownership/serviceCoordinator.ts
@@ -11,6 +11,7 @@
 import { KeyMapStore } from "./keyMapStore.js";
 import type { KeyOrder } from "./keyOrder.js";
 import { KeyRestoration } from "./keyRestoration.js";
+import { listHolders } from "./listHolders.js";
 import { OrderDispatch } from "./orderDispatch.js";
 import { OrderScheduler } from "./orderScheduler.js";
 import { planEvacuation } from "./planEvacuation.js";
@@ -333,6 +334,7 @@
 
     private createScheduler(map: KeyMap, isInherited: boolean, now: Milliseconds): OrderScheduler {
         const { lease, liveness, settings } = this.parts;
+        liveness.recordInherited(isInherited ? listHolders(map) : []);
         return new OrderScheduler(
             map,
             isInherited,
--- a/packages/gateway/tests/support/serviceCoordinatorHarness.ts
+++ b/packages/gateway/tests/support/serviceCoordinatorHarness.ts
@@ -29,9 +29,11 @@
 const ORDER_TIMEOUT_MS = 800;
 const STRIPE_KEYS = 128;
 
-/** Orders to servers that answer at once, except the unresponsive ones. */
+/** Orders to servers that answer at once, except the unresponsive ones and those whose addresses other servers have. */
 class ScriptedOrders extends KeyOrders {
     readonly unresponsive = new Set<ServerId>();
+    /** Servers that have ended and whose addresses other servers have. */
+    readonly reused = new Set<ServerId>();
     private readonly clock: ManualClock;
 
     constructor(clock: ManualClock) {
@@ -53,7 +55,7 @@
             return { kind: "unknown", reason: "no answer" };
         }
         await this.clock.sleep(ANSWER_MS);
-        return { kind: "done" };
+        return { kind: this.reused.has(id) ? "otherServer" : "done" };
     }
 
     override restrictConnecting(): void {}
@@ -147,6 +149,11 @@
         return Math.max(0, ...this.maps.map(map => countOwned(map, id)));
     }
 
+    /** First keys of the ranges with earlier owners whose owner has confirmed its grant. */
+    get held(): readonly number[] {
+        return this.coordinator.listHeld().map(([first]) => first);
+    }
+
     /** The last committed map. */
     get map(): KeyMap {
         return this.maps.at(-1)!;
