After a restore, one answer of another server no longer clears a server

After the store was restored from an older copy, a server that was up could go on holding keys that others got.

Cause: an answer of another server to the release of all keys cleared the server that the release named, at whatever address its entry had. Change: only the server's own answer clears it. One that is proved to have ended is left out as before, by the same proof as elsewhere, which counts with predecessors that may have known another address.

--- a/packages/gateway/src/ownership/keyRestoration.ts
+++ b/packages/gateway/src/ownership/keyRestoration.ts
@@ -64,7 +64,8 @@
 
     /** Writes the map of a restored store under a new token, and marks it as one that does not tell of all grants. */
     async begin(committed: KeyMap, now: Milliseconds): Promise<void> {
-        const { coordinator: { clock, lease, logger, service, settings }, term, write } = this.parts;
+        const { coordinator: { clock, lease, liveness, logger, service, settings }, term, write } =
+            this.parts;
         const isMarked = fencingTokens.getEra(committed.term) === term.era;
         const unknownUntil = isMarked
             ? committed.unknownUntil
@@ -78,6 +79,7 @@
             const startedAt = clock.now();
             const expiresAt = getGrantExpiry(lease.toLocalTime(unknownUntil), settings);
             const { retryMs } = settings;
+            liveness.recordInherited(this.listPossibleHolders(map));
             this.rebuild = { map, keys: new RestoredKeys(fence, { startedAt, expiresAt, retryMs }) };
             logger.log("keysRestored", {
                 service,
--- a/packages/gateway/src/ownership/restoredKeys.ts
+++ b/packages/gateway/src/ownership/restoredKeys.ts
@@ -26,7 +26,7 @@
 export class RestoredKeys {
     private readonly fence: number;
     private readonly times: RebuildTimes;
-    /** Names of the incarnations that have answered the release or are proved to have ended. */
+    /** Names of the incarnations that have answered the release. */
     private readonly cleared = new Set<string>();
     private readonly dueAt = new Map<string, Milliseconds>();
 
@@ -68,7 +68,7 @@
     /** Records the outcome of a release. */
     complete({ holder }: KeyOrder, outcome: OrderOutcome, now: Milliseconds): void {
         const name = getHolderName(holder);
-        if (outcome.kind === "done" || outcome.kind === "otherServer") {
+        if (outcome.kind === "done") {
             this.cleared.add(name);
         }
         this.dueAt.set(name, now + this.times.retryMs);
--- a/packages/gateway/tests/restoredStore.test.ts
+++ b/packages/gateway/tests/restoredStore.test.ts
@@ -8,6 +8,7 @@
 import { decodeKeyMap } from "../src/ownership/decodeKeyMap.js";
 import { encodeKeyMap } from "../src/ownership/encodeKeyMap.js";
 import { rebuildMap } from "../src/ownership/rebuildMap.js";
+import { RestoredKeys } from "../src/ownership/restoredKeys.js";
 import { createHolder } from "./support/createHolder.js";
 import { createRegisteredServer } from "./support/createRegisteredServer.js";
 
@@ -148,3 +149,13 @@
     const mixed = { ...MAP, fence: TERM + 5 };
     expect(decodeKeyMap(encodeKeyMap(mixed))).toEqual(mixed);
 });
+
+// Guards against two owners of a key: the address of a release may come from an entry of another writer.
+test("another server's answer to a release of all keys does not clear a server", () => {
+    const holder = createHolder("a");
+    const keys = new RestoredKeys(7, { startedAt: 0, expiresAt: 10_000, retryMs: 200 });
+    const [order] = keys.takeDueOrders([holder], 0, 10);
+    keys.complete(order!, { kind: "otherServer" }, 4);
+    expect(keys.listPending([holder])).toEqual([holder]);
+    expect(keys.takeDueOrders([holder], 204, 10)).toEqual([order]);
+});
