A server that has ended gets no keys by an entry that is still there

Callers could find keys unserved for as long as the entry of an ended server, or that of an incarnation that another one had replaced, stayed in the registry.

Cause: the coordinator took every listed server for one that may own keys. An ended one has the least load of all, so that its own ranges were given back to it, which changes nothing, and it gets no grants. Change: servers that are proved to have ended or replaced are not listed.

--- a/packages/gateway/src/ownership/serviceServers.ts
+++ b/packages/gateway/src/ownership/serviceServers.ts
@@ -24,10 +24,13 @@
         }
     }
 
-    /** Returns the servers that are not leaving. */
+    /** Returns the servers that are not leaving. One that has ended may still have its entry, or one of another writer. */
     list(): readonly ServerCapacity[] {
-        const { clock, directory, service, speeds } = this.parts;
-        const servers = directory.listReady(service);
+        const { clock, directory, liveness, service, speeds } = this.parts;
+        const servers = directory.listReady(service).filter(server => {
+            const state = liveness.getState(server);
+            return state !== "dead" && state !== "replaced";
+        });
         const usualWork = speeds.getUsualWork(servers);
         return servers.map(server => ({
             holder: { id: server.id, startedAt: server.startedAt },
--- a/packages/gateway/tests/reusedAddresses.test.ts
+++ b/packages/gateway/tests/reusedAddresses.test.ts
@@ -8,6 +8,8 @@
 const A = "a" as ServerId;
 const STRIPE_KEYS = 4_096;
 const MAP = assignInitialKeys(["a", "b", "c"].map(id => createHolder(id)), STRIPE_KEYS, 1, 1);
+/** Longest time between the renewals of a grant, and two orders that find another server at the address. */
+const FOUND_MS = 3_600 + 500;
 
 async function takeOver(): Promise<ServiceCoordinatorHarness> {
     const harness = new ServiceCoordinatorHarness(["a", "b", "c"]);
@@ -22,6 +24,15 @@
     );
 }
 
+// Guards against keys that stay with an ended server whose entry is there, since it had the least load of all.
+test("an ended server's keys are free once two orders have found another server at its address", async () => {
+    const harness = await takeOver();
+    await harness.run(1_000);
+    harness.orders.reused.add(A);
+    await harness.run(FOUND_MS);
+    expect(isFreed(harness)).toBe(true);
+});
+
 test("a server that ended before a takeover frees its keys as soon, if its entry is gone", async () => {
     const harness = await takeOver();
     harness.view.applyChanges(1, [{ key: "a", version: 2, content: { kind: "absent" } }], 2);
