The ownership fuzzer writes entries of another writer

With its own probability, which no present seed has, an entry names a newer start of a server that is up, or its own start, at the address of another server, for a heartbeat. Coordinators then know of servers by a directory and a liveness of their own, those of the product, and an order goes to the address of the entry.

--- a/packages/gateway/tests/ownershipFuzzer.test.ts
+++ b/packages/gateway/tests/ownershipFuzzer.test.ts
@@ -147,3 +147,17 @@
     });
     expect(violations.join()).toMatch(/takes key \d by \d+, s\d@\d+ had it by/);
 });
+
+const FOREIGN_FAULTS = { ...MORE_FAULTS, foreignEntry: 0.002 };
+const FOREIGN_SEEDS = Array.from({ length: 20 }, (_, index) => 8_400 + index);
+
+// Guards against two owners of a key: an entry of another writer names a newer start, or another address, of a server that is up.
+test.each(FOREIGN_SEEDS)(
+    "seed %i: no key has two holders or too low a fencing token under entries of another writer",
+    seed => {
+        const fuzzer = new OwnershipFuzzer(seed, FOREIGN_FAULTS, {}, PARTITIONED);
+        fuzzer.run(RUN_MS);
+        expect(fuzzer.violations).toEqual([]);
+        expect(fuzzer.served).toBeGreaterThan(8 * (RUN_MS / 20) / 3);
+    },
+);
--- a/packages/gateway/tests/support/faultProbabilities.ts
+++ b/packages/gateway/tests/support/faultProbabilities.ts
@@ -21,6 +21,8 @@
     readonly releaseAnswer?: number;
     /** The store goes back to a copy some seconds old; the coordinator goes on, or another one takes over from one that does not notice. */
     readonly restore?: number;
+    /** Another writer writes the entry of a server that is up: a newer start or the same one, at another server's address. */
+    readonly foreignEntry?: number;
     /** A write is refused. */
     readonly refusal?: number;
 };
--- a/packages/gateway/tests/support/fuzzedNetwork.ts
+++ b/packages/gateway/tests/support/fuzzedNetwork.ts
@@ -1,10 +1,12 @@
 import type { Milliseconds, RandomSource } from "@arbutusdoor/common";
+import type { RegisteredServer } from "../../src/discovery/registeredServer.js";
 import type { OrderOutcome } from "../../src/orders/orderOutcome.js";
 import { getHolderName } from "../../src/ownership/getHolderName.js";
 import type { KeyOrder } from "../../src/ownership/keyOrder.js";
 import type { OwnershipSettings } from "../../src/ownership/ownershipSettings.js";
 import type { FaultModel } from "./faultModel.js";
 import type { FaultProbabilities } from "./faultProbabilities.js";
+import type { FuzzedRegistry } from "./fuzzedRegistry.js";
 import { getPresetOutcome } from "./getPresetOutcome.js";
 import type { InFlightOrder } from "./inFlightOrder.js";
 import type { OrderSender } from "./orderSender.js";
@@ -25,6 +27,8 @@
     readonly servers: ReadonlyMap<string, SimulatedServer>;
     readonly startedAt: ReadonlyMap<string, Milliseconds>;
     readonly registryLostAt: ReadonlyMap<OrderSender, Milliseconds>;
+    /** The registry, in runs with entries of other writers. */
+    readonly registry: FuzzedRegistry | undefined;
     /** Whether a sender is that of the newest coordinator. */
     readonly isNewest: (sender: OrderSender) => boolean;
 };
@@ -40,7 +44,12 @@
 
     /** Sends an order, which may be lost or carried out late. */
     send(order: KeyOrder, sender: OrderSender, now: Milliseconds): void {
-        const server = this.parts.servers.get(getHolderName(order.holder))!;
+        const entry = this.parts.registry?.findEntry(order);
+        const server = this.findAddressed(order, entry);
+        if (!server) {
+            sender.complete(order, { kind: "unknown", reason: "the server's address is not known" }, now);
+            return;
+        }
         const isLate = this.parts.random.nextFraction() < this.parts.probabilities.late;
         const arrivesAt = now + 2;
         const appliesAt = isLate ? arrivesAt + this.parts.random.nextInteger(LATE_MS) : arrivesAt;
@@ -50,7 +59,7 @@
         const times = { sentAt: now, arrivesAt, appliesAt, answersAt };
         const outcome = getPresetOutcome(order, isMistaken, isLost);
         const state = { isArrived: false, isApplied: false, outcome };
-        this.inFlight.push({ order, sender, server, ...times, ...state });
+        this.inFlight.push({ order, sender, entry, server, ...times, ...state });
     }
 
     /** Delivers the orders that have arrived, and the outcomes that are due. */
@@ -64,7 +73,10 @@
             }
         }
         const answered = this.inFlight.filter(({ answersAt, outcome }) => outcome && answersAt <= now);
-        answered.forEach(({ sender, order, outcome }) => sender.complete(order, outcome!, now));
+        for (const sent of answered) {
+            this.parts.registry?.recordOutcome(sent, sent.outcome!, now);
+            sent.sender.complete(sent.order, sent.outcome!, now);
+        }
         const done = new Set(answered.filter(({ isApplied }) => isApplied));
         const answeredOnly = new Set(answered);
         this.inFlight = this.inFlight.filter(sent => !done.has(sent)).map(sent =>
@@ -93,7 +105,7 @@
             return;
         }
         sent.isArrived = true;
-        const current = this.listUp().find(({ holder }) => holder.id === sent.order.holder.id)!;
+        const current = this.listUp().find(({ holder }) => holder.id === sent.server.holder.id)!;
         // A replaced coordinator opens no connection, and its connections to earlier incarnations have ended with these.
         const mayReach = this.parts.startedAt.get(current.name)!
             <= (this.parts.registryLostAt.get(sent.sender) ?? Infinity);
@@ -105,11 +117,24 @@
     private apply({ arrivesAt, sender, order, server }: InFlightOrder, now: Milliseconds): OrderOutcome {
         const isLost = this.parts.model.dropAfterMs === 0
             && this.findActive({ sender, server }, now) !== undefined;
+        if (server.isUp && !isLost && server.holder.id !== order.holder.id) {
+            return { kind: "otherServer" };
+        }
         return server.isUp && !isLost
             ? this.parts.checker.applyOrder(server, order, this.parts.settings.holdMs, arrivesAt, now)
             : { kind: "unknown", reason: "unreachable" };
     }
 
+    /** Returns the server that an order is sent to: with a registry the one that has the address, without one the incarnation itself. */
+    private findAddressed(
+        { holder }: KeyOrder,
+        entry: RegisteredServer | undefined,
+    ): SimulatedServer | undefined {
+        return this.parts.registry
+            ? this.listUp().find(server => server.holder.id === entry?.address)
+            : this.parts.servers.get(getHolderName(holder));
+    }
+
     private findActive(
         { sender, server }: Pick<InFlightOrder, "sender" | "server">,
         now: Milliseconds,
--- a/packages/gateway/tests/support/ownershipFuzzer.ts
+++ b/packages/gateway/tests/support/ownershipFuzzer.ts
@@ -14,12 +14,16 @@
 import { createHolder } from "./createHolder.js";
 import { createMapWrite } from "./createMapWrite.js";
 import { createStripedMap } from "./createStripedMap.js";
+import { DEFAULT_FAULT_MODEL } from "./defaultFaultModel.js";
 import type { FaultModel } from "./faultModel.js";
 import type { FaultProbabilities } from "./faultProbabilities.js";
 import { FuzzedNetwork } from "./fuzzedNetwork.js";
+import { FuzzedRegistry } from "./fuzzedRegistry.js";
+import { getPresetState } from "./getPresetState.js";
 import type { OrderSender } from "./orderSender.js";
 import { OwnershipChecker } from "./ownershipChecker.js";
 import type { Partition } from "./partition.js";
+import { pickChanges } from "./pickChanges.js";
 import { SAME_CLOCK } from "./sameClock.js";
 import { SimulatedServer } from "./simulatedServer.js";
 import { UnreliableMapRow } from "./unreliableMapRow.js";
@@ -31,20 +35,11 @@
 
 /** Maximum number of replaced coordinators that go on renewing grants. */
 const MAX_RETIRED = 3;
-const JOINED_RANGES = 3;
 /** Time until a write without an answer is read back, and until the next write after one that did not take effect. */
 const READ_BACK_MS = 150;
 
 const COPY_MS = 6_000;
 
-const DEFAULTS: FaultModel = {
-    dropAfterMs: 0,
-    isAddressReused: false,
-    registryLagMs: 0,
-    isOneSided: false,
-    isEraIgnored: false,
-};
-
 /** The keys of a restored map that is not in force yet. */
 type Rebuild = { readonly map: KeyMap; readonly keys: RestoredKeys; };
 
@@ -67,6 +62,7 @@
     /** When each replaced coordinator stopped learning of registry changes and opening connections. */
     private readonly registryLostAt = new Map<OrderSender, Milliseconds>();
     private readonly network: FuzzedNetwork;
+    private readonly registry: FuzzedRegistry | undefined;
     private readonly row: UnreliableMapRow;
     private scheduler: OrderScheduler;
     private retired: { readonly scheduler: OrderScheduler; readonly until: Milliseconds; }[] = [];
@@ -84,12 +80,13 @@
     ) {
         this.random = new RandomSource(seed);
         this.probabilities = probabilities;
-        this.model = { ...DEFAULTS, ...model };
+        this.model = { ...DEFAULT_FAULT_MODEL, ...model };
         this.settings = {
             ...createOwnershipSettings(HOLD_MS, HOLD_MS),
             renewalAuthorityMs: 3_000,
             ...settings,
         };
+        this.registry = probabilities.foreignEntry === undefined ? undefined : new FuzzedRegistry();
         this.network = new FuzzedNetwork({
             random: this.random,
             probabilities,
@@ -100,6 +97,7 @@
             servers: this.servers,
             startedAt: this.startedAt,
             registryLostAt: this.registryLostAt,
+            registry: this.registry,
             isNewest: sender => sender === (this.rebuild?.keys ?? this.scheduler),
         });
         const holders = Array.from({ length: SERVERS }, (_, index) => createHolder(`s${index}`));
@@ -123,6 +121,7 @@
     /** Simulates a period of time. */
     run(duration: Milliseconds): void {
         for (const end = this.now + duration; this.now < end; this.now += STEP_MS) {
+            this.registry?.advance(this.now);
             this.injectFaults();
             this.row.copy(this.now);
             this.applyWrites();
@@ -144,7 +143,7 @@
     }
 
     private injectFaults(): void {
-        const { crash, cut, handOver, restore, takeover } = this.probabilities;
+        const { crash, cut, foreignEntry, handOver, restore, takeover } = this.probabilities;
         if (this.happens(crash)) {
             const server = this.random.pick(this.listUp());
             server.isUp = false;
@@ -168,6 +167,9 @@
         if (this.happens(restore)) {
             this.restoreStore();
         }
+        if (this.happens(foreignEntry)) {
+            this.registry?.addForeignEntry(this.listUp(), this.random, this.now);
+        }
     }
 
     /** Lets the store go back. The coordinator writes its map back, or another one rebuilds the map while the first goes on renewing grants. */
@@ -245,22 +247,17 @@
     }
 
     private plan(): void {
-        const { bump, join, move } = this.probabilities;
-        const up = this.listKnown().map(({ holder }) => holder);
-        const reachable = up.filter(holder => !this.scheduler.isUnresponsive(holder, this.now));
-        const targets = reachable.length > 0 ? reachable : up;
-        const joined = this.happens(join) ? this.random.pick(up) : undefined;
-        const firstJoined = joined ? this.random.nextInteger(KEYS - JOINED_RANGES) : 0;
-        const changes = this.row.map.ranges.flatMap(({ first, last, owner }) => {
-            if (joined && first >= firstJoined && first < firstJoined + JOINED_RANGES) {
-                return [{ first, last, owner: joined }];
-            }
-            const isGone = this.getState(owner) !== "live" || this.scheduler.isUnresponsive(owner, this.now);
-            const isMoved = isGone || this.random.nextFraction() < move;
-            return isMoved ? [{ first, last, owner: this.random.pick(targets) }] : [];
+        const changes = pickChanges(this.row.map, this.random, this.probabilities, {
+            servers: this.registry?.listLive(this.scheduler) ?? this.listKnown().map(({ holder }) => holder),
+            isLive: owner => this.getState(owner) === "live",
+            isUnresponsive: holder => this.scheduler.isUnresponsive(holder, this.now),
+            isReturning: this.registry !== undefined,
         });
         const all = changes.length > 0 ? changes : this.scheduler.listRefused();
-        if (all.length > 0 || this.happens(bump) || (this.row.hasPendingWrites && this.scheduler.hasFrozen)) {
+        if (
+            all.length > 0 || this.happens(this.probabilities.bump)
+            || (this.row.hasPendingWrites && this.scheduler.hasFrozen)
+        ) {
             const fence = this.getNextFence(this.scheduler.map);
             const map = this.scheduler.propose(this.term, all, this.now, fence);
             const times = { now: this.now, readBackMs: READ_BACK_MS };
@@ -305,25 +302,25 @@
             holder => this.getState(holder, scheduler),
             SAME_CLOCK,
         );
+        if (isInherited) {
+            this.registry?.recordInherited(scheduler, this.row.map);
+        }
         return scheduler;
     }
 
     /** Returns what a coordinator knows about an incarnation. */
     private getState(holder: KeyHolder, scheduler = this.scheduler): HolderState {
-        const { registryLagMs } = this.model;
-        const endedAt = this.endedAt.get(getHolderName(holder)) ?? Infinity;
-        const seenAt = registryLagMs > 0
-            ? Math.min(this.now, this.registryLostAt.get(scheduler) ?? Infinity)
-            : this.now;
-        if (endedAt + registryLagMs > seenAt) {
-            return "live";
+        if (this.registry) {
+            return this.registry.getState(holder, scheduler);
         }
-        return this.model.isAddressReused ? "replaced" : "dead";
+        const seenUntil = this.registryLostAt.get(scheduler) ?? Infinity;
+        return getPresetState(this.model, this.endedAt.get(getHolderName(holder)), seenUntil, this.now);
     }
 
     private start(holder: KeyHolder): void {
         const server = new SimulatedServer(holder, this.random.nextFraction() * 0.02);
         this.servers.set(server.name, server);
+        this.registry?.register(holder);
         this.startedAt.set(server.name, this.now);
     }
 
