The coordinator passes on a row that is again what it read last

Callers would see: requests that a host sends to a server that is leaving (DRAIN), or refuses although the server is ready.

Cause: the coordinator leaves rows out whose content is that of its own last read. A host that read the store itself in between knows another content, and a later version. It never learned of the row, while heartbeats told it that it knew the table.

Change: when a host links that knows a later version of a table than the coordinator, all rows of the reads up to that version are passed on.

--- a/packages/gateway/src/host/clusterState.ts
+++ b/packages/gateway/src/host/clusterState.ts
@@ -39,6 +39,8 @@
     readonly directory: ServerDirectory;
     readonly evacuations: Evacuations;
     private readonly maps = new MapHistory();
+    /** The latest versions of tables that hosts knew when they linked: they may have seen rows that this host has not. */
+    private readonly latestKnown = new Map<TableName, number>();
     private readonly logger: Logger;
     private readonly metrics: Metrics;
     private table: RouteTable | undefined;
@@ -184,6 +186,7 @@
             (table): CoordinatorMessage => {
                 const { asOf, completeTime, present } = this.getView(table);
                 const knownVersion = known?.tables[table] ?? -1;
+                this.latestKnown.set(table, Math.max(knownVersion, this.latestKnown.get(table) ?? -1));
                 const all = [...present.values()];
                 return {
                     kind: "rows",
@@ -207,8 +210,11 @@
         for (const table of TABLES) {
             const view = this.getView(table);
             const filter = new RowChangeFilter();
+            let sentAsOf = view.asOf;
             view.onChange((changed, { changedAfter, completeAt, isAfterOutage, isRestored }) => {
-                const rows = filter.select(changed);
+                const different = filter.select(changed);
+                const rows = (this.latestKnown.get(table) ?? -1) > sentAsOf ? changed : different;
+                sentAsOf = view.asOf;
                 // Heartbeats tell the other hosts the version up to which they know the table.
                 if (rows.length > 0 || isRestored) {
                     listener({
@@ -242,6 +248,7 @@
     private beginEra(era: number, before: number): void {
         this.storeClock.reset();
         this.maps.clear();
+        this.latestKnown.clear();
         const views = [this.configuration, this.servers, this.keys];
         const rows = views.reduce((total, { present }) => total + present.size, 0);
         if (rows > 0) {
--- a/packages/gateway/tests/coordinatorUpdates.test.ts
+++ b/packages/gateway/tests/coordinatorUpdates.test.ts
@@ -168,3 +168,23 @@
     expect(update(host, messages)).toBe(true);
     expectSame(host, coordinator);
 });
+
+// Guards against a host that keeps an entry which the coordinator has never seen: it read the store itself between two reads of the coordinator.
+test("a host that knows a later version learns that a row is again what the coordinator read last", () => {
+    const coordinator = createInformedState();
+    const sent: CoordinatorMessage[] = [];
+    coordinator.onChange(message => sent.push(message));
+    const host = createInformedState();
+    const [id] = IDS as [string];
+    const value = createRegisteredServer(id, { isDraining: true });
+    coordinator.servers.applyChanges(400, [createServerRow(id, 403)], 403);
+    host.servers.applyChanges(400, [{ key: id, version: 405, content: { kind: "value", value } }], 405);
+    expect(update(host, coordinator.createUpdates(host.getKnownVersions()))).toBe(true);
+    sent.length = 0;
+    coordinator.servers.applyChanges(403, [createServerRow(id, 406), createServerRow(IDS[1]!, 404)], 406);
+    expect(update(host, sent)).toBe(true);
+    expect(listServers(host)).toEqual(listServers(coordinator));
+    sent.length = 0;
+    coordinator.servers.applyChanges(406, [createServerRow(id, 408)], 408);
+    expect(sent).toEqual([]);
+});
