Coordination fuzzer: late orders and writes, restarted servers, series of stops, held orders, slow hosts

Orders over an open connection during a partition are held until they are given up; when their process is killed first, its machine goes on sending them. A connection attempt during a partition is repeated after 1 s and 3 s. Orders that are carried out late die with the process that accepted them.

--- a/packages/gateway/tests/support/coordinationFuzzer.ts
+++ b/packages/gateway/tests/support/coordinationFuzzer.ts
@@ -1,72 +1,48 @@
-import { type Milliseconds, RandomSource } from "@arbutusdoor/common";
-import { createRegisteredServer } from "./createRegisteredServer.js";
-import { SimulatedCluster } from "./simulatedCluster.js";
+import type { Milliseconds } from "@arbutusdoor/common";
+import type { CoordinationFaults } from "./coordinationFaults.js";
+import { SeriesFaults } from "./seriesFaults.js";
 
 const STEP_MS = 100;
 const REPORT_STEPS = 2;
-const HOSTS = ["a", "b", "c"];
+const HOSTS = 3;
 const SERVERS = 5;
 const KEYS = 15;
-/** Registry entries of servers that ended are removed after three heartbeats of a second. */
-const ENTRY_MS = 3_000;
 const LONGEST_MS = 12_000;
-const RESTART_MS = 3_000;
-const OUTAGE_MS = 4_000;
-const COPY_MS = 6_000;
-/** Servers write their entries again within this time of the store's return. */
-const REWRITE_MS = 2_000;
-
-/** Probability of each fault in a step. */
-type Probabilities = {
-    /** A host loses the store for a while. */
-    readonly storeCut: number;
-    /** A host is stopped or crashes, and restarts. */
-    readonly restart: number;
-    /** A server is partitioned for a while, from one host or from all. */
-    readonly serverCut: number;
-    /** A server ends, and another one starts. */
-    readonly end: number;
-    /** A server's entry is missing for a while. */
-    readonly missing: number;
-    /** The answer to the next write of a map is lost. */
-    readonly lostAnswer: number;
-    /** A server is cut off from all hosts, which find their connections refused, and from the store, so that its entry lapses. */
-    readonly isolation?: number;
-    /** The store is unavailable for a while and comes back from a copy that is some seconds old. */
-    readonly restore?: number;
-};
-
-/** An action that follows later, such as the end of a fault. */
-type LaterAction = { readonly at: Milliseconds; readonly action: () => void; };
+/** Orders without an answer are carried out between these times after their arrival. */
+const MIN_LATENESS_MS = 2_000;
+const MAX_LATENESS_MS = 12_000;
+/** Writes without an answer take effect between these times. */
+const MIN_LATE_WRITE_MS = 1_000;
+const MAX_LATE_WRITE_MS = 6_000;
+const PAUSE_MS = 1_000;
+const FREEZE_MS = 15_000;
+const BURST_MS = 6_000;
+const HOT_KEYS = 5;
+const HOT_REQUESTS = 4;
+/** Names of the hosts of a run. */
+const HOST_NAMES = ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j"];
 
 /** A seeded random run of hosts with real lease managers and coordinators, through faults of hosts, servers, links and the store. */
-export class CoordinationFuzzer {
-    readonly cluster: SimulatedCluster;
-    private readonly random: RandomSource;
-    private readonly probabilities: Probabilities;
-    private readonly servers = Array.from({ length: SERVERS }, (_, index) => `s${index}`);
-    private readonly down = new Set<string>();
-    private readonly storeCuts = new Set<string>();
-    private readonly isolated = new Set<string>();
-    private later: readonly LaterAction[] = [];
-    private now: Milliseconds = 0;
-    private started = SERVERS;
-    private isStoreDown = false;
+export class CoordinationFuzzer extends SeriesFaults {
+    private readonly probabilities: CoordinationFaults;
+    /** Keys that are busy, and until when. */
+    private busy: readonly { readonly key: number; readonly until: Milliseconds; }[] = [];
 
-    constructor(seed: number, probabilities: Probabilities) {
-        const owners = Array.from({ length: KEYS }, (_, key) => `s${key % SERVERS}`);
-        this.cluster = new SimulatedCluster(owners);
-        this.random = new RandomSource(seed);
+    constructor(seed: number, probabilities: CoordinationFaults, hosts = HOSTS) {
+        super(seed, HOST_NAMES.slice(0, hosts));
         this.probabilities = probabilities;
-        HOSTS.forEach(host => this.cluster.startHost(host));
+        const { lateOrder = 0 } = probabilities;
+        if (lateOrder > 0) {
+            this.cluster.setLateness(() =>
+                this.happens(lateOrder) ? this.pickBetween(MIN_LATENESS_MS, MAX_LATENESS_MS) : undefined
+            );
+        }
     }
 
     /** Simulates a period of time. */
     async simulate(duration: Milliseconds): Promise<void> {
         for (const end = this.now + duration; this.now < end; this.now += STEP_MS) {
-            const due = this.later.filter(({ at }) => at <= this.now);
-            this.later = this.later.filter(item => !due.includes(item));
-            due.forEach(({ action }) => action());
+            this.takeLater();
             this.injectFaults();
             if (this.now % (REPORT_STEPS * STEP_MS) === 0) {
                 this.report();
@@ -79,10 +55,10 @@
         const { end, isolation = 0, lostAnswer, missing, restart, restore = 0, serverCut, storeCut } =
             this.probabilities;
         if (this.happens(storeCut)) {
-            this.partitionFromStore(this.random.pick(HOSTS));
+            this.partitionFromStore(this.random.pick(this.hosts));
         }
         if (this.happens(restart)) {
-            this.restart(this.random.pick(HOSTS));
+            this.restart(this.random.pick(this.hosts));
         }
         if (this.happens(serverCut)) {
             this.partitionServer(this.random.pick(this.servers));
@@ -95,7 +71,7 @@
             this.cluster.register(id, undefined);
             this.after(this.random.nextInteger(LONGEST_MS), () => {
                 if (this.servers.includes(id)) {
-                    this.cluster.register(id, createRegisteredServer(id));
+                    this.cluster.register(id, this.cluster.createEntry(id));
                 }
             });
         }
@@ -108,106 +84,59 @@
         if (isolation > 0 && this.happens(isolation)) {
             this.isolateServer(this.random.pick(this.servers));
         }
+        this.injectSeries();
     }
 
-    /** Lets the store end and come back from an older copy; the servers whose entries differ write them again. */
-    private restoreStore(): void {
-        if (this.isStoreDown) {
-            return;
-        }
-        this.isStoreDown = true;
-        this.cluster.setStoreDown(true);
-        this.after(this.random.nextInteger(OUTAGE_MS), () => {
-            this.isStoreDown = false;
-            const lost = this.cluster.restoreStore(this.random.nextInteger(COPY_MS));
-            this.cluster.setStoreDown(false);
-            lost.forEach((server, id) =>
-                this.after(this.random.nextInteger(REWRITE_MS), () => this.cluster.register(id, server))
+    private injectSeries(): void {
+        const { burst, chain, freeze, lateWrite, orphan, serverRestart, slow } = this.probabilities;
+        if (this.mayHappen(chain) && !this.isChainRunning) {
+            this.startChain();
+        }
+        // The initial map is written in the first step.
+        if (this.now > 0 && this.mayHappen(lateWrite)) {
+            const table = this.random.pick([this.cluster.maps, this.cluster.leases]);
+            table.lateWrites = 1;
+            table.lateMs = this.pickBetween(MIN_LATE_WRITE_MS, MAX_LATE_WRITE_MS);
+        }
+        if (this.mayHappen(serverRestart)) {
+            this.restartServer(this.random.pick(this.servers));
+        }
+        if (this.mayHappen(orphan)) {
+            this.killWithinPartition(this.pickCoordinator());
+        }
+        if (this.mayHappen(slow)) {
+            this.cluster.pauseHost(this.pickCoordinator(), this.random.nextInteger(PAUSE_MS));
+        }
+        if (this.mayHappen(freeze)) {
+            this.cluster.pauseHost(this.pickCoordinator(), this.random.nextInteger(FREEZE_MS));
+        }
+        if (this.mayHappen(burst)) {
+            const until = this.now + this.random.nextInteger(BURST_MS);
+            const keys = Array.from(
+                { length: HOT_KEYS },
+                () => ({ key: this.random.nextInteger(KEYS), until }),
             );
-        });
-    }
-
-    private partitionFromStore(host: string): void {
-        if (this.down.has(host) || this.storeCuts.has(host)) {
-            return;
-        }
-        this.storeCuts.add(host);
-        this.cluster.setStoreCut(host, true);
-        this.after(this.random.nextInteger(2 * LONGEST_MS), () => {
-            if (this.storeCuts.delete(host)) {
-                this.cluster.setStoreCut(host, false);
-            }
-        });
-    }
-
-    private restart(host: string): void {
-        if (this.down.has(host)) {
-            return;
-        }
-        this.down.add(host);
-        this.storeCuts.delete(host);
-        if (this.random.nextFraction() < 0.5) {
-            this.cluster.stopHost(host);
-        }
-        else {
-            this.cluster.crashHost(host);
-        }
-        this.after(STEP_MS + this.random.nextInteger(RESTART_MS), () => {
-            this.down.delete(host);
-            this.cluster.startHost(host);
-        });
-    }
-
-    private partitionServer(id: string): void {
-        const hosts = this.random.nextFraction() < 0.5 ? HOSTS : [this.random.pick(HOSTS)];
-        hosts.forEach(host => this.cluster.setServersCut(host, [id], true));
-        this.after(this.random.nextInteger(LONGEST_MS), () => {
-            hosts.forEach(host => this.cluster.setServersCut(host, [id], false));
-        });
-    }
-
-    private isolateServer(id: string): void {
-        if (this.isolated.has(id)) {
-            return;
-        }
-        this.isolated.add(id);
-        this.cluster.setServerRefusing(id, true);
-        this.after(ENTRY_MS, () => {
-            if (this.isolated.has(id)) {
-                this.cluster.register(id, undefined);
-            }
-        });
-        this.after(ENTRY_MS + this.random.nextInteger(LONGEST_MS), () => {
-            this.isolated.delete(id);
-            this.cluster.setServerRefusing(id, false);
-            if (this.servers.includes(id)) {
-                this.cluster.register(id, createRegisteredServer(id));
-            }
-        });
-    }
-
-    private replaceServer(index: number): void {
-        const id = this.servers[index]!;
-        this.cluster.endServer(id);
-        const next = `s${this.started++}`;
-        this.servers[index] = next;
-        this.cluster.startServer(next);
-        this.after(ENTRY_MS, () => this.cluster.register(id, undefined));
+            this.busy = [...this.busy.filter(entry => entry.until > this.now), ...keys];
+        }
     }
 
     /** Sends reports between the hosts that reach each other. */
     private report(): void {
-        const connected = HOSTS.filter(host => !this.down.has(host) && !this.storeCuts.has(host));
+        const connected = this.hosts.filter(host => !this.down.has(host) && !this.storeCuts.has(host));
+        const loads = this.countRequests();
         for (const from of connected) {
-            connected.forEach(to => this.cluster.report(from, to));
+            const keys = from === connected[0] ? loads : [];
+            connected.forEach(to => this.cluster.report(from, to, keys));
         }
     }
 
-    private after(delay: Milliseconds, action: () => void): void {
-        this.later = [...this.later, { at: this.now + delay, action }];
+    /** Returns the requests of a report period: busy keys have many. */
+    private countRequests(): readonly (readonly [key: number, requests: number])[] {
+        const busy = this.busy.filter(({ until }) => until > this.now).map(({ key }) => key);
+        return [...new Set(busy)].map(key => [key, HOT_REQUESTS] as const);
     }
 
-    private happens(probabilities: number): boolean {
-        return this.random.nextFraction() < probabilities;
+    private mayHappen(probability: number | undefined): boolean {
+        return probability !== undefined && probability > 0 && this.happens(probability);
     }
 }
--- a/packages/gateway/tests/support/hostPair.ts
+++ b/packages/gateway/tests/support/hostPair.ts
@@ -20,9 +20,11 @@
 import { GatewayHost } from "../../src/host/gatewayHost.js";
 import type { KeyMap } from "../../src/ownership/keyMap.js";
 import { HeldBackends } from "./heldBackends.js";
+import { HostClock } from "./hostClock.js";
 import { HostRowTable } from "./hostRowTable.js";
 import { MemoryRowTable } from "./memoryRowTable.js";
 import { ScriptedRows } from "./scriptedRows.js";
+import type { ServerNetwork } from "./serverNetwork.js";
 import { SimulatedOrders } from "./simulatedOrders.js";
 
 const STEP_MS = 10;
@@ -34,6 +36,13 @@
     headerTimeoutMs: 10_000,
     idleTimeoutMs: 10_000,
 };
+const NO_SERVERS: ServerNetwork = {
+    findListening: () => undefined,
+    apply: () => ({ kind: "unknown", reason: "none" }),
+    applyAt: () => ({ kind: "unknown", reason: "none" }),
+    takeLateness: () => undefined,
+    refusing: new Set(),
+};
 
 /** One of the hosts, with its own faults on the way to the store. */
 type PairedHost = {
@@ -102,12 +111,7 @@
             servers,
             keys: new HostRowTable(this.maps),
             leases,
-            orders: new SimulatedOrders(
-                clock,
-                () => ({ kind: "unknown", reason: "none" }),
-                () => undefined,
-                new Set(),
-            ),
+            orders: new SimulatedOrders(clock, new HostClock(clock), NO_SERVERS, new Set()),
             backends: new HeldBackends(),
             callerHeaders: {
                 readRequestHeaders: () => ({ id: undefined, timeoutMs: undefined, key: undefined }),
--- a/packages/gateway/tests/support/simulatedCluster.ts
+++ b/packages/gateway/tests/support/simulatedCluster.ts
@@ -8,42 +8,41 @@
     RandomSource,
     type ServiceId,
 } from "@arbutusdoor/common";
-import type { RoutedConfiguration } from "../../src/configuration/routedConfiguration.js";
 import type { CoordinatorLease } from "../../src/coordination/coordinatorLease.js";
 import { LeaseManager } from "../../src/coordination/leaseManager.js";
 import type { RegisteredServer } from "../../src/discovery/registeredServer.js";
 import { ServerDirectory } from "../../src/discovery/serverDirectory.js";
 import { createOwnershipSettings } from "../../src/host/createOwnershipSettings.js";
 import { REBALANCE } from "../../src/host/rebalance.js";
-import type { OrderOutcome } from "../../src/orders/orderOutcome.js";
 import { KeyCoordinator } from "../../src/ownership/keyCoordinator.js";
 import type { KeyMap } from "../../src/ownership/keyMap.js";
-import type { KeyOrder } from "../../src/ownership/keyOrder.js";
 import type { RowsOrigin } from "../../src/store/rowsOrigin.js";
 import { StoreAvailability } from "../../src/store/storeAvailability.js";
 import { StoreEra } from "../../src/store/storeEra.js";
 import { TableView } from "../../src/store/tableView.js";
 import { createHolder } from "./createHolder.js";
+import { createKeyedConfiguration } from "./createKeyedConfiguration.js";
 import { createRegisteredServer } from "./createRegisteredServer.js";
 import { createStripedMap } from "./createStripedMap.js";
+import { HostClock } from "./hostClock.js";
 import { HostRowTable } from "./hostRowTable.js";
 import { MemoryRowTable } from "./memoryRowTable.js";
 import { OwnershipChecker } from "./ownershipChecker.js";
+import { SimulatedNetwork } from "./simulatedNetwork.js";
 import { SimulatedOrders } from "./simulatedOrders.js";
-import { SimulatedServer } from "./simulatedServer.js";
+import { SimulatedRegistry } from "./simulatedRegistry.js";
 
 const SERVICE = "board" as ServiceId;
 const HOLD_MS = 9_000;
 const STEP_MS = 5;
 /** Microtask turns per step, enough for promises that wait for each other. */
 const MICROTASK_TURNS = 12;
-const SLOWEST_CLOCK = 0.02;
-/** Copies of the registry kept to go back to. */
-const MAX_COPIES = 50;
+const ADDRESS = "10.0.0.1:80";
 
 /** A host that may coordinate. */
 type RunningHost = {
     readonly incarnationNumber: number;
+    readonly clock: HostClock;
     readonly leases: HostRowTable<CoordinatorLease>;
     readonly maps: HostRowTable<KeyMap>;
     readonly servers: TableView<RegisteredServer>;
@@ -60,24 +59,17 @@
     /** Host and number of each term, in the order of their beginning. */
     readonly terms: string[] = [];
     readonly maps: MemoryRowTable<KeyMap>;
+    readonly leases: MemoryRowTable<CoordinatorLease>;
     served = 0;
     private readonly clock = new ManualClock();
-    private readonly leases: MemoryRowTable<CoordinatorLease>;
+    private readonly network = new SimulatedNetwork(this.checker, this.clock);
     private readonly keys: number;
     private readonly hosts = new Map<string, RunningHost>();
-    private readonly incarnations: SimulatedServer[] = [];
-    private readonly registry = new Map<string, RegisteredServer>();
-    /** Ids of the ended servers whose addresses other servers have. */
-    private readonly reused = new Set<string>();
-    private readonly refusing = new Set<string>();
-    private version = 0;
-    /** Entries as they were at each change, to go back to. */
-    private registryCopies: readonly {
-        readonly at: Milliseconds;
-        readonly version: number;
-        readonly entries: ReadonlyMap<string, RegisteredServer>;
-    }[] = [];
-
+    private readonly registry = new SimulatedRegistry();
+    /** Ids of the servers from which each host is partitioned so that orders are held, by host name. */
+    private readonly partitions = new Map<string, Set<string>>();
+    /** Orders of all processes of hosts, by host name; what an ended process has sent may still be held. */
+    private readonly senders = new Map<string, SimulatedOrders[]>();
     /** @param owners initial owner of each key */
     constructor(owners: readonly string[]) {
         this.keys = owners.length;
@@ -87,24 +79,25 @@
         void this.maps.write(SERVICE, 0, createStripedMap(owners.map(id => createHolder(id)), 0));
     }
 
+    /** Sets how long after their arrival orders without an answer are carried out; `undefined` for those that are answered. */
+    setLateness(takeLateness: () => Milliseconds | undefined): void {
+        this.network.takeLateness = takeLateness;
+    }
+
     /** Starts a host, also a new incarnation of one. */
     startHost(name: string): void {
         const incarnationNumber = (this.hosts.get(name)?.incarnationNumber ?? 0) + 1;
-        const { clock } = this;
+        const clock = new HostClock(this.clock);
         const logger = new Logger(clock, name, "silent");
-        const leases = new HostRowTable(this.leases);
-        const maps = new HostRowTable(this.maps);
+        const leases = new HostRowTable(this.leases, clock);
+        const maps = new HostRowTable(this.maps, clock);
         const servers = new TableView<RegisteredServer>();
         const directory = new ServerDirectory(servers, clock);
         const era = new StoreEra();
-        servers.applySnapshot(this.listRegistry(), this.version, this.createOrigin());
+        servers.applySnapshot(this.registry.list(), this.registry.version, this.createOrigin());
         const settings = createOwnershipSettings(HOLD_MS, HOLD_MS);
-        const orders = new SimulatedOrders(
-            clock,
-            (order, holdMs) => this.apply(order, holdMs),
-            id => this.findListening(id)?.name,
-            this.refusing,
-        );
+        const orders = new SimulatedOrders(this.clock, clock, this.network, this.getPartition(name));
+        this.senders.set(name, [...(this.senders.get(name) ?? []), orders]);
         const lease: LeaseManager = new LeaseManager({
             host: name as HostId,
             incarnation: `${name}-${incarnationNumber}` as HostIncarnation,
@@ -141,7 +134,7 @@
             table: maps,
             onCommitted: () => undefined,
             directory,
-            getConfiguration: () => createConfiguration(),
+            getConfiguration: () => createKeyedConfiguration(SERVICE),
             lease,
             settings,
             rebalance: REBALANCE,
@@ -150,6 +143,7 @@
         });
         const host: RunningHost = {
             incarnationNumber,
+            clock,
             leases,
             maps,
             servers,
@@ -162,6 +156,11 @@
         void lease.run();
     }
 
+    /** Name of the host that became the coordinator last; `undefined` before the first one. */
+    get lastCoordinator(): string | undefined {
+        return this.terms.at(-1)?.split(" ")[0];
+    }
+
     /** Stops a host gracefully: it gives up the lease. */
     stopHost(name: string): void {
         const { coordinator, lease } = this.find(name);
@@ -171,7 +170,8 @@
 
     /** Ends a host's process without notice. */
     crashHost(name: string): void {
-        const { coordinator, lease, leases, maps } = this.find(name);
+        const { coordinator, lease, leases, maps, orders } = this.find(name);
+        orders.end();
         leases.isCutOff = true;
         maps.isCutOff = true;
         coordinator.stop();
@@ -194,66 +194,99 @@
         ids.forEach(id => isCut ? unreachable.add(id) : unreachable.delete(id));
     }
 
+    /** Partitions a host from servers so that orders over open connections are held until they are given up. */
+    beginPartition(name: string, ids: readonly string[]): void {
+        ids.forEach(id => this.getPartition(name).add(id));
+    }
+
+    /**
+     * Ends the partition of a host from all servers.
+     *
+     * @param takeDelay returns how long after the end of the partition the next attempt to send an order follows
+     */
+    endPartition(name: string, takeDelay: () => Milliseconds): void {
+        this.getPartition(name).clear();
+        this.senders.get(name)?.forEach(orders => orders.deliverHeld(takeDelay));
+    }
+
+    /** Returns the number of orders of a host's newest process that a partition holds. */
+    countHeldOrders(name: string): number {
+        return this.find(name).orders.heldOrders;
+    }
+
+    /** Lets a host's process stand still. */
+    pauseHost(name: string, duration: Milliseconds): void {
+        const host = this.find(name);
+        host.clock.pause(duration);
+        this.clock.schedule(duration, () => this.showRegistry(host));
+    }
+
     /** Sends a report from one host to another. */
-    report(from: string, to: string): void {
+    report(
+        from: string,
+        to: string,
+        loads: readonly (readonly [key: number, requests: number])[] = [],
+    ): void {
+        if (this.find(from).clock.isPaused || this.find(to).clock.isPaused) {
+            return;
+        }
         const { followedTerm, incarnationNumber } = this.find(from);
         const report = {
             kind: "report",
             host: from,
             incarnation: `${from}-${incarnationNumber}`,
             followedTerm,
-            keys: [],
             servers: [],
             misdirected: [],
         } as const;
-        this.find(to).coordinator.handleReport({ ...report, keys: [], servers: [], misdirected: [] });
+        this.find(to).coordinator.handleReport({
+            ...report,
+            keys: loads.map(([key, requests]) => [SERVICE, key, requests]),
+            servers: [],
+            misdirected: [],
+        });
     }
 
     /** Starts a server, also a new incarnation of one. */
     startServer(id: string): void {
-        const before = this.incarnations.findLast(({ holder }) => holder.id === id);
-        if (before) {
-            before.isUp = false;
-        }
-        const holder = createHolder(id, (before?.holder.startedAt ?? 0) + 1);
-        this.reused.delete(id);
-        this.incarnations.push(new SimulatedServer(holder, SLOWEST_CLOCK));
-        this.register(id, createRegisteredServer(id, { startedAt: holder.startedAt }));
+        this.startProcess(id, this.network.findNewest(id)?.address ?? ADDRESS);
+        this.register(id, this.createEntry(id));
+    }
+
+    /** Starts a server's process, also a new incarnation of one; its registry entry does not change. */
+    startProcess(id: string, address: string): void {
+        this.network.start(id, address);
+    }
+
+    /** Returns the registry entry of the newest incarnation of a server. */
+    createEntry(id: string): RegisteredServer {
+        const { address, holder: { startedAt } } = this.network.findNewest(id)!;
+        return createRegisteredServer(id, { startedAt, address });
     }
 
     /** Ends a server; its registry entry stays. */
     endServer(id: string): void {
-        this.incarnations.findLast(({ holder }) => holder.id === id)!.isUp = false;
+        this.network.findNewest(id)!.isUp = false;
     }
 
     /** Gives the address of an ended server to one of another service. */
-    reuseAddress(id: string): void {
-        this.reused.add(id);
+    reuseAddress(id: string, address = this.network.findNewest(id)!.address): void {
+        this.network.reused.add(`${id} ${address}`);
     }
 
     /** Lets connections from all hosts to a server be refused although it runs, or ends that. */
     setServerRefusing(id: string, isRefusing: boolean): void {
         if (isRefusing) {
-            this.refusing.add(id);
+            this.network.refusing.add(id);
         }
         else {
-            this.refusing.delete(id);
+            this.network.refusing.delete(id);
         }
     }
 
     /** Changes or removes a server's registry entry, as seen by hosts that reach the store. */
     register(id: string, server: RegisteredServer | undefined): void {
-        this.version++;
-        if (server) {
-            this.registry.set(id, server);
-        }
-        else {
-            this.registry.delete(id);
-        }
-        this.registryCopies = [
-            ...this.registryCopies.slice(-MAX_COPIES),
-            { at: this.clock.now(), version: this.version, entries: new Map(this.registry) },
-        ];
+        this.registry.set(id, server, this.clock.now());
         this.hosts.forEach(host => this.showRegistry(host));
     }
 
@@ -267,22 +300,14 @@
     restoreStore(age: Milliseconds): ReadonlyMap<string, RegisteredServer | undefined> {
         this.leases.restore(age);
         this.maps.restore(age);
-        const copy = this.registryCopies.findLast(({ at }) => at <= this.clock.now() - age);
-        const before = new Map(this.registry);
-        const entries = copy?.entries ?? new Map<string, RegisteredServer>();
-        this.version = copy?.version ?? 0;
-        this.registry.clear();
-        entries.forEach((server, id) => this.registry.set(id, server));
+        const lost = this.registry.restore(this.clock.now() - age);
         this.hosts.forEach(host => this.showRegistry(host));
-        const ids = [...new Set([...before.keys(), ...entries.keys()])];
-        return new Map(
-            ids.filter(id => before.get(id) !== entries.get(id)).map(id => [id, before.get(id)]),
-        );
+        return lost;
     }
 
-    private showRegistry({ leases, servers }: RunningHost): void {
-        if (!leases.isCutOff && !this.leases.isDown) {
-            servers.applySnapshot(this.listRegistry(), this.version, this.createOrigin());
+    private showRegistry({ clock, leases, servers }: RunningHost): void {
+        if (!leases.isCutOff && !this.leases.isDown && !clock.isPaused) {
+            servers.applySnapshot(this.registry.list(), this.registry.version, this.createOrigin());
         }
     }
 
@@ -306,46 +331,20 @@
                 await Promise.resolve();
             }
             for (let key = 0; key < this.keys; key++) {
-                this.served += this.checker.check(key, this.incarnations, this.clock.now()) ? STEP_MS : 0;
+                this.served += this.checker.check(key, this.network.incarnations, this.clock.now())
+                    ? STEP_MS
+                    : 0;
             }
         }
     }
 
-    private apply(order: KeyOrder, holdMs: Milliseconds): OrderOutcome {
-        const now = this.clock.now();
-        const server = this.findListening(order.holder.id);
-        if (!server) {
-            return this.reused.has(order.holder.id)
-                ? { kind: "otherServer" }
-                : { kind: "unsent", reason: "refused" };
-        }
-        return this.checker.applyOrder(server, order, holdMs, now, now);
-    }
-
-    /** Returns the incarnation of a server that listens at its address. */
-    private findListening(id: string): SimulatedServer | undefined {
-        const newest = this.incarnations.findLast(({ holder }) => holder.id === id);
-        return newest?.isUp ? newest : undefined;
+    private getPartition(name: string): Set<string> {
+        const partition = this.partitions.get(name) ?? new Set();
+        this.partitions.set(name, partition);
+        return partition;
     }
 
     private find(name: string): RunningHost {
         return this.hosts.get(name)!;
     }
-
-    private listRegistry() {
-        return [...this.registry].map(([key, value]) => ({
-            key,
-            version: this.version,
-            content: { kind: "value", value } as const,
-        }));
-    }
-}
-
-function createConfiguration(): RoutedConfiguration {
-    return {
-        version: 1,
-        routes: [],
-        services: [{ id: SERVICE, maxConnections: 16, isKeyed: true, coldKeysMs: 0 }],
-        limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } as never,
-    };
 }
--- a/packages/gateway/tests/support/simulatedOrders.ts
+++ b/packages/gateway/tests/support/simulatedOrders.ts
@@ -5,40 +5,54 @@
 import type { KeyRange } from "../../src/orders/keyRange.js";
 import type { OrderOutcome } from "../../src/orders/orderOutcome.js";
 import type { KeyOrder } from "../../src/ownership/keyOrder.js";
+import type { HeldOrder } from "./heldOrder.js";
+import { HostClock } from "./hostClock.js";
+import type { ServerNetwork } from "./serverNetwork.js";
+import type { SimulatedServer } from "./simulatedServer.js";
 
 const TRAVEL_MS = 2;
 const GRANT_TIMEOUT_MS = 800;
 const RELEASE_TIMEOUT_MS = 3_000;
+/** Pause between the first two attempts to open a connection; each further one takes twice as long. */
+const FIRST_PAUSE_MS = 1_000;
 const NOT_CONNECTED: OrderOutcome = { kind: "notConnected" };
+const NO_ANSWER: OrderOutcome = { kind: "unknown", reason: "no answer" };
 
-/** Orders of one host to simulated servers. A partition loses them. */
+/** Orders of one host to simulated servers. A partition loses them, or holds them while their connections are open. */
 export class SimulatedOrders extends KeyOrders {
-    /** Ids of the servers that this host cannot reach. */
+    /** Ids of the servers that this host cannot reach; orders to them are lost. */
     readonly unreachable = new Set<string>();
     private readonly clock: Clock;
-    private readonly apply: (order: KeyOrder, holdMs: Milliseconds) => OrderOutcome;
-    private readonly getListening: (id: string) => string | undefined;
-    private readonly refusing: ReadonlySet<string>;
-    /** Name of the incarnation that accepted the open connection to each server. */
-    private readonly connections = new Map<string, string>();
+    private readonly hostClock: HostClock;
+    private readonly network: ServerNetwork;
+    private readonly partitioned: ReadonlySet<string>;
+    /** The process that accepted the open connection to each server. */
+    private readonly connections = new Map<string, SimulatedServer>();
+    private held: readonly HeldOrder[] = [];
+    private hasEnded = false;
     private mayConnect = () => true;
 
     /**
-     * @param apply carries out an order at the address of the server that it names
-     * @param getListening returns the name of the incarnation that listens at a server's address
-     * @param refusing ids of the servers to which connections are refused although they run
+     * @param clock clock of the network
+     * @param hostClock clock of the host
+     * @param partitioned ids of the servers from which this host is partitioned; orders to them are held
      */
     constructor(
         clock: Clock,
-        apply: (order: KeyOrder, holdMs: Milliseconds) => OrderOutcome,
-        getListening: (id: string) => string | undefined,
-        refusing: ReadonlySet<string>,
+        hostClock: HostClock,
+        network: ServerNetwork,
+        partitioned: ReadonlySet<string>,
     ) {
         super();
         this.clock = clock;
-        this.apply = apply;
-        this.getListening = getListening;
-        this.refusing = refusing;
+        this.hostClock = hostClock;
+        this.network = network;
+        this.partitioned = partitioned;
+    }
+
+    /** Number of orders that a partition holds. */
+    get heldOrders(): number {
+        return this.held.length;
     }
 
     override restrictConnecting(mayConnect: () => boolean): void {
@@ -48,7 +62,7 @@
     override grant(server: RegisteredServer, grant: KeyGrant): Promise<OrderOutcome> {
         const { fence, first, handover, holdMs, last } = grant;
         const order: KeyOrder = { kind: "grant", holder: getHolder(server), first, last, fence, handover };
-        return this.send(order, holdMs, GRANT_TIMEOUT_MS);
+        return this.send(server, order, holdMs, GRANT_TIMEOUT_MS);
     }
 
     override release(
@@ -58,33 +72,129 @@
     ): Promise<OrderOutcome> {
         const holder = getHolder(server);
         const order: KeyOrder = { kind: "release", holder, first, last, fence, handover: undefined };
-        return this.send(order, 0, RELEASE_TIMEOUT_MS);
+        return this.send(server, order, 0, RELEASE_TIMEOUT_MS);
+    }
+
+    override abandon(): void {
+        this.held.forEach(held => held.isReset = true);
+    }
+
+    /** Ends the process without notice: its machine goes on sending what is held. */
+    end(): void {
+        this.hasEnded = true;
+    }
+
+    /**
+     * Delivers the orders that were held by a partition that has ended, unless they are given up first.
+     *
+     * @param takeDelay returns how long after the end of the partition the next attempt to send an order follows
+     */
+    deliverHeld(takeDelay: () => Milliseconds): void {
+        const { held } = this;
+        this.held = [];
+        for (const entry of held.filter(({ isReset }) => !isReset)) {
+            this.clock.schedule(takeDelay(), () => {
+                if (!entry.isReset && entry.server.isUp) {
+                    this.network.applyAt(entry.server, entry.order, entry.holdMs, this.clock.now());
+                }
+            });
+        }
     }
 
     private async send(
+        server: RegisteredServer,
+        order: KeyOrder,
+        holdMs: Milliseconds,
+        timeoutMs: Milliseconds,
+    ): Promise<OrderOutcome> {
+        const outcome = await this.transmit(server, order, holdMs, timeoutMs);
+        if (this.hostClock.isPaused) {
+            await this.hostClock.resume();
+        }
+        return outcome;
+    }
+
+    private async transmit(
+        server: RegisteredServer,
         order: KeyOrder,
         holdMs: Milliseconds,
         timeoutMs: Milliseconds,
     ): Promise<OrderOutcome> {
         await this.clock.sleep(TRAVEL_MS);
-        if (this.unreachable.has(order.holder.id)) {
+        if (this.partitioned.has(server.id)) {
+            const accepted = this.connections.get(server.id);
+            if (accepted) {
+                return this.hold(order, holdMs, timeoutMs, accepted);
+            }
+            const isConnected = await this.connectLater(server.id, timeoutMs);
+            if (!isConnected) {
+                return this.mayConnect() ? { kind: "unsent", reason: "no connection" } : NOT_CONNECTED;
+            }
+        }
+        if (this.unreachable.has(server.id)) {
             await this.clock.sleep(timeoutMs - TRAVEL_MS);
-            return { kind: "unknown", reason: "no answer" };
+            return NO_ANSWER;
         }
-        if (this.refusing.has(order.holder.id)) {
-            this.connections.delete(order.holder.id);
+        if (this.network.refusing.has(server.id)) {
+            this.connections.delete(server.id);
             return { kind: "unsent", reason: "refused" };
         }
-        const outcome = this.connect(order.holder.id) ? this.apply(order, holdMs) : NOT_CONNECTED;
+        if (!this.connect(server)) {
+            return NOT_CONNECTED;
+        }
+        const listening = this.network.findListening(server);
+        const lateness = listening && this.network.takeLateness();
+        if (lateness !== undefined) {
+            const arrivedAt = this.clock.now();
+            this.clock.schedule(lateness, () => {
+                if (listening!.isUp) {
+                    this.network.applyAt(listening!, order, holdMs, arrivedAt);
+                }
+            });
+            await this.clock.sleep(timeoutMs - TRAVEL_MS);
+            return NO_ANSWER;
+        }
+        const outcome = this.network.apply(server, order, holdMs);
         await this.clock.sleep(TRAVEL_MS);
         return outcome;
     }
 
-    override abandon(): void {}
+    /** Sends an order over an open connection during a partition, until the host's timer gives it up. */
+    private async hold(
+        order: KeyOrder,
+        holdMs: Milliseconds,
+        timeoutMs: Milliseconds,
+        server: SimulatedServer,
+    ): Promise<OrderOutcome> {
+        const held: HeldOrder = { order, holdMs, server, isReset: false };
+        this.held = [...this.held, held];
+        await this.hostClock.sleep(timeoutMs - TRAVEL_MS);
+        if (!this.hasEnded) {
+            held.isReset = true;
+            this.held = this.held.filter(other => other !== held);
+            this.connections.delete(order.holder.id);
+        }
+        return NO_ANSWER;
+    }
+
+    /** Attempts to connect during a partition, with pauses that double. Returns whether an attempt follows its end in time. */
+    private async connectLater(id: string, timeoutMs: Milliseconds): Promise<boolean> {
+        let left = timeoutMs - TRAVEL_MS;
+        for (let pause = FIRST_PAUSE_MS; pause < left; pause *= 2) {
+            await this.hostClock.sleep(pause);
+            left -= pause;
+            if (!this.partitioned.has(id)) {
+                return true;
+            }
+        }
+        await this.hostClock.sleep(left);
+        return false;
+    }
 
     /** Whether there is a connection to the process that listens at the server's address, also one that was opened now. */
-    private connect(id: string): boolean {
-        const listening = this.getListening(id);
+    private connect(server: RegisteredServer): boolean {
+        const { id } = server;
+        const listening = this.network.findListening(server);
         if (listening === undefined || this.connections.get(id) !== listening) {
             this.connections.delete(id);
             if (!this.mayConnect()) {
--- a/packages/gateway/tests/support/simulatedServer.ts
+++ b/packages/gateway/tests/support/simulatedServer.ts
@@ -15,13 +15,15 @@
  */
 export class SimulatedServer {
     readonly holder: KeyHolder;
+    readonly address: string;
     isUp = true;
     private readonly clockSlowness: number;
     private readonly holds = new Map<number, Hold>();
     private readonly seen = new Map<number, number>();
 
-    constructor(holder: KeyHolder, clockSlowness: number) {
+    constructor(holder: KeyHolder, clockSlowness: number, address = "") {
         this.holder = holder;
+        this.address = address;
         this.clockSlowness = clockSlowness;
     }
 
