Coordination fuzzer: a killed process resets no connections

The simulated crash stops the coordinator, which now gives up its orders; a process that is killed cannot. orphanedOrders fails again, as listed.

--- a/packages/gateway/tests/support/simulatedOrders.ts
+++ b/packages/gateway/tests/support/simulatedOrders.ts
@@ -76,7 +76,10 @@
     }
 
     override abandon(): void {
-        this.held.forEach(held => held.isReset = true);
+        // A process that was killed cannot reset its connections.
+        if (!this.hasEnded) {
+            this.held.forEach(held => held.isReset = true);
+        }
     }
 
     /** Ends the process without notice: its machine goes on sending what is held. */
