--- a/packages/gateway/tests/support/clusterFaults.ts
+++ b/packages/gateway/tests/support/clusterFaults.ts
@@ -1,4 +1,5 @@
 import { type Milliseconds, RandomSource } from "@arbutusdoor/common";
+import type { OwnershipSettings } from "../../src/ownership/ownershipSettings.js";
 import { SimulatedCluster } from "./simulatedCluster.js";
 
 const STEP_MS = 100;
@@ -30,10 +31,10 @@
     private started = SERVERS;
     private isStoreDown = false;
 
-    constructor(seed: number, hosts: readonly string[]) {
+    constructor(seed: number, hosts: readonly string[], settings: Partial<OwnershipSettings>) {
         this.hosts = hosts;
         const owners = Array.from({ length: KEYS }, (_, key) => `s${key % SERVERS}`);
-        this.cluster = new SimulatedCluster(owners);
+        this.cluster = new SimulatedCluster(owners, settings);
         this.random = new RandomSource(seed);
         hosts.forEach(host => this.cluster.startHost(host));
     }
--- a/packages/gateway/tests/support/coordinationFuzzer.ts
+++ b/packages/gateway/tests/support/coordinationFuzzer.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "@arbutusdoor/common";
+import type { OwnershipSettings } from "../../src/ownership/ownershipSettings.js";
 import type { CoordinationFaults } from "./coordinationFaults.js";
 import { SeriesFaults } from "./seriesFaults.js";
 
@@ -28,8 +29,13 @@
     /** Keys that are busy, and until when. */
     private busy: readonly { readonly key: number; readonly until: Milliseconds; }[] = [];
 
-    constructor(seed: number, probabilities: CoordinationFaults, hosts = HOSTS) {
-        super(seed, HOST_NAMES.slice(0, hosts));
+    constructor(
+        seed: number,
+        probabilities: CoordinationFaults,
+        hosts = HOSTS,
+        settings: Partial<OwnershipSettings> = {},
+    ) {
+        super(seed, HOST_NAMES.slice(0, hosts), settings);
         this.probabilities = probabilities;
         const { lateOrder = 0 } = probabilities;
         if (lateOrder > 0) {
--- a/packages/gateway/tests/support/simulatedCluster.ts
+++ b/packages/gateway/tests/support/simulatedCluster.ts
@@ -16,6 +16,7 @@
 import { REBALANCE } from "../../src/host/rebalance.js";
 import { KeyCoordinator } from "../../src/ownership/keyCoordinator.js";
 import type { KeyMap } from "../../src/ownership/keyMap.js";
+import type { OwnershipSettings } from "../../src/ownership/ownershipSettings.js";
 import type { RowsOrigin } from "../../src/store/rowsOrigin.js";
 import { StoreAvailability } from "../../src/store/storeAvailability.js";
 import { StoreEra } from "../../src/store/storeEra.js";
@@ -64,14 +65,19 @@
     private readonly clock = new ManualClock();
     private readonly network = new SimulatedNetwork(this.checker, this.clock);
     private readonly keys: number;
+    private readonly settings: OwnershipSettings;
     private readonly hosts = new Map<string, RunningHost>();
     private readonly registry = new SimulatedRegistry();
     /** Ids of the servers from which each host is partitioned so that orders are held, by host name. */
     private readonly partitions = new Map<string, Set<string>>();
     /** Orders of all processes of hosts, by host name; what an ended process has sent may still be held. */
     private readonly senders = new Map<string, SimulatedOrders[]>();
-    /** @param owners initial owner of each key */
-    constructor(owners: readonly string[]) {
+    /**
+     * @param owners initial owner of each key
+     * @param settings settings of key ownership that differ from the usual ones
+     */
+    constructor(owners: readonly string[], settings: Partial<OwnershipSettings> = {}) {
+        this.settings = { ...createOwnershipSettings(HOLD_MS, HOLD_MS), ...settings };
         this.keys = owners.length;
         this.leases = new MemoryRowTable<CoordinatorLease>(this.clock);
         this.maps = new MemoryRowTable<KeyMap>(this.clock);
@@ -95,7 +101,7 @@
         const directory = new ServerDirectory(servers, clock);
         const era = new StoreEra();
         servers.applySnapshot(this.registry.list(), this.registry.version, this.createOrigin());
-        const settings = createOwnershipSettings(HOLD_MS, HOLD_MS);
+        const { settings } = this;
         const orders = new SimulatedOrders(this.clock, clock, this.network, this.getPartition(name));
         this.senders.set(name, [...(this.senders.get(name) ?? []), orders]);
         const lease: LeaseManager = new LeaseManager({
