A coordination that begins again at once runs one tick loop

Callers would see more refusals while keys move: orders at twice their rate.

Cause: the loop of ticks ended only when it found no term.

Change: a loop belongs to its coordination and ends with it.

--- a/packages/gateway/src/ownership/keyCoordinator.ts
+++ b/packages/gateway/src/ownership/keyCoordinator.ts
@@ -97,15 +97,12 @@
      * @param predecessors earlier coordinators that may still renew grants
      */
     start(term: number, predecessors: readonly Predecessor[]): void {
-        const wasActive = this.isActive;
         this.abandonOrders();
         this.services.clear();
         this.coordinations++;
         this.term = term;
         this.predecessors = predecessors;
-        if (!wasActive) {
-            this.schedule();
-        }
+        this.schedule(this.coordinations);
     }
 
     /**
@@ -171,11 +168,12 @@
         }
     }
 
-    private schedule(): void {
+    /** Ticks until the coordination has ended or another one has begun. */
+    private schedule(coordination: number): void {
         this.parts.clock.schedule(TICK_MS, () => {
-            if (this.term !== undefined) {
+            if (this.term !== undefined && this.coordinations === coordination) {
                 this.tick(this.term);
-                this.schedule();
+                this.schedule(coordination);
             }
         });
     }
--- a/packages/gateway/tests/abandonedOrders.test.ts
+++ b/packages/gateway/tests/abandonedOrders.test.ts
@@ -35,6 +35,7 @@
 function createCoordinator() {
     const clock = new ManualClock();
     const orders = new PendingOrders();
+    let ticks = 0;
     const coordinator = new KeyCoordinator({
         clock,
         logger: new Logger(clock, "host", "silent"),
@@ -43,14 +44,22 @@
         table: new MemoryRowTable<KeyMap>(clock),
         onCommitted: () => undefined,
         directory: new ServerDirectory(new TableView(), clock),
-        getConfiguration: () => undefined,
+        getConfiguration: () => {
+            ticks++;
+            return undefined;
+        },
         lease: { isValid: true, storeContactAge: 0, storeEra: 0, ...SAME_CLOCK },
         settings: createOwnershipSettings(9_000, 9_000),
         rebalance: REBALANCE,
         stripeKeys: 128,
         onHeld: () => undefined,
     });
-    return { coordinator, orders };
+    const countTicks = (duration: number) => {
+        const before = ticks;
+        clock.advance(duration);
+        return ticks - before;
+    };
+    return { coordinator, countTicks, orders };
 }
 
 // Guards against two owners of a key: the successor of a coordinator that stops counts from the stop, so that no order may arrive after it.
@@ -69,3 +78,16 @@
     coordinator.start(2, []);
     expect(orders.abandoned).toBe(1);
 });
+
+// Guards against orders at twice their rate: a coordination that begins within a tick of the end of another one runs its ticks as well.
+test("a coordinator that begins again at once ticks as often as before", () => {
+    const { coordinator, countTicks } = createCoordinator();
+    coordinator.start(1, []);
+    const usual = countTicks(1_000);
+    coordinator.stop();
+    coordinator.start(2, []);
+    coordinator.start(3, []);
+    expect(countTicks(1_000)).toBe(usual);
+    coordinator.stop();
+    expect(countTicks(1_000)).toBe(0);
+});
