A map states no time for a grant without an outcome; an unsent order keeps a late one

Callers would see two servers with one key after a change of coordinators in a busy process.

Cause: (1) a map that was proposed while a grant had no outcome stated the time of the proposal. (2) "not sent" of a second order put the first one's time back to when it was sent.

Change: the map leaves the time out while a grant has no outcome, and is committed once more when that is known. The test that expected the time of the proposal asked for the fault; the one in its place asks for none, and for the right one with the next commit.

--- a/packages/gateway/src/ownership/orderScheduler.ts
+++ b/packages/gateway/src/ownership/orderScheduler.ts
@@ -55,6 +55,8 @@
     private readonly requested = new Set<number>();
     private readonly window = new GrantWindow();
     private readonly pending = new PendingGrants();
+    /** Whether the map lacks the time of an earlier owner's last grant, whose outcome became known after the commit. */
+    private hasUndatedOwner = false;
     private readonly reachability: HolderReachability;
     /** Until then a predecessor may have sent grants to the holders in its map. */
     private inheritedUntil: Milliseconds;
@@ -111,9 +113,9 @@
         return Math.max(0, this.inheritedUntil - now);
     }
 
-    /** Whether ranges wait for the end of a proposal. */
-    get hasFrozen(): boolean {
-        return this.frozen.size > 0;
+    /** Whether a commit is needed although no keys move: ranges wait for the end of a proposal, or the map can state a time that it lacks. */
+    get needsCommit(): boolean {
+        return this.frozen.size > 0 || this.hasUndatedOwner;
     }
 
     /**
@@ -138,7 +140,7 @@
             term,
             changes,
             (holder, range) => this.hasStopped(holder, range, now),
-            (holder, range) => this.getGrantLimit(holder, range, now),
+            (holder, range) => this.getGrantLimit(holder, range),
             fence,
         );
     }
@@ -156,6 +158,7 @@
         this.refused.clear();
         this.requested.clear();
         this.frozen.clear();
+        this.hasUndatedOwner = false;
     }
 
     /**
@@ -207,6 +210,8 @@
         }
         const range = findRange(this.committed.ranges, order.first);
         const progress = range && this.progress.get(range.first);
+        this.hasUndatedOwner ||= range !== undefined && range.fence !== order.fence
+            && range.previousUntil === undefined && range.previous.length > 0;
         if (!range || !progress || range.first !== order.first || range.fence !== order.fence) {
             return undefined;
         }
@@ -303,19 +308,14 @@
         );
     }
 
-    /** Returns the store time after which a holder gets no grants of a range; `undefined` when it may get more. */
-    private getGrantLimit(
-        holder: KeyHolder,
-        range: OwnedRange,
-        now: Milliseconds,
-    ): Milliseconds | undefined {
+    /** Returns the store time after which a holder gets no grants of a range; `undefined` when it may get more, or one has no outcome yet. */
+    private getGrantLimit(holder: KeyHolder, range: OwnedRange): Milliseconds | undefined {
         const grant = this.progress.get(range.first)?.lastGrants.get(getHolderName(holder));
         const mayGetMore = isSameHolder(holder, range.owner) && !this.frozen.has(range.first);
-        if (!grant || mayGetMore) {
-            return undefined;
-        }
-        const last = getLastGrantTime(grant, this.inheritedUntil);
-        return this.scale.toStoreTime(this.pending.includes(holder, range) ? Math.max(last, now) : last);
+        const isUnknown = mayGetMore || this.pending.includes(holder, range);
+        return grant && !isUnknown
+            ? this.scale.toStoreTime(getLastGrantTime(grant, this.inheritedUntil))
+            : undefined;
     }
 
     /** Counts a grant whose outcome was learned late from then: it may have arrived until now. */
--- a/packages/gateway/src/ownership/serviceCoordinator.ts
+++ b/packages/gateway/src/ownership/serviceCoordinator.ts
@@ -202,7 +202,7 @@
     private async commitChanges(scheduler: OrderScheduler, now: Milliseconds): Promise<void> {
         const { logger, metrics, service } = this.parts;
         const { cause, changes, ...figures } = this.plan(scheduler, now);
-        if (changes.length === 0 && !scheduler.hasFrozen) {
+        if (changes.length === 0 && !scheduler.needsCommit) {
             return;
         }
         const fence = this.term.getNextFence(scheduler.map);
--- a/packages/gateway/tests/lateOutcomes.test.ts
+++ b/packages/gateway/tests/lateOutcomes.test.ts
@@ -66,11 +66,28 @@
     expect(scheduler.listWaiting(60_000).map(({ holders }) => holders)).toEqual([[A]]);
 });
 
-test("the map states no earlier time for an owner with a grant without an outcome than that of the proposal", () => {
+// Guards against a successor that relies on a time in the map: the coordinator that wrote it learned of a grant's outcome only later.
+test("the map states no time for an owner with a grant without an outcome, and asks for a commit once it is known", () => {
     const scheduler = new OrderScheduler(MAP, false, 0, SETTINGS, () => "leaving", SAME_CLOCK);
     const [grant] = scheduler.takeDueOrders(0, true, 100) as [KeyOrder];
-    const change = [{ first: 0, last: 9, owner: B }];
-    expect(scheduler.propose(1, change, 500).ranges[0]!.previousUntil).toBe(500);
-    scheduler.complete(grant, UNKNOWN, 800);
-    expect(scheduler.propose(1, change, 900).ranges[0]!.previousUntil).toBe(0);
+    scheduler.commit(scheduler.propose(1, [{ first: 0, last: 9, owner: B }], 500));
+    expect(scheduler.map.ranges[0]!.previousUntil).toBeUndefined();
+    expect(scheduler.needsCommit).toBe(false);
+    scheduler.complete(grant, UNKNOWN, 4_000);
+    expect(scheduler.needsCommit).toBe(true);
+    scheduler.commit(scheduler.propose(1, [], 4_100));
+    expect(scheduler.map.ranges[0]!.previousUntil).toBe(4_000 - SETTINGS.orderTimeoutMs);
+    expect(scheduler.needsCommit).toBe(false);
+});
+
+test("an order that was not sent does not take a late outcome of the one before back", () => {
+    const { grant, listGranted, scheduler } = createSession();
+    scheduler.commit(scheduler.propose(1, [{ first: 5, last: 9, owner: C }], 50));
+    const [next] = scheduler.takeDueOrders(100, true, 100).filter(({ kind }) => kind === "grant");
+    expect(next).toMatchObject({ first: 0, last: 4, holder: A });
+    scheduler.complete(grant, UNKNOWN, 4_000);
+    scheduler.complete(next!, { kind: "unsent", reason: "refused" }, 4_000);
+    scheduler.commit(scheduler.propose(1, [{ first: 0, last: 4, owner: B }], 4_100));
+    expect(listGranted(4_000 + HELD_MS - 1).filter(name => name.startsWith("b"))).toEqual([]);
+    expect(listGranted(4_000 + HELD_MS + SETTINGS.retryMs)).toContain("b@0");
 });
--- a/packages/gateway/tests/support/ownershipFuzzer.ts
+++ b/packages/gateway/tests/support/ownershipFuzzer.ts
@@ -256,7 +256,7 @@
         const all = changes.length > 0 ? changes : this.scheduler.listRefused();
         if (
             all.length > 0 || this.happens(this.probabilities.bump)
-            || (this.row.hasPendingWrites && this.scheduler.hasFrozen)
+            || (this.row.hasPendingWrites && this.scheduler.needsCommit)
         ) {
             const fence = this.getNextFence(this.scheduler.map);
             const map = this.scheduler.propose(this.term, all, this.now, fence);
