Two answers of another server prove an end only within one coordination

Callers would see two servers with one key.

Cause: the first of the two answers was kept as long as the process. In a later coordination one more answer proved the end, although the server may have answered other coordinators in between.

Change: a coordination begins without answers of earlier ones.

--- a/packages/gateway/src/ownership/keyCoordinator.ts
+++ b/packages/gateway/src/ownership/keyCoordinator.ts
@@ -99,6 +99,7 @@
     start(term: number, predecessors: readonly Predecessor[]): void {
         this.abandonOrders();
         this.services.clear();
+        this.liveness.forgetRefusals();
         this.coordinations++;
         this.term = term;
         this.predecessors = predecessors;
--- a/packages/gateway/src/ownership/serverLiveness.ts
+++ b/packages/gateway/src/ownership/serverLiveness.ts
@@ -47,6 +47,11 @@
         return isLeaving ? "leaving" : "live";
     }
 
+    /** Forgets answers of other servers that prove nothing yet: a coordinator in between may have had plain answers of the holders. */
+    forgetRefusals(): void {
+        this.refusedAt.clear();
+    }
+
     /** Records holders to which predecessors may have sent grants, at addresses that this host may not know. */
     recordInherited(holders: readonly KeyHolder[]): void {
         holders.forEach(holder => this.inherited.add(getHolderName(holder)));
--- a/packages/gateway/tests/serverLiveness.test.ts
+++ b/packages/gateway/tests/serverLiveness.test.ts
@@ -130,3 +130,14 @@
     [DONE, OTHER_SERVER, OTHER_SERVER].forEach(outcome => send(A, outcome));
     expect(liveness.getState(A)).toBe("dead");
 });
+
+// Guards against two owners of a key: of two answers of another server, one came in an earlier coordination.
+test("another server's answers in different coordinations prove nothing together", () => {
+    const { liveness, send } = start();
+    send(A, OTHER_SERVER);
+    liveness.forgetRefusals();
+    send(A, OTHER_SERVER);
+    expect(liveness.getState(A)).toBe("live");
+    send(A, OTHER_SERVER);
+    expect(liveness.getState(A)).toBe("dead");
+});
