Giving up a client resets its idle connections, too

Callers would see two servers with one key after a planned stop.

Cause: a connection was reset only while an exchange was under way. A second answer to the order before ends an exchange early; what was written for it stayed with the kernel, which delivered it after the process had given up its orders.

Change: a client that is given up resets all its connections.

--- a/packages/clients/src/http/httpClient.ts
+++ b/packages/clients/src/http/httpClient.ts
@@ -1,6 +1,7 @@
 import type { Clock, HeaderFields, Metrics, Milliseconds } from "@arbutusdoor/common";
 import PQueue from "p-queue";
 import type { Pool } from "undici";
+import { AbandonedError } from "./abandonedError.js";
 import { bufferBody } from "./bufferBody.js";
 import { createHttpPool } from "./createHttpPool.js";
 import type { HttpAnswer } from "./httpAnswer.js";
@@ -10,7 +11,6 @@
 const INTERVAL_MS = 1_000;
 const MICROSECONDS_PER_MS = 1_000;
 const ANSWER_TIMEOUT = "no whole answer within the time limit";
-const ABANDONED = "all calls were given up";
 const QUEUE_TIMEOUT: HttpAnswer = { kind: "notRun", reason: "the call waited longer than its time limit" };
 
 /** Options of a client. */
@@ -80,7 +80,7 @@
 
     /** Closes all connections at once. Calls in progress end as `unknown`, waiting ones as `notRun`. */
     abandon(): void {
-        void this.pool.destroy(new Error(ABANDONED));
+        void this.pool.destroy(new AbandonedError());
     }
 
     private async enqueue(call: HttpCall): Promise<HttpAnswer> {
--- a/packages/clients/src/http/poolConnection.ts
+++ b/packages/clients/src/http/poolConnection.ts
@@ -1,6 +1,7 @@
 import type { ConnectionId } from "@arbutusdoor/common";
 import type { Socket } from "node:net";
 import { buildConnector, Client, type Dispatcher } from "undici";
+import { AbandonedError } from "./abandonedError.js";
 import type { AnswerProgress } from "./answerProgress.js";
 import type { AssignedConnection } from "./assignedConnection.js";
 import type { OpenConnection } from "./openConnection.js";
@@ -131,14 +132,15 @@
 }
 
 /**
- * Resets a connection that ends before its exchange does: after a plain close the kernel would still deliver buffered bytes,
- * however late.
+ * Resets a connection that ends before its exchange does, or whose client is given up: after a plain close the kernel would still deliver
+ * buffered bytes, however late. An exchange may have ended by an answer that was not its own.
  */
 function resetWhenAbandoned(socket: Socket, isInUse: () => boolean): void {
     const destroy = socket.destroy.bind(socket);
     socket.destroy = error => {
         // A reset calls this method again without the error. A socket that has ended its writing side cannot be reset.
         socket.destroy = () => destroy(error);
-        return isInUse() && !socket.writableEnded ? socket.resetAndDestroy() : destroy(error);
+        const mustReset = isInUse() || error instanceof AbandonedError;
+        return mustReset && !socket.writableEnded ? socket.resetAndDestroy() : destroy(error);
     };
 }
